Lay out the modules, the core types and the checks

Cause: an empty repository. The parts of the system are to be written side by side, so the types they meet at come first: the clock, the error types, the configuration objects, the store, the peer messages, placement, claims and membership.

Before: nothing.

--- /dev/null
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/package-info.java
@@ -0,0 +1,2 @@
+/** Load generation, experiments and micro-benchmarks. */
+package org.wagtailpin.benchmark;
--- /dev/null
+++ b/daemon/src/main/java/org/wagtailpin/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The entry daemon: wires the library to sockets, settings and signals. */
+package org.wagtailpin.daemon;
--- /dev/null
+++ b/proof/src/main/java/org/wagtailpin/proof/package-info.java
@@ -0,0 +1,2 @@
+/** The specification of the core protocol and what maps it to the code. */
+package org.wagtailpin.proof;
--- /dev/null
+++ b/standins/src/main/java/org/wagtailpin/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins of the outside systems, each a process and embeddable in a test. */
+package org.wagtailpin.standins;
--- /dev/null
+++ b/tools/src/main/java/org/wagtailpin/tools/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command-line tools. */
+package org.wagtailpin.tools;
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/clock/Clock.java
@@ -0,0 +1,20 @@
+package org.wagtailpin.clock;
+
+/**
+ * Source of time in milliseconds.
+ *
+ * <p>The monotonic readings never go back and have an arbitrary origin that differs between
+ * processes; only differences within one process have a meaning. Deadlines, leases and timeouts use
+ * them. The wall reading is for log lines and for messages to other processes, and may jump.
+ */
+public interface Clock {
+
+  /** Returns the monotonic time in whole milliseconds. */
+  long millis();
+
+  /** Returns the monotonic time in milliseconds with a fraction, for measuring latencies. */
+  double exactMillis();
+
+  /** Returns the wall-clock time in milliseconds since 1970-01-01T00:00:00Z. */
+  long wallMillis();
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/clock/package-info.java
@@ -0,0 +1,2 @@
+/** The library's source of time, in milliseconds. */
+package org.wagtailpin.clock;
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigService.java
@@ -0,0 +1,27 @@
+package org.wagtailpin.config;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A service: backend servers that are interchangeable for the routes that lead to it.
+ *
+ * @param name the service's name
+ * @param echoesAttempt whether its servers repeat the attempt identifier in their answers
+ * @param refusals the answers by which its servers say that they did not run a request
+ * @param probePath the path of the load probe, empty if its servers have none
+ */
+public record ConfigService(
+    String name, boolean echoesAttempt, List<RefusalForm> refusals, Optional<String> probePath)
+    implements ConfigObject {
+
+  /** Copies the list. */
+  public ConfigService {
+    refusals = List.copyOf(refusals);
+  }
+
+  @Override
+  public ConfigKind kind() {
+    return ConfigKind.SERVICE;
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigSnapshot.java
@@ -0,0 +1,153 @@
+package org.wagtailpin.config;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The configuration in force, arranged for look-ups by traffic threads. */
+public final class ConfigSnapshot {
+
+  // More specific first: a named host before any host, then the longer prefix, then the name.
+  private static final Comparator<ConfigRoute> SPECIFIC_FIRST =
+      Comparator.<ConfigRoute, Boolean>comparing(route -> route.host().isEmpty())
+          .thenComparing(route -> -route.pathPrefix().length())
+          .thenComparing(route -> route.methods().isEmpty())
+          .thenComparing(ConfigRoute::name);
+
+  private final long version;
+  private final List<ConfigRoute> routes = new ArrayList<>();
+  private final Map<String, ConfigService> services = new HashMap<>();
+  private final Map<String, List<ConfigServer>> servers = new HashMap<>();
+  private final List<ConfigLink> links = new ArrayList<>();
+  private final List<ConfigLimit> limits = new ArrayList<>();
+  private final List<ConfigCallerGroup> callerGroups = new ArrayList<>();
+
+  /**
+   * Arranges objects for look-up.
+   *
+   * @param version a number that differs between snapshots of one process
+   * @param objects the objects in force
+   */
+  public ConfigSnapshot(long version, Collection<ConfigObject> objects) {
+    this.version = version;
+    for (ConfigObject object : objects) {
+      add(object);
+    }
+    routes.sort(SPECIFIC_FIRST);
+  }
+
+  /** Returns a snapshot without objects. */
+  public static ConfigSnapshot empty() {
+    return new ConfigSnapshot(0, List.of());
+  }
+
+  private void add(ConfigObject object) {
+    if (object instanceof ConfigRoute route) {
+      routes.add(route);
+    } else if (object instanceof ConfigService service) {
+      services.put(service.name(), service);
+    } else if (object instanceof ConfigServerSet set) {
+      servers.computeIfAbsent(set.service(), name -> new ArrayList<>()).addAll(set.servers());
+    } else if (object instanceof ConfigLink link) {
+      links.add(link);
+    } else if (object instanceof ConfigLimit limit) {
+      limits.add(limit);
+    } else if (object instanceof ConfigCallerGroup group) {
+      callerGroups.add(group);
+    }
+  }
+
+  /** Returns the number that tells this snapshot from others of the process. */
+  public long version() {
+    return version;
+  }
+
+  /**
+   * Finds the route of a request.
+   *
+   * @param host the host name without port, in lower case
+   * @param path the path without the query
+   * @param method the HTTP method
+   * @return the most specific route that matches, or empty if none does
+   */
+  public Optional<ConfigRoute> route(String host, String path, String method) {
+    for (ConfigRoute route : routes) {
+      if (matches(route, host, path, method)) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static boolean matches(ConfigRoute route, String host, String path, String method) {
+    if (route.host().isPresent() && !route.host().get().equals(host)) {
+      return false;
+    }
+    if (!route.methods().isEmpty() && !route.methods().contains(method)) {
+      return false;
+    }
+    return path.startsWith(route.pathPrefix());
+  }
+
+  /** Returns the service of a name, or empty if there is none. */
+  public Optional<ConfigService> service(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /** Returns the servers of a service, none if the service is unknown. */
+  public List<ConfigServer> servers(String service) {
+    return servers.getOrDefault(service, List.of());
+  }
+
+  /** Returns all services. */
+  public Collection<ConfigService> services() {
+    return services.values();
+  }
+
+  /** Returns all routes, the most specific first. */
+  public List<ConfigRoute> routes() {
+    return routes;
+  }
+
+  /** Returns the link between two regions, or empty if no object describes it. */
+  public Optional<ConfigLink> link(String one, String other) {
+    return links.stream().filter(link -> link.joins(one, other)).findFirst();
+  }
+
+  /** Returns all links. */
+  public List<ConfigLink> links() {
+    return links;
+  }
+
+  /** Returns all caller groups. */
+  public List<ConfigCallerGroup> callerGroups() {
+    return callerGroups;
+  }
+
+  /**
+   * Returns the value in force of a named constant.
+   *
+   * @param tunable the constant
+   * @param service the service that asks
+   */
+  public double tunable(Tunable tunable, String service) {
+    Optional<Double> own = limitValue(tunable, Optional.of(service));
+    if (own.isPresent()) {
+      return own.get();
+    }
+    return limitValue(tunable, Optional.empty()).orElse(tunable.defaultValue());
+  }
+
+  private Optional<Double> limitValue(Tunable tunable, Optional<String> service) {
+    for (ConfigLimit limit : limits) {
+      if (limit.service().equals(service) && limit.values().containsKey(tunable)) {
+        return Optional.of(limit.values().get(tunable));
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/control/ManualControlLoop.java
@@ -0,0 +1,86 @@
+package org.wagtailpin.control;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import org.wagtailpin.clock.ManualClock;
+
+/**
+ * Control loop in controlled time: tasks run only while the time is moved, in the order of their
+ * due time and then of their submission. For use by one thread.
+ */
+public final class ManualControlLoop implements ControlLoop {
+
+  private static final class Task implements Scheduled {
+    private final long dueMillis;
+    private final long number;
+    private final Runnable body;
+    private boolean cancelled;
+
+    Task(long dueMillis, long number, Runnable body) {
+      this.dueMillis = dueMillis;
+      this.number = number;
+      this.body = body;
+    }
+
+    long dueMillis() {
+      return dueMillis;
+    }
+
+    long number() {
+      return number;
+    }
+
+    @Override
+    public void cancel() {
+      cancelled = true;
+    }
+  }
+
+  private final ManualClock clock;
+  private final PriorityQueue<Task> tasks =
+      new PriorityQueue<>(Comparator.comparingLong(Task::dueMillis).thenComparing(Task::number));
+  private long submitted;
+
+  /**
+   * Creates a loop.
+   *
+   * @param clock the clock that {@link #advance} moves
+   */
+  public ManualControlLoop(ManualClock clock) {
+    this.clock = clock;
+  }
+
+  @Override
+  public void execute(Runnable task) {
+    schedule(0, task);
+  }
+
+  @Override
+  public Scheduled schedule(long delayMillis, Runnable body) {
+    Task task = new Task(clock.millis() + Math.max(0, delayMillis), submitted++, body);
+    tasks.add(task);
+    return task;
+  }
+
+  /** Runs the tasks that are due now, and those that they submit for now. */
+  public void runDue() {
+    advance(0);
+  }
+
+  /**
+   * Moves the time forward and runs each task at its due time.
+   *
+   * @param millis how far, in milliseconds, at least 0
+   */
+  public void advance(long millis) {
+    long end = clock.millis() + millis;
+    while (!tasks.isEmpty() && tasks.peek().dueMillis <= end) {
+      Task task = tasks.poll();
+      clock.advance(Math.max(0, task.dueMillis - clock.millis()));
+      if (!task.cancelled) {
+        task.body.run();
+      }
+    }
+    clock.advance(Math.max(0, end - clock.millis()));
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/control/Scheduled.java
@@ -0,0 +1,8 @@
+package org.wagtailpin.control;
+
+/** A task that is to run later. */
+public interface Scheduled {
+
+  /** Calls the task off if it has not begun. */
+  void cancel();
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/control/ThreadControlLoop.java
@@ -0,0 +1,60 @@
+package org.wagtailpin.control;
+
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+
+/** Control loop on a daemon thread of its own. */
+public final class ThreadControlLoop implements ControlLoop, AutoCloseable {
+
+  private final ScheduledThreadPoolExecutor executor;
+
+  /**
+   * Starts the thread.
+   *
+   * @param name the thread's name
+   */
+  public ThreadControlLoop(String name) {
+    executor =
+        new ScheduledThreadPoolExecutor(
+            1,
+            runnable -> {
+              Thread thread = new Thread(runnable, name);
+              thread.setDaemon(true);
+              return thread;
+            },
+            // Tasks that arrive after close are dropped: the control state is gone by then.
+            new ThreadPoolExecutor.DiscardPolicy());
+    executor.setRemoveOnCancelPolicy(true);
+    executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+  }
+
+  @Override
+  public void execute(Runnable task) {
+    executor.execute(guarded(task));
+  }
+
+  @Override
+  public Scheduled schedule(long delayMillis, Runnable task) {
+    Future<?> future = executor.schedule(guarded(task), delayMillis, TimeUnit.MILLISECONDS);
+    return () -> future.cancel(false);
+  }
+
+  private static Runnable guarded(Runnable task) {
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException e) {
+        Logger.error(e, "control task failed");
+      }
+    };
+  }
+
+  /** Stops the thread after the tasks that are due. */
+  @Override
+  public void close() {
+    executor.shutdown();
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between entries, over Netty with protobuf. */
+package org.wagtailpin.entrypeer;
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/error/Peer.java
@@ -0,0 +1,24 @@
+package org.wagtailpin.error;
+
+/** The kind of peer a step was dealing with when an error arose. */
+public enum Peer {
+  CALLER("caller"),
+  BACKEND_SERVER("backend-server"),
+  STORE("store"),
+  HOST_LIST("host-list"),
+  ENTRY_PEER("entry-peer"),
+  OPERATOR("operator"),
+  /** The entry itself: no other process was involved. */
+  SELF("self");
+
+  private final String label;
+
+  Peer(String label) {
+    this.label = label;
+  }
+
+  /** Returns the name used in answers, log lines and metrics. */
+  public String label() {
+    return label;
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptReport.java
@@ -0,0 +1,13 @@
+package org.wagtailpin.routing;
+
+import java.util.Optional;
+
+/**
+ * How an attempt went, for the placement to learn from.
+ *
+ * @param outcome how it ended
+ * @param latencyMillis the time from dispatch to the end, in milliseconds with a fraction
+ * @param load the load that the server reported with its answer, if it did
+ */
+public record AttemptReport(
+    AttemptOutcome outcome, double latencyMillis, Optional<LoadReport> load) {}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/memory/MemoryStore.java
@@ -0,0 +1,297 @@
+package org.wagtailpin.store.memory;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.error.Peer;
+import org.wagtailpin.error.Step;
+import org.wagtailpin.store.LeaseId;
+import org.wagtailpin.store.LeaseResult;
+import org.wagtailpin.store.ListResult;
+import org.wagtailpin.store.ReadResult;
+import org.wagtailpin.store.Store;
+import org.wagtailpin.store.StoreChange;
+import org.wagtailpin.store.StoreEntry;
+import org.wagtailpin.store.WatchResult;
+import org.wagtailpin.store.WriteCondition;
+import org.wagtailpin.store.WriteResult;
+
+/**
+ * A store held in memory, without faults of its own.
+ *
+ * <p>Calls are safe from any thread and are answered before they return, but for watches, which are
+ * answered by the call that makes the change or by the control loop when their time runs out.
+ * Leases lapse when the first call after their end arrives or the control loop comes to it.
+ */
+public final class MemoryStore implements Store {
+
+  /** Greatest size of a value, in bytes. */
+  public static final int MAX_VALUE_BYTES = 1_000_000;
+
+  private static final int HISTORY_LENGTH = 10_000;
+
+  private static final class Lease {
+    private final long ttlMillis;
+    private long endMillis;
+
+    Lease(long ttlMillis, long endMillis) {
+      this.ttlMillis = ttlMillis;
+      this.endMillis = endMillis;
+    }
+  }
+
+  private record Waiter(String prefix, long afterRevision, CompletableFuture<WatchResult> future) {}
+
+  private final Clock clock;
+  private final ControlLoop loop;
+  private final NavigableMap<String, StoreEntry> entries = new TreeMap<>();
+  private final Map<LeaseId, Lease> leases = new HashMap<>();
+  private final Deque<StoreChange> history = new ArrayDeque<>();
+  private final List<Waiter> waiters = new ArrayList<>();
+  private long revision;
+  private long compactedRevision;
+  private long lastLease;
+
+  /**
+   * Creates an empty store.
+   *
+   * @param clock the time that leases are counted by
+   * @param loop runs the ends of leases and of watches
+   */
+  public MemoryStore(Clock clock, ControlLoop loop) {
+    this.clock = clock;
+    this.loop = loop;
+  }
+
+  @Override
+  public synchronized CompletableFuture<ReadResult> read(String key) {
+    endLeases();
+    StoreEntry entry = entries.get(key);
+    return CompletableFuture.completedFuture(
+        entry == null ? new ReadResult.Absent(revision) : new ReadResult.Found(entry, revision));
+  }
+
+  @Override
+  public synchronized CompletableFuture<ListResult> list(String prefix) {
+    endLeases();
+    List<StoreEntry> found = new ArrayList<>();
+    for (StoreEntry entry : entries.tailMap(prefix, true).values()) {
+      if (!entry.key().startsWith(prefix)) {
+        break;
+      }
+      found.add(entry);
+    }
+    return CompletableFuture.completedFuture(new ListResult.Listed(found, revision));
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> write(
+      String key, byte[] value, WriteCondition condition, Optional<LeaseId> lease) {
+    WriteResult result;
+    List<Runnable> answers = new ArrayList<>();
+    synchronized (this) {
+      endLeases();
+      result = writeNow(key, value, condition, lease);
+      collectAnswers(answers);
+    }
+    answers.forEach(Runnable::run);
+    return CompletableFuture.completedFuture(result);
+  }
+
+  private WriteResult writeNow(
+      String key, byte[] value, WriteCondition condition, Optional<LeaseId> lease) {
+    if (value.length > MAX_VALUE_BYTES) {
+      return notWritten("value of " + value.length + " bytes is above " + MAX_VALUE_BYTES);
+    }
+    if (lease.isPresent() && !leases.containsKey(lease.get())) {
+      return notWritten("lease " + lease.get().value() + " does not exist");
+    }
+    if (!holds(condition, key)) {
+      return new WriteResult.Conflict(currentRevision(key));
+    }
+    StoreEntry entry = new StoreEntry(key, value.clone(), ++revision, lease);
+    entries.put(key, entry);
+    record(new StoreChange(key, revision, Optional.of(entry)));
+    return new WriteResult.Written(revision);
+  }
+
+  private static WriteResult notWritten(String detail) {
+    return new WriteResult.NotWritten(new Fault(Step.WRITE_STORE, Peer.STORE, "", detail));
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> delete(String key, WriteCondition condition) {
+    WriteResult result;
+    List<Runnable> answers = new ArrayList<>();
+    synchronized (this) {
+      endLeases();
+      if (!holds(condition, key)) {
+        result = new WriteResult.Conflict(currentRevision(key));
+      } else {
+        remove(key);
+        result = new WriteResult.Written(revision);
+      }
+      collectAnswers(answers);
+    }
+    answers.forEach(Runnable::run);
+    return CompletableFuture.completedFuture(result);
+  }
+
+  private boolean holds(WriteCondition condition, String key) {
+    if (condition instanceof WriteCondition.Absent) {
+      return !entries.containsKey(key);
+    }
+    if (condition instanceof WriteCondition.AtRevision at) {
+      return currentRevision(key) == at.revision();
+    }
+    return true;
+  }
+
+  private long currentRevision(String key) {
+    StoreEntry entry = entries.get(key);
+    return entry == null ? 0 : entry.revision();
+  }
+
+  private void remove(String key) {
+    if (entries.remove(key) != null) {
+      record(new StoreChange(key, ++revision, Optional.empty()));
+    }
+  }
+
+  private void record(StoreChange change) {
+    history.addLast(change);
+    if (history.size() > HISTORY_LENGTH) {
+      compactedRevision = history.removeFirst().revision();
+    }
+  }
+
+  @Override
+  public synchronized CompletableFuture<LeaseResult> grantLease(long ttlMillis) {
+    endLeases();
+    LeaseId id = new LeaseId(++lastLease);
+    leases.put(id, new Lease(ttlMillis, clock.millis() + ttlMillis));
+    loop.schedule(ttlMillis, this::endLeasesAndAnswer);
+    return CompletableFuture.completedFuture(new LeaseResult.Held(id, ttlMillis));
+  }
+
+  @Override
+  public synchronized CompletableFuture<LeaseResult> renewLease(LeaseId id) {
+    endLeases();
+    Lease lease = leases.get(id);
+    if (lease == null) {
+      return CompletableFuture.completedFuture(new LeaseResult.Lapsed());
+    }
+    lease.endMillis = clock.millis() + lease.ttlMillis;
+    loop.schedule(lease.ttlMillis, this::endLeasesAndAnswer);
+    return CompletableFuture.completedFuture(new LeaseResult.Held(id, lease.ttlMillis));
+  }
+
+  @Override
+  public CompletableFuture<LeaseResult> revokeLease(LeaseId id) {
+    List<Runnable> answers = new ArrayList<>();
+    synchronized (this) {
+      endLeases();
+      leases.remove(id);
+      removeKeysOf(id);
+      collectAnswers(answers);
+    }
+    answers.forEach(Runnable::run);
+    return CompletableFuture.completedFuture(new LeaseResult.Lapsed());
+  }
+
+  private void endLeasesAndAnswer() {
+    List<Runnable> answers = new ArrayList<>();
+    synchronized (this) {
+      endLeases();
+      collectAnswers(answers);
+    }
+    answers.forEach(Runnable::run);
+  }
+
+  private void endLeases() {
+    long now = clock.millis();
+    Iterator<Map.Entry<LeaseId, Lease>> each = leases.entrySet().iterator();
+    while (each.hasNext()) {
+      Map.Entry<LeaseId, Lease> lease = each.next();
+      if (lease.getValue().endMillis <= now) {
+        each.remove();
+        removeKeysOf(lease.getKey());
+      }
+    }
+  }
+
+  private void removeKeysOf(LeaseId id) {
+    List<String> ended = new ArrayList<>();
+    for (StoreEntry entry : entries.values()) {
+      if (entry.lease().isPresent() && entry.lease().get().equals(id)) {
+        ended.add(entry.key());
+      }
+    }
+    ended.forEach(this::remove);
+  }
+
+  @Override
+  public CompletableFuture<WatchResult> watch(String prefix, long afterRevision, long waitMillis) {
+    Waiter waiter;
+    synchronized (this) {
+      endLeases();
+      Optional<WatchResult> known = changesSince(prefix, afterRevision);
+      if (known.isPresent() || waitMillis <= 0) {
+        return CompletableFuture.completedFuture(
+            known.orElseGet(() -> new WatchResult.Changed(List.of(), revision)));
+      }
+      waiter = new Waiter(prefix, afterRevision, new CompletableFuture<>());
+      waiters.add(waiter);
+    }
+    loop.schedule(waitMillis, () -> endWait(waiter));
+    return waiter.future();
+  }
+
+  private void endWait(Waiter waiter) {
+    long answerRevision;
+    synchronized (this) {
+      waiters.remove(waiter);
+      answerRevision = revision;
+    }
+    waiter.future().complete(new WatchResult.Changed(List.of(), answerRevision));
+  }
+
+  private Optional<WatchResult> changesSince(String prefix, long afterRevision) {
+    if (afterRevision < compactedRevision) {
+      return Optional.of(new WatchResult.Compacted(revision));
+    }
+    List<StoreChange> changes = new ArrayList<>();
+    for (StoreChange change : history) {
+      if (change.revision() > afterRevision && change.key().startsWith(prefix)) {
+        changes.add(change);
+      }
+    }
+    return changes.isEmpty()
+        ? Optional.empty()
+        : Optional.of(new WatchResult.Changed(changes, revision));
+  }
+
+  // Answers are given outside the lock, since the code that waits may call the store again.
+  private void collectAnswers(List<Runnable> answers) {
+    Iterator<Waiter> each = waiters.iterator();
+    while (each.hasNext()) {
+      Waiter waiter = each.next();
+      Optional<WatchResult> result = changesSince(waiter.prefix(), waiter.afterRevision());
+      if (result.isPresent()) {
+        each.remove();
+        answers.add(() -> waiter.future().complete(result.get()));
+      }
+    }
+  }
+}
