--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerFrameDecoder.java
@@ -0,0 +1,60 @@
+package org.wagtailpin.entrypeer;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.TooLongFrameException;
+import java.util.List;
+import org.wagtailpin.entrypeer.generated.PeerFrame;
+
+/** Cuts a stream into frames, each behind its length as a varint, and refuses long ones. */
+final class PeerFrameDecoder extends ByteToMessageDecoder {
+
+  private static final int MAX_LENGTH_BYTES = 5;
+  private static final int PAYLOAD_BITS = 7;
+  private static final int PAYLOAD_MASK = 0x7f;
+  private static final int CONTINUATION_BIT = 0x80;
+
+  private final int maxFrameBytes;
+
+  PeerFrameDecoder(int maxFrameBytes) {
+    this.maxFrameBytes = maxFrameBytes;
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+      throws InvalidProtocolBufferException {
+    in.markReaderIndex();
+    long length = readLength(in);
+    if (length > maxFrameBytes) {
+      in.skipBytes(in.readableBytes());
+      throw new TooLongFrameException("frame of " + length + " bytes is above " + maxFrameBytes);
+    }
+    if (length < 0 || in.readableBytes() < length) {
+      in.resetReaderIndex();
+      return;
+    }
+    byte[] bytes = ByteBufUtil.getBytes(in, in.readerIndex(), (int) length);
+    in.skipBytes((int) length);
+    out.add(PeerFrame.parseFrom(bytes));
+  }
+
+  /** Returns the length, or -1 if it has not arrived whole. */
+  private static long readLength(ByteBuf in) {
+    long length = 0;
+    for (int i = 0; i < MAX_LENGTH_BYTES; i++) {
+      if (!in.isReadable()) {
+        return -1;
+      }
+      int next = in.readByte();
+      length |= (long) (next & PAYLOAD_MASK) << (PAYLOAD_BITS * i);
+      if ((next & CONTINUATION_BIT) == 0) {
+        return length;
+      }
+    }
+    throw new CorruptedFrameException("length of more than " + MAX_LENGTH_BYTES + " bytes");
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerLinkHandler.java
@@ -0,0 +1,43 @@
+package org.wagtailpin.entrypeer;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.OptionalLong;
+import org.tinylog.Logger;
+import org.wagtailpin.entrypeer.generated.PeerFrame;
+
+/** Reads the answers on a connection that this entry opened. */
+final class PeerLinkHandler extends SimpleChannelInboundHandler<PeerFrame> {
+
+  private final PeerLink link;
+  private OptionalLong incarnation = OptionalLong.empty();
+
+  PeerLinkHandler(PeerLink link) {
+    this.link = link;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
+    if (!frame.getIsAnswer()) {
+      return;
+    }
+    if (incarnation.isEmpty()) {
+      incarnation = OptionalLong.of(frame.getIncarnation());
+    }
+    // One connection ends at one process, so another incarnation on it is a broken peer.
+    if (incarnation.getAsLong() == frame.getIncarnation()) {
+      link.answered(frame);
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    link.closed(context.channel());
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    Logger.warn("connection to an entry closed: {}", cause.getMessage());
+    context.close();
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerServerHandler.java
@@ -0,0 +1,37 @@
+package org.wagtailpin.entrypeer;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import org.tinylog.Logger;
+import org.wagtailpin.entrypeer.generated.PeerFrame;
+
+/** Reads the requests on a connection that another entry opened, and writes the answers. */
+final class PeerServerHandler extends SimpleChannelInboundHandler<PeerFrame> {
+
+  private final RequestDispatcher dispatcher;
+  private final ChannelGroup accepted;
+
+  PeerServerHandler(RequestDispatcher dispatcher, ChannelGroup accepted) {
+    this.dispatcher = dispatcher;
+    this.accepted = accepted;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    accepted.add(context.channel());
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
+    Channel channel = context.channel();
+    dispatcher.dispatch(frame, channel::writeAndFlush);
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    Logger.warn("connection of an entry closed: {}", cause.getMessage());
+    context.close();
+  }
+}
