--- a/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerLink.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerLink.java
@@ -64,8 +64,7 @@
       return;
     }
     if (channel.isPresent() && !address.equals(connectedTo)) {
-      channel.get().close();
-      channel = Optional.empty();
+      dropChannel(channel.get());
     }
     if (channel.isPresent()) {
       write(channel.get(), frame);
@@ -79,11 +78,20 @@
     }
   }
 
+  private void dropChannel(Channel old) {
+    var unused = old.close();
+    closed(old);
+  }
+
   private void write(Channel open, PeerFrame frame) {
     if (!open.isWritable()) {
       pending.notSent(frame.getRequestId(), "connection is congested");
       return;
     }
+    if (unanswered.size() >= settings.queueFrames()) {
+      // Requests that timed out are still in the set.
+      unanswered.removeIf(id -> !pending.contains(id));
+    }
     unanswered.add(frame.getRequestId());
     open.writeAndFlush(frame)
         .addListener(
--- a/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerLinkHandler.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerLinkHandler.java
@@ -38,6 +38,6 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     Logger.warn("connection to an entry closed: {}", cause.getMessage());
-    context.close();
+    var unused = context.close();
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerServerHandler.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerServerHandler.java
@@ -26,12 +26,19 @@
   @Override
   protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
     Channel channel = context.channel();
-    dispatcher.dispatch(frame, channel::writeAndFlush);
+    dispatcher.dispatch(frame, answer -> write(channel, answer));
+  }
+
+  private static void write(Channel channel, PeerFrame answer) {
+    // An asker that does not read gets no answers, rather than filling this entry's memory.
+    if (channel.isWritable()) {
+      var unused = channel.writeAndFlush(answer);
+    }
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     Logger.warn("connection of an entry closed: {}", cause.getMessage());
-    context.close();
+    var unused = context.close();
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PendingRequests.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PendingRequests.java
@@ -99,6 +99,15 @@
     }
   }
 
+  /**
+   * Tells whether a request still awaits its answer.
+   *
+   * @param id its number
+   */
+  public boolean contains(long id) {
+    return pending.containsKey(id);
+  }
+
   private static Fault fault(Pending waiting, String detail) {
     return new Fault(Step.SEND_REQUEST, Peer.ENTRY_PEER, waiting.entry(), detail);
   }
