--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/hostlist/HostListSettings.java
@@ -0,0 +1,21 @@
+package org.wagtailpin.hostlist;
+
+/**
+ * Timing of the reads of the host list.
+ *
+ * @param pollMillis the time between reads, in milliseconds, at least 1
+ * @param maxBackoffMillis the longest time between reads while they fail, in milliseconds
+ * @param absentMillis how long a host that was seen is absent from the list before it is held to be
+ *     gone, in milliseconds; more than the list can lag
+ */
+public record HostListSettings(long pollMillis, long maxBackoffMillis, long absentMillis) {
+
+  private static final long POLL_MILLIS = 2000;
+  private static final long MAX_BACKOFF_MILLIS = 16_000;
+  private static final long ABSENT_MILLIS = 60_000;
+
+  /** Returns the default settings. */
+  public static HostListSettings defaults() {
+    return new HostListSettings(POLL_MILLIS, MAX_BACKOFF_MILLIS, ABSENT_MILLIS);
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/LoopCallbacks.java
@@ -0,0 +1,15 @@
+package org.wagtailpin.membership;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.wagtailpin.control.ControlLoop;
+
+/** Leads results that may arrive on any thread to the control loop. */
+final class LoopCallbacks {
+
+  private LoopCallbacks() {}
+
+  static <T> void onLoop(ControlLoop loop, CompletableFuture<T> future, Consumer<T> consumer) {
+    var unused = future.thenAccept(result -> loop.execute(() -> consumer.accept(result)));
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/MembershipSettings.java
@@ -0,0 +1,63 @@
+package org.wagtailpin.membership;
+
+/**
+ * Timing and cut of membership and shares. All entries of a fleet use the same values.
+ *
+ * @param heartbeatMillis the time between heartbeats to one peer, in milliseconds, at least 10
+ * @param promiseMillis how long an entry that was heard is promised to be counted, in milliseconds
+ * @param promiseMarginMillis how much longer the promise is kept than told, in milliseconds; covers
+ *     clocks of different rate
+ * @param leaseTtlMillis the time to live of the lease in the store, in milliseconds, at least 100
+ * @param leaseMarginMillis how much earlier than the store the holder counts its lease as ended, in
+ *     milliseconds
+ * @param watchWaitMillis how long one watch of the store waits, in milliseconds
+ * @param minBackoffMillis the pause after a first failed call of the store, in milliseconds
+ * @param maxBackoffMillis the longest pause between calls of the store, in milliseconds
+ * @param silenceMillis how long a peer is silent before another one watches the store in its place,
+ *     in milliseconds
+ * @param goneSilenceMillis how long an entry is silent at least before it is held to be gone, in
+ *     milliseconds
+ * @param guaranteedFraction the part of each limit that is split over all registered entries, 0 to
+ *     1; the rest is split over the entries counted live
+ */
+public record MembershipSettings(
+    long heartbeatMillis,
+    long promiseMillis,
+    long promiseMarginMillis,
+    long leaseTtlMillis,
+    long leaseMarginMillis,
+    long watchWaitMillis,
+    long minBackoffMillis,
+    long maxBackoffMillis,
+    long silenceMillis,
+    long goneSilenceMillis,
+    double guaranteedFraction) {
+
+  private static final long HEARTBEAT_MILLIS = 1000;
+  private static final long PROMISE_MILLIS = 5000;
+  private static final long PROMISE_MARGIN_MILLIS = 500;
+  private static final long LEASE_TTL_MILLIS = 10_000;
+  private static final long LEASE_MARGIN_MILLIS = 500;
+  private static final long WATCH_WAIT_MILLIS = 2000;
+  private static final long MIN_BACKOFF_MILLIS = 250;
+  private static final long MAX_BACKOFF_MILLIS = 4000;
+  private static final long SILENCE_MILLIS = 3000;
+  private static final long GONE_SILENCE_MILLIS = 30_000;
+  private static final double GUARANTEED_FRACTION = 0.5;
+
+  /** Returns the default settings. */
+  public static MembershipSettings defaults() {
+    return new MembershipSettings(
+        HEARTBEAT_MILLIS,
+        PROMISE_MILLIS,
+        PROMISE_MARGIN_MILLIS,
+        LEASE_TTL_MILLIS,
+        LEASE_MARGIN_MILLIS,
+        WATCH_WAIT_MILLIS,
+        MIN_BACKOFF_MILLIS,
+        MAX_BACKOFF_MILLIS,
+        SILENCE_MILLIS,
+        GONE_SILENCE_MILLIS,
+        GUARANTEED_FRACTION);
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/PeerTable.java
@@ -0,0 +1,95 @@
+package org.wagtailpin.membership;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.wagtailpin.entrypeer.LearntAddressBook;
+
+/** The entries that this one counts, by their identifiers. For use on the control loop. */
+final class PeerTable {
+
+  private final String self;
+  private final LearntAddressBook addresses;
+  private final long promiseMillis;
+  private final long countedForMillis;
+  private final Map<String, PeerRecord> records = new TreeMap<>();
+
+  /**
+   * Creates an empty table.
+   *
+   * @param self this entry, which is in no record
+   * @param addresses takes the addresses of the entries
+   * @param settings how long an entry is counted after it is first named
+   */
+  PeerTable(String self, LearntAddressBook addresses, MembershipSettings settings) {
+    this.self = self;
+    this.addresses = addresses;
+    this.promiseMillis = settings.promiseMillis();
+    this.countedForMillis = settings.promiseMillis() + settings.promiseMarginMillis();
+  }
+
+  /** Returns how long an entry stays counted after a sign of life, in milliseconds. */
+  long countedForMillis() {
+    return countedForMillis;
+  }
+
+  Optional<PeerRecord> find(String entry) {
+    return Optional.ofNullable(records.get(entry));
+  }
+
+  /** Returns the record of another entry, and begins to count it if it is new. */
+  PeerRecord note(String entry, long nowMillis) {
+    if (entry.equals(self)) {
+      throw new IllegalArgumentException("no record is kept of this entry itself: " + entry);
+    }
+    return records.computeIfAbsent(
+        entry,
+        id ->
+            new PeerRecord(id, nowMillis, nowMillis + promiseMillis, nowMillis + countedForMillis));
+  }
+
+  void noteAll(Collection<String> entries, long nowMillis) {
+    for (String entry : entries) {
+      if (!entry.equals(self)) {
+        note(entry, nowMillis).named(nowMillis);
+      }
+    }
+  }
+
+  void learn(Member member, long nowMillis) {
+    note(member.id(), nowMillis).setDetails(member);
+    addresses.learn(member.id(), member.address(), member.peerPort());
+  }
+
+  void remove(String entry) {
+    records.remove(entry);
+    addresses.forget(entry);
+  }
+
+  Collection<PeerRecord> records() {
+    return List.copyOf(records.values());
+  }
+
+  List<PeerRecord> leasedRecords() {
+    return records.values().stream().filter(PeerRecord::inLeased).toList();
+  }
+
+  /** Returns the entries that the guaranteed part is split over, this one among them. */
+  Set<String> guaranteedSet() {
+    Set<String> set = new TreeSet<>(records.keySet());
+    set.add(self);
+    return set;
+  }
+
+  /** Returns the entries that the leased part is split over, this one among them. */
+  Set<String> leasedSet() {
+    Set<String> set = new TreeSet<>();
+    leasedRecords().forEach(record -> set.add(record.id()));
+    set.add(self);
+    return set;
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/RemovalRules.java
@@ -0,0 +1,73 @@
+package org.wagtailpin.membership;
+
+import java.util.function.Predicate;
+
+/**
+ * Decides which entries are no longer counted.
+ *
+ * <p>No single source removes an entry. Silence is needed in each case: this entry keeps what it
+ * promised. On top of that the leased part needs the store to hold no lease key after the promise
+ * ended; the guaranteed part needs the store to hold no registration, or the host list to tell that
+ * the host is gone.
+ */
+final class RemovalRules {
+
+  private final PeerTable table;
+  private final MembershipSettings settings;
+  private final Predicate<PeerRecord> hostGone;
+
+  RemovalRules(PeerTable table, MembershipSettings settings, Predicate<PeerRecord> hostGone) {
+    this.table = table;
+    this.settings = settings;
+    this.hostGone = hostGone;
+  }
+
+  /**
+   * Applies the rules to all entries.
+   *
+   * @param nowMillis the monotonic time, in milliseconds
+   * @param holdsLeased whether this entry holds its leased part, so that no other entry can hold
+   *     one without a lease of its own or this entry's promise
+   */
+  void apply(long nowMillis, boolean holdsLeased) {
+    for (PeerRecord record : table.records()) {
+      if (nowMillis > record.countedUntilMillis()) {
+        applyToSilent(record, nowMillis, holdsLeased);
+      }
+    }
+  }
+
+  private void applyToSilent(PeerRecord record, long nowMillis, boolean holdsLeased) {
+    boolean holdsNothing = isUnregistered(record) || isHearsay(record, nowMillis);
+    if (holdsNothing || isGone(record, nowMillis)) {
+      table.remove(record.id());
+    } else if (holdsLeased && leaseLapsed(record)) {
+      record.dropLeased();
+    }
+  }
+
+  /** Tells whether the entry can hold nothing without this entry's promise. */
+  private static boolean isUnregistered(PeerRecord record) {
+    if (record.registered() == Registered.NO) {
+      return true;
+    }
+    return record.registered() == Registered.YES
+        && record.registrationAbsentAtMillis() > record.countedUntilMillis();
+  }
+
+  /** Tells whether the entry was named by others only, and is named no more. */
+  private boolean isHearsay(PeerRecord record, long nowMillis) {
+    return record.registered() == Registered.UNKNOWN
+        && nowMillis > record.lastNamedMillis() + table.countedForMillis();
+  }
+
+  private static boolean leaseLapsed(PeerRecord record) {
+    return record.leaseAbsentAtMillis() > record.countedUntilMillis();
+  }
+
+  private boolean isGone(PeerRecord record, long nowMillis) {
+    return hostGone.test(record)
+        && leaseLapsed(record)
+        && !record.heardWithin(nowMillis, settings.goneSilenceMillis());
+  }
+}
