--- a/wagtailpin/src/main/java/org/wagtailpin/membership/EntryPlace.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/EntryPlace.java
@@ -79,7 +79,8 @@
     long now = clock.millis();
     view = Optional.of(next);
     for (Member member : next.registered().values()) {
-      if (!member.id().equals(self.id()) && !knownGone(member, next)) {
+      boolean released = table.isReleased(member.id(), member.incarnation());
+      if (!member.id().equals(self.id()) && !released && !knownGone(member, next)) {
         learnRegistered(member, now);
       }
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/HeartbeatExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/HeartbeatExchange.java
@@ -138,7 +138,9 @@
   private boolean takeHeartbeat(PeerFrame frame, long now) {
     Heartbeat heartbeat = frame.getHeartbeat();
     if (heartbeat.getReleased()) {
-      takeRelease(frame);
+      place.table().release(frame.getSender(), frame.getIncarnation());
+    }
+    if (place.table().isReleased(frame.getSender(), frame.getIncarnation())) {
       return false;
     }
     PeerRecord record = place.table().note(frame.getSender(), now);
@@ -157,13 +159,6 @@
     return true;
   }
 
-  private void takeRelease(PeerFrame frame) {
-    Optional<PeerRecord> record = place.table().find(frame.getSender());
-    if (record.map(known -> known.isIncarnation(frame.getIncarnation())).orElse(false)) {
-      place.table().remove(frame.getSender());
-    }
-  }
-
   private void hearConfig(PeerRecord record, long digest, long ticket) {
     record.setConfig(digest, ticket);
     config.heard(record.id(), new ConfigStamp(digest, ticket));
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/LeaseKeeper.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/LeaseKeeper.java
@@ -65,10 +65,15 @@
     loop.execute(this::step);
   }
 
-  /** Stops renewing and ends the lease; the key goes with it. */
+  /** Stops renewing; the lease lapses in its time. */
   public void stop() {
     stopped = true;
     endMillis = NOT_HELD;
+  }
+
+  /** Stops renewing and ends the lease; the key goes with it. */
+  public void end() {
+    stop();
     lease.ifPresent(
         held -> {
           var unused = store.revokeLease(held);
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/Membership.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/Membership.java
@@ -253,13 +253,15 @@
 
   private void withdraw() {
     stop();
-    lease.stop();
+    lease.end();
     registration.withdraw();
   }
 
   /** Stops all activity without a word to others. */
   public void stop() {
     stopped = true;
+    lease.stop();
+    registration.stop();
     reader.setNeed(StoreReader.Need.NOTHING);
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/PeerTable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/PeerTable.java
@@ -1,6 +1,7 @@
 package org.wagtailpin.membership;
 
 import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,11 +13,20 @@
 /** The entries that this one counts, by their identifiers. For use on the control loop. */
 final class PeerTable {
 
+  private static final int MAX_RELEASED = 1024;
+
   private final String self;
   private final LearntAddressBook addresses;
   private final long promiseMillis;
   private final long countedForMillis;
   private final Map<String, PeerRecord> records = new TreeMap<>();
+  private final Map<String, Long> releasedIncarnations =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > MAX_RELEASED;
+        }
+      };
 
   /**
    * Creates an empty table.
@@ -70,6 +80,20 @@
     addresses.forget(entry);
   }
 
+  /** Notes that an entry gave up all its shares for good. */
+  void release(String entry, long incarnation) {
+    releasedIncarnations.put(entry, incarnation);
+    if (find(entry).map(record -> record.isIncarnation(incarnation)).orElse(false)) {
+      remove(entry);
+    }
+  }
+
+  /** Tells whether an entry is known to have given up all its shares for good. */
+  boolean isReleased(String entry, long incarnation) {
+    Long released = releasedIncarnations.get(entry);
+    return released != null && released == incarnation;
+  }
+
   Collection<PeerRecord> records() {
     return List.copyOf(records.values());
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/Registration.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/Registration.java
@@ -55,9 +55,14 @@
     }
   }
 
+  /** Stops trying; a registration that the store holds stays. */
+  void stop() {
+    stopped = true;
+  }
+
   /** Deletes the registration. */
   void withdraw() {
-    stopped = true;
+    stop();
     if (known) {
       key.delete();
     }
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/membership/MembershipTest.java
@@ -0,0 +1,141 @@
+package org.wagtailpin.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import org.junit.jupiter.api.Test;
+import org.wagtailpin.hostlist.HostState;
+
+class MembershipTest {
+
+  private static final long JOIN_MILLIS = 15_000;
+  private static final long LONG_MILLIS = 60_000;
+
+  private static SimulatedFleet fleetOf(int entries) {
+    SimulatedFleet fleet = new SimulatedFleet(7);
+    for (int i = 0; i < entries; i++) {
+      fleet.startNew();
+    }
+    fleet.run(JOIN_MILLIS);
+    return fleet;
+  }
+
+  private static void assertFullUse(SimulatedFleet fleet) {
+    for (int limit : SimulatedFleet.LIMITS) {
+      assertWithMessage("limit " + limit).that(fleet.sumOfShares(limit)).isEqualTo(limit);
+    }
+    assertThat(fleet.excesses()).isEmpty();
+  }
+
+  @Test
+  void oneEntryHasWholeLimit() {
+    assertFullUse(fleetOf(1));
+  }
+
+  @Test
+  void sixteenEntriesThatStartTogetherUseWholeLimit() {
+    assertFullUse(fleetOf(16));
+  }
+
+  @Test
+  void sharesOfLargeLimitDifferByTwoAtMost() {
+    SimulatedFleet fleet = fleetOf(16);
+    var shares =
+        fleet.running().stream()
+            .mapToInt(e -> e.membership().wholeShare("x", 240))
+            .summaryStatistics();
+    assertThat(shares.getMax() - shares.getMin()).isAtMost(2);
+  }
+
+  @Test
+  void shareOfCrashedEntryComesBackWhenItsHostIsGone() {
+    SimulatedFleet fleet = fleetOf(6);
+    SimulatedEntry crashed = fleet.running().get(2);
+    fleet.crash(crashed);
+    fleet.run(JOIN_MILLIS * 2);
+    assertThat(fleet.sumOfShares(240)).isEqualTo(220);
+    fleet.setHost(crashed.member(), HostState.GONE);
+    fleet.run(LONG_MILLIS);
+    assertFullUse(fleet);
+  }
+
+  @Test
+  void storeOutageTakesNothingWhileEntriesHearOneAnother() {
+    SimulatedFleet fleet = fleetOf(8);
+    fleet.setStoreDown(true);
+    fleet.run(10 * LONG_MILLIS);
+    assertFullUse(fleet);
+  }
+
+  @Test
+  void entryStartedDuringStoreOutageGetsShareFromOthers() {
+    SimulatedFleet fleet = fleetOf(8);
+    fleet.setStoreDown(true);
+    fleet.run(LONG_MILLIS);
+    SimulatedEntry late = fleet.startNew();
+    fleet.run(JOIN_MILLIS);
+    assertThat(late.membership().wholeShare("x", 240)).isAtLeast(20);
+    assertFullUse(fleet);
+    fleet.setStoreDown(false);
+    fleet.run(LONG_MILLIS);
+    assertThat(late.membership().status().registered()).isTrue();
+    assertFullUse(fleet);
+  }
+
+  @Test
+  void entryCutOffFromStoreAndPeersKeepsItsGuaranteedPart() {
+    SimulatedFleet fleet = fleetOf(8);
+    SimulatedEntry alone = fleet.running().get(3);
+    alone.cutStore(true);
+    fleet
+        .network()
+        .cut(
+            java.util.Set.of(alone.id()),
+            java.util.Set.copyOf(
+                fleet.running().stream()
+                    .filter(entry -> entry != alone)
+                    .map(SimulatedEntry::id)
+                    .toList()));
+    fleet.run(LONG_MILLIS);
+    assertThat(alone.membership().wholeShare("x", 240)).isEqualTo(15);
+    assertThat(alone.membership().status().isolation()).isEqualTo(Isolation.SERVING_ALONE);
+    assertThat(fleet.sumOfShares(240)).isEqualTo(240);
+    alone.cutStore(false);
+    fleet.network().mend();
+    fleet.run(LONG_MILLIS);
+    assertFullUse(fleet);
+  }
+
+  @Test
+  void pausedEntryNoticesThatItsLeasedPartIsOver() {
+    SimulatedFleet fleet = fleetOf(4);
+    SimulatedEntry paused = fleet.running().get(1);
+    int before = paused.membership().wholeShare("x", 240);
+    paused.loop().pause();
+    fleet.run(LONG_MILLIS);
+    assertThat(before).isEqualTo(60);
+    assertThat(paused.membership().wholeShare("x", 240)).isEqualTo(30);
+    assertThat(fleet.sumOfShares(240)).isEqualTo(240);
+    paused.loop().resume();
+    fleet.run(LONG_MILLIS);
+    assertFullUse(fleet);
+  }
+
+  @Test
+  void leavingEntryHandsItsShareOverWithinSeconds() {
+    SimulatedFleet fleet = fleetOf(5);
+    fleet.running().get(0).leave();
+    fleet.run(3000);
+    assertThat(fleet.running()).hasSize(4);
+    assertFullUse(fleet);
+  }
+
+  @Test
+  void restartedEntryTakesItsShareAgain() {
+    SimulatedFleet fleet = fleetOf(5);
+    fleet.restart(fleet.running().get(0));
+    fleet.run(JOIN_MILLIS);
+    assertThat(fleet.running()).hasSize(5);
+    assertFullUse(fleet);
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/membership/OffsetClock.java
@@ -0,0 +1,42 @@
+package org.wagtailpin.membership;
+
+import java.util.OptionalLong;
+import org.wagtailpin.clock.Clock;
+
+/** Clock of one simulated entry: its own origin and rate, and it can be made to stand still. */
+final class OffsetClock implements Clock {
+
+  private final Clock base;
+  private final long offsetMillis;
+  private final double rate;
+  private OptionalLong stoodStillAt = OptionalLong.empty();
+
+  OffsetClock(Clock base, long offsetMillis, double rate) {
+    this.base = base;
+    this.offsetMillis = offsetMillis;
+    this.rate = rate;
+  }
+
+  void standStill() {
+    stoodStillAt = OptionalLong.of(millis());
+  }
+
+  void run() {
+    stoodStillAt = OptionalLong.empty();
+  }
+
+  @Override
+  public long millis() {
+    return stoodStillAt.orElseGet(() -> offsetMillis + (long) (base.millis() * rate));
+  }
+
+  @Override
+  public double exactMillis() {
+    return millis();
+  }
+
+  @Override
+  public long wallMillis() {
+    return base.wallMillis();
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/membership/ShareSafetyTest.java
@@ -0,0 +1,167 @@
+package org.wagtailpin.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.entrypeer.PeerIdentity;
+import org.wagtailpin.entrypeer.PeerMessenger;
+import org.wagtailpin.entrypeer.memory.MemoryPeerNetwork;
+import org.wagtailpin.entrypeer.memory.NetworkFaults;
+import org.wagtailpin.hostlist.HostState;
+
+/** Adds up the shares over all entries through schedules of faults. Each seed is one schedule. */
+class ShareSafetyTest {
+
+  private static final int ENTRIES = 12;
+  private static final int ACTIONS = 40;
+  private static final long SETTLE_MILLIS = 15_000;
+  private static final long QUIET_MILLIS = 240_000;
+
+  private static void assertSafe(SimulatedFleet fleet) {
+    assertThat(fleet.excesses().stream().limit(3).toList()).isEmpty();
+  }
+
+  private static void assertFullUse(SimulatedFleet fleet) {
+    for (int limit : SimulatedFleet.LIMITS) {
+      assertWithMessage("limit " + limit).that(fleet.sumOfShares(limit)).isEqualTo(limit);
+    }
+  }
+
+  private static SimulatedFleet settled(long seed) {
+    SimulatedFleet fleet = new SimulatedFleet(seed);
+    for (int i = 0; i < ENTRIES; i++) {
+      fleet.startNew();
+    }
+    fleet.run(SETTLE_MILLIS);
+    return fleet;
+  }
+
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+  void sharesNeverExceedLimitInRandomScheduleAndGrowBackAfterwards(long seed) {
+    SimulatedFleet fleet = settled(seed);
+    FaultSchedule schedule = new FaultSchedule(fleet);
+    for (int i = 0; i < ACTIONS; i++) {
+      schedule.next();
+    }
+    schedule.endFaults();
+    fleet.run(QUIET_MILLIS);
+    assertSafe(fleet);
+    assertFullUse(fleet);
+  }
+
+  @ParameterizedTest(name = "store down: {0}")
+  @ValueSource(booleans = {false, true})
+  void sharesStaySafeWhileAllEntriesAreReplacedOneByOneWithinMinute(boolean storeDown) {
+    SimulatedFleet fleet = settled(21);
+    fleet.setStoreDown(storeDown);
+    for (SimulatedEntry old : List.copyOf(fleet.running())) {
+      fleet.startNew();
+      fleet.run(3000);
+      old.leave();
+      fleet.run(2000);
+    }
+    fleet.setStoreDown(false);
+    fleet.run(QUIET_MILLIS);
+    assertSafe(fleet);
+    if (!storeDown) {
+      assertFullUse(fleet);
+    }
+  }
+
+  @Test
+  void sharesStaySafeWhenHalfTheEntriesAreReplacedAtOnce() {
+    SimulatedFleet fleet = settled(22);
+    for (SimulatedEntry old : List.copyOf(fleet.running().subList(0, ENTRIES / 2))) {
+      fleet.crash(old);
+      fleet.startNew();
+      fleet.later(30_000, () -> fleet.setHost(old.member(), HostState.GONE));
+    }
+    fleet.run(QUIET_MILLIS);
+    assertSafe(fleet);
+    assertFullUse(fleet);
+  }
+
+  @Test
+  void fleetThatIsRestartedWholeGetsItsSharesAgain() {
+    SimulatedFleet fleet = settled(23);
+    for (SimulatedEntry old : List.copyOf(fleet.running())) {
+      fleet.restart(old);
+    }
+    fleet.run(QUIET_MILLIS);
+    assertSafe(fleet);
+    assertFullUse(fleet);
+  }
+
+  @Test
+  void regionAloneKeepsGuaranteedPartAndOthersTakeTheLeasedPart() {
+    SimulatedFleet fleet = settled(24);
+    Set<String> alone = new HashSet<>();
+    Set<String> others = new HashSet<>();
+    for (SimulatedEntry entry : fleet.running()) {
+      boolean cut = entry.member().region().equals("region-0");
+      (cut ? alone : others).add(entry.id());
+      entry.cutStore(cut);
+    }
+    fleet.network().cut(alone, others);
+    fleet.run(3_600_000);
+    assertSafe(fleet);
+    int inRegion =
+        fleet.running().stream()
+            .filter(entry -> alone.contains(entry.id()))
+            .mapToInt(entry -> entry.membership().wholeShare("x", 240))
+            .sum();
+    assertThat(inRegion).isEqualTo(40);
+    assertThat(fleet.sumOfShares(240)).isEqualTo(240);
+    fleet.network().mend();
+    fleet.running().forEach(entry -> entry.cutStore(false));
+    fleet.run(QUIET_MILLIS);
+    assertSafe(fleet);
+    assertFullUse(fleet);
+  }
+
+  @Test
+  void sharesStaySafeOnNetworkThatLosesDelaysAndDoublesMessages() {
+    SimulatedFleet fleet = settled(25);
+    fleet.network().setFaults(new NetworkFaults(1, 800, 0.3, 0.2));
+    FaultSchedule schedule = new FaultSchedule(fleet);
+    for (int i = 0; i < ACTIONS; i++) {
+      schedule.next();
+    }
+    schedule.endFaults();
+    fleet.network().setFaults(NetworkFaults.none());
+    fleet.run(QUIET_MILLIS);
+    assertSafe(fleet);
+    assertFullUse(fleet);
+  }
+
+  @Test
+  void checkFindsEntryThatJoinsWithoutWaitingForAnswers() {
+    SimulatedFleet fleet = settled(26);
+    fleet.startNew(ShareSafetyTest::withoutWaiting);
+    fleet.run(SETTLE_MILLIS);
+    assertThat(fleet.excesses()).isNotEmpty();
+  }
+
+  private static PeerMessenger withoutWaiting(
+      PeerIdentity self, ControlLoop loop, MemoryPeerNetwork network) {
+    return new UnaskedPeerMessenger(network.connect(self, loop), loop);
+  }
+
+  @Test
+  void checkFindsPausedEntryWhoseClockStoodStill() {
+    SimulatedFleet fleet = settled(27);
+    SimulatedEntry paused = fleet.running().get(3);
+    paused.loop().pause();
+    paused.clock().standStill();
+    fleet.run(QUIET_MILLIS);
+    assertThat(fleet.excesses()).isNotEmpty();
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/membership/SimulatedFleet.java
@@ -0,0 +1,214 @@
+package org.wagtailpin.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.wagtailpin.clock.ManualClock;
+import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.control.ManualControlLoop;
+import org.wagtailpin.entrypeer.LearntAddressBook;
+import org.wagtailpin.entrypeer.PeerIdentity;
+import org.wagtailpin.entrypeer.PeerMessenger;
+import org.wagtailpin.entrypeer.memory.MemoryPeerNetwork;
+import org.wagtailpin.hostlist.HostState;
+import org.wagtailpin.store.Store;
+import org.wagtailpin.store.memory.MemoryStore;
+
+/**
+ * A fleet of memberships in controlled time, over a store and a network in memory. After each task
+ * of any entry it adds up the shares over all entries that run, and notes each excess.
+ */
+final class SimulatedFleet {
+
+  /** Chooses how an entry is connected to the network. */
+  interface MessengerChoice {
+    PeerMessenger choose(PeerIdentity self, ControlLoop loop, MemoryPeerNetwork network);
+  }
+
+  static final MessengerChoice HONEST = (self, loop, network) -> network.connect(self, loop);
+
+  static final int[] LIMITS = {1, 2, 6, 15, 220, 240};
+
+  private static final int DOMAINS = 6;
+  private static final int REGIONS = 3;
+  private static final int PEER_PORT = 7000;
+  private static final double RATE_SPREAD = 0.01;
+  private static final double RATE_EPSILON = 1e-9;
+  private static final long OFFSET_SPREAD_MILLIS = 1_000_000;
+  private static final long STEP_MILLIS = 100;
+
+  private final UniformRandomProvider random;
+  private final ManualClock clock = new ManualClock(0);
+  private final ManualControlLoop loop = new ManualControlLoop(clock);
+  private final MemoryStore store = new MemoryStore(clock, loop);
+  private final MemoryPeerNetwork network;
+  private final Map<String, HostState> hosts = new HashMap<>();
+  private final List<SimulatedEntry> running = new ArrayList<>();
+  private final List<String> excesses = new ArrayList<>();
+  private boolean storeDown;
+  private int started;
+
+  SimulatedFleet(long seed) {
+    random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    network = new MemoryPeerNetwork(loop, random);
+  }
+
+  UniformRandomProvider random() {
+    return random;
+  }
+
+  MemoryPeerNetwork network() {
+    return network;
+  }
+
+  Store store() {
+    return store;
+  }
+
+  boolean storeDown() {
+    return storeDown;
+  }
+
+  void setStoreDown(boolean down) {
+    storeDown = down;
+  }
+
+  ManualClock clock() {
+    return clock;
+  }
+
+  List<SimulatedEntry> running() {
+    return running;
+  }
+
+  List<String> excesses() {
+    return excesses;
+  }
+
+  void setHost(Member member, HostState state) {
+    hosts.put(member.address(), state);
+  }
+
+  /** Runs a task later, on no entry's loop. */
+  void later(long delayMillis, Runnable task) {
+    loop.schedule(delayMillis, task);
+  }
+
+  Membership newMembership(
+      Member member,
+      PeerMessenger messenger,
+      Store entryStore,
+      ControlLoop entryLoop,
+      OffsetClock entryClock) {
+    return new Membership(
+        member,
+        messenger,
+        new LearntAddressBook(),
+        entryStore,
+        address -> hosts.getOrDefault(address, HostState.UNKNOWN),
+        new FixedConfig(),
+        entryLoop,
+        entryClock,
+        RandomSource.XO_RO_SHI_RO_128_PP.create(random.nextLong()),
+        MembershipSettings.defaults(),
+        running.stream().map(SimulatedEntry::id).limit(3).toList());
+  }
+
+  SimulatedEntry startNew() {
+    return startNew(HONEST);
+  }
+
+  SimulatedEntry startNew(MessengerChoice messengers) {
+    int number = started++;
+    return start(member(number), messengers);
+  }
+
+  private static Member member(int number) {
+    String region = "region-" + number % REGIONS;
+    String domain = "domain-" + number % DOMAINS;
+    String address = "10.0." + number / 200 + "." + (number % 200 + 1);
+    String id = "entry-" + (1000 + number);
+    return new Member(id, number + 1, address, PEER_PORT, region, domain, false);
+  }
+
+  private SimulatedEntry start(Member member, MessengerChoice messengers) {
+    double rate = 1 - RATE_SPREAD + 2 * RATE_SPREAD * random.nextDouble();
+    OffsetClock entryClock = new OffsetClock(clock, random.nextLong(OFFSET_SPREAD_MILLIS), rate);
+    EntryLoop entryLoop = new EntryLoop(loop, this::check);
+    SimulatedEntry entry = new SimulatedEntry(member, entryLoop, entryClock, this, messengers);
+    setHost(member, HostState.LIVE);
+    running.add(entry);
+    entry.membership().start();
+    return entry;
+  }
+
+  /** Ends an entry's process at once. */
+  void crash(SimulatedEntry entry) {
+    entry.loop().kill();
+    network.disconnect(entry.id());
+    running.remove(entry);
+  }
+
+  /** Ends an entry's process at once and starts another one on the same host. */
+  SimulatedEntry restart(SimulatedEntry entry) {
+    crash(entry);
+    Member old = entry.member();
+    long incarnation = old.incarnation() + 1_000_000;
+    return start(
+        new Member(
+            old.id(),
+            incarnation,
+            old.address(),
+            old.peerPort(),
+            old.region(),
+            old.failureDomain(),
+            false),
+        HONEST);
+  }
+
+  void removeLeft() {
+    for (SimulatedEntry entry : List.copyOf(running)) {
+      if (entry.left()) {
+        crash(entry);
+      }
+    }
+  }
+
+  void run(long millis) {
+    long end = clock.millis() + millis;
+    while (clock.millis() < end) {
+      loop.advance(Math.min(STEP_MILLIS, end - clock.millis()));
+      check();
+      removeLeft();
+    }
+  }
+
+  int sumOfShares(int limit) {
+    String name = limitName(limit);
+    return running.stream().mapToInt(entry -> entry.membership().wholeShare(name, limit)).sum();
+  }
+
+  double sumOfRates(double limit) {
+    return running.stream().mapToDouble(entry -> entry.membership().share(limit)).sum();
+  }
+
+  private static String limitName(int limit) {
+    return "limit-" + limit;
+  }
+
+  private void check() {
+    for (int limit : LIMITS) {
+      int sum = sumOfShares(limit);
+      if (sum > limit) {
+        excesses.add("at " + clock.millis() + " ms: " + sum + " of " + limit);
+      }
+    }
+    double rate = sumOfRates(1);
+    if (rate > 1 + RATE_EPSILON) {
+      excesses.add("at " + clock.millis() + " ms: rate " + rate + " of 1");
+    }
+  }
+}
