Add the stand-in of a backend server

Cause: the path needs servers that slow down, drain, fail fast, lie, drop and truncate on demand, on real sockets.

--- /dev/null
+++ b/standins/src/main/java/org/wagtailpin/standins/backend/BackendServerHandler.java
@@ -0,0 +1,276 @@
+package org.wagtailpin.standins.backend;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** Serves one connection of a stand-in backend server; one request at a time. */
+final class BackendServerHandler extends ChannelInboundHandlerAdapter {
+
+  static final String ATTEMPT_HEADER = "Wagtailpin-Attempt";
+  static final String LOAD_HEADER = "Wagtailpin-Load";
+  static final String DEADLINE_HEADER = "Wagtailpin-Deadline-Millis";
+  static final String REFUSED_HEADER = "Wagtailpin-Refused";
+  static final String WORK_HEADER = "X-Work-Id";
+  static final String PROBE_PATH = "/load";
+  static final String ECHO_PATH = "/echo";
+  static final String NO_WORK_ID = "unnamed";
+
+  private static final double MICROS_PER_MILLI = 1000;
+  private static final int GREATEST_PADDING_BYTES = 64 << 20;
+
+  private final BackendServerStandIn server;
+  private HttpRequest request;
+  private long bodyBytes;
+  private boolean echoing;
+  private Runnable waiting;
+
+  BackendServerHandler(BackendServerStandIn server) {
+    this.server = server;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    try {
+      if (message instanceof HttpRequest head) {
+        readHead(context, head);
+      }
+      if (message instanceof HttpContent content) {
+        readBody(context, content);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void readHead(ChannelHandlerContext context, HttpRequest head) {
+    request = head;
+    bodyBytes = 0;
+    if (HttpUtil.is100ContinueExpected(head)) {
+      context.writeAndFlush(
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+    }
+    echoing = path().equals(ECHO_PATH);
+    if (echoing) {
+      server.countRequest();
+      server.ledger().began(workId());
+      HttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+      HttpUtil.setTransferEncodingChunked(answer, true);
+      addHeaders(answer);
+      context.write(answer);
+    }
+  }
+
+  private void readBody(ChannelHandlerContext context, HttpContent content) {
+    bodyBytes += content.content().readableBytes();
+    if (echoing) {
+      echo(context, content);
+    } else if (content instanceof LastHttpContent) {
+      afterMillis(context, server.profile().networkMillis(), () -> arrived(context));
+    }
+  }
+
+  private static void echo(ChannelHandlerContext context, HttpContent content) {
+    // Reading stops while the peer does not take the answer, so the body is never held whole.
+    context.writeAndFlush(content.retain());
+    context.channel().config().setAutoRead(context.channel().isWritable());
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    context.channel().config().setAutoRead(context.channel().isWritable());
+    context.fireChannelWritabilityChanged();
+  }
+
+  private void arrived(ChannelHandlerContext context) {
+    if (path().equals(PROBE_PATH)) {
+      server.countProbe();
+      afterMillis(
+          context, server.profile().probeMillis(), () -> answer(context, HttpResponseStatus.OK));
+      return;
+    }
+    server.countRequest();
+    if (server.faults().draining()) {
+      refuse(context);
+    } else if (server.faults().failFast()) {
+      answer(context, HttpResponseStatus.INTERNAL_SERVER_ERROR);
+    } else {
+      queue(context);
+    }
+  }
+
+  private void queue(ChannelHandlerContext context) {
+    long deadline = deadline();
+    Runnable work = () -> context.executor().execute(() -> begin(context, deadline));
+    waiting = work;
+    if (!server.slots().submit(work)) {
+      waiting = null;
+      refuse(context);
+    }
+  }
+
+  private long deadline() {
+    String millis = request.headers().get(DEADLINE_HEADER);
+    return millis == null ? Long.MAX_VALUE : server.clock().millis() + Long.parseLong(millis);
+  }
+
+  private void begin(ChannelHandlerContext context, long deadline) {
+    waiting = null;
+    boolean tooLate = server.clock().millis() >= deadline;
+    if (tooLate || !context.channel().isActive()) {
+      server.slots().finish();
+      refuse(context);
+      return;
+    }
+    server.ledger().began(workId());
+    double millis = server.nextServiceMillis(requestFactor());
+    afterMillis(context, millis, () -> end(context));
+  }
+
+  private void end(ChannelHandlerContext context) {
+    server.slots().finish();
+    if (server.faults().readAndDrop()) {
+      context.close();
+      return;
+    }
+    answer(context, HttpResponseStatus.OK);
+  }
+
+  private void refuse(ChannelHandlerContext context) {
+    server.countRefusal();
+    FullHttpResponse refusal = whole(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused\n");
+    refusal.headers().set(REFUSED_HEADER, "not-run");
+    send(context, refusal);
+  }
+
+  private void answer(ChannelHandlerContext context, HttpResponseStatus status) {
+    String body =
+        "{\"server\":\"%s\",\"work\":\"%s\",\"bytes\":%d}%s\n"
+            .formatted(server.profile().name(), workId(), bodyBytes, " ".repeat(padding()));
+    send(context, whole(status, body));
+  }
+
+  private FullHttpResponse whole(HttpResponseStatus status, String body) {
+    ByteBuf bytes = Unpooled.copiedBuffer(body, StandardCharsets.UTF_8);
+    FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, bytes);
+    answer.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+    HttpUtil.setContentLength(answer, bytes.readableBytes());
+    addHeaders(answer);
+    return answer;
+  }
+
+  private void addHeaders(HttpResponse answer) {
+    String attempt = request.headers().get(ATTEMPT_HEADER);
+    if (attempt != null) {
+      answer.headers().set(ATTEMPT_HEADER, server.faults().wrongEcho() ? "0" : attempt);
+    }
+    answer.headers().set(LOAD_HEADER, loadReport());
+  }
+
+  private String loadReport() {
+    ServerFaults faults = server.faults();
+    int running = faults.reportsIdle() ? 0 : server.slots().running();
+    int queued = faults.reportsIdle() ? 0 : server.slots().waiting();
+    String leaving = faults.draining() ? ", leaving" : "";
+    return "inflight=" + running + ", queued=" + queued + leaving;
+  }
+
+  private void send(ChannelHandlerContext context, FullHttpResponse answer) {
+    boolean keepAlive = HttpUtil.isKeepAlive(request);
+    afterMillis(
+        context,
+        server.profile().networkMillis(),
+        () -> {
+          if (server.faults().truncate()) {
+            sendTruncated(context, answer);
+            return;
+          }
+          if (keepAlive) {
+            context.writeAndFlush(answer);
+          } else {
+            HttpUtil.setKeepAlive(answer, false);
+            context.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+          }
+        });
+  }
+
+  private static void sendTruncated(ChannelHandlerContext context, FullHttpResponse answer) {
+    HttpResponse head =
+        new DefaultHttpResponse(answer.protocolVersion(), answer.status(), answer.headers());
+    context.write(head);
+    context
+        .writeAndFlush(
+            new DefaultHttpContent(
+                answer.content().readSlice(answer.content().readableBytes() / 2)))
+        .addListener(ChannelFutureListener.CLOSE);
+  }
+
+  private static void afterMillis(ChannelHandlerContext context, double millis, Runnable task) {
+    if (millis <= 0) {
+      task.run();
+      return;
+    }
+    long micros = Math.round(millis * MICROS_PER_MILLI);
+    context.executor().schedule(task, micros, TimeUnit.MICROSECONDS);
+  }
+
+  private String path() {
+    return new QueryStringDecoder(request.uri()).path();
+  }
+
+  private String workId() {
+    String id = request.headers().get(WORK_HEADER);
+    return id == null ? NO_WORK_ID : id;
+  }
+
+  /** Returns the request's own size: the query parameter {@code factor}, 1 if it is absent. */
+  private double requestFactor() {
+    String value = parameter("factor");
+    return value.isEmpty() ? 1 : Double.parseDouble(value);
+  }
+
+  /** Returns how many bytes fill the answer: the query parameter {@code size}. */
+  private int padding() {
+    String value = parameter("size");
+    return value.isEmpty() ? 0 : Math.min(Integer.parseInt(value), GREATEST_PADDING_BYTES);
+  }
+
+  private String parameter(String name) {
+    List<String> values = new QueryStringDecoder(request.uri()).parameters().get(name);
+    return values == null ? "" : values.get(0);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    // A caller that closed the connection has cancelled its work.
+    if (waiting != null && server.slots().withdraw(waiting)) {
+      waiting = null;
+    }
+    context.fireChannelInactive();
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    context.close();
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/wagtailpin/standins/backend/ServerFaults.java
@@ -0,0 +1,97 @@
+package org.wagtailpin.standins.backend;
+
+/**
+ * What is wrong with a stand-in backend server.
+ *
+ * @param slowFactor how many times longer requests take, at least 1
+ * @param draining whether it refuses new requests and says that it is leaving
+ * @param failFast whether it answers status 500 at once without running the request
+ * @param reportsIdle whether it reports no load whatever its load is
+ * @param readAndDrop whether it runs a request and then closes the connection without an answer
+ * @param truncate whether it closes the connection in the middle of an answer's body
+ * @param wrongEcho whether it repeats another attempt identifier than it was sent
+ */
+public record ServerFaults(
+    double slowFactor,
+    boolean draining,
+    boolean failFast,
+    boolean reportsIdle,
+    boolean readAndDrop,
+    boolean truncate,
+    boolean wrongEcho) {
+
+  /** Returns the state of a server without faults. */
+  public static ServerFaults none() {
+    return new ServerFaults(1, false, false, false, false, false, false);
+  }
+
+  /**
+   * Returns these faults with another factor of slowness.
+   *
+   * @param factor how many times longer requests take, at least 1
+   */
+  public ServerFaults withSlowFactor(double factor) {
+    return new ServerFaults(
+        factor, draining, failFast, reportsIdle, readAndDrop, truncate, wrongEcho);
+  }
+
+  /**
+   * Returns these faults with the server draining or not.
+   *
+   * @param value whether it drains
+   */
+  public ServerFaults withDraining(boolean value) {
+    return new ServerFaults(
+        slowFactor, value, failFast, reportsIdle, readAndDrop, truncate, wrongEcho);
+  }
+
+  /**
+   * Returns these faults with the server failing fast or not.
+   *
+   * @param value whether it fails fast
+   */
+  public ServerFaults withFailFast(boolean value) {
+    return new ServerFaults(
+        slowFactor, draining, value, reportsIdle, readAndDrop, truncate, wrongEcho);
+  }
+
+  /**
+   * Returns these faults with the server reporting itself idle or not.
+   *
+   * @param value whether it reports no load
+   */
+  public ServerFaults withReportsIdle(boolean value) {
+    return new ServerFaults(
+        slowFactor, draining, failFast, value, readAndDrop, truncate, wrongEcho);
+  }
+
+  /**
+   * Returns these faults with the server dropping connections after the work or not.
+   *
+   * @param value whether it drops
+   */
+  public ServerFaults withReadAndDrop(boolean value) {
+    return new ServerFaults(
+        slowFactor, draining, failFast, reportsIdle, value, truncate, wrongEcho);
+  }
+
+  /**
+   * Returns these faults with the server cutting answers short or not.
+   *
+   * @param value whether it cuts
+   */
+  public ServerFaults withTruncate(boolean value) {
+    return new ServerFaults(
+        slowFactor, draining, failFast, reportsIdle, readAndDrop, value, wrongEcho);
+  }
+
+  /**
+   * Returns these faults with the server repeating wrong attempt identifiers or not.
+   *
+   * @param value whether it repeats wrong ones
+   */
+  public ServerFaults withWrongEcho(boolean value) {
+    return new ServerFaults(
+        slowFactor, draining, failFast, reportsIdle, readAndDrop, truncate, value);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/wagtailpin/standins/backend/WorkLedger.java
@@ -0,0 +1,53 @@
+package org.wagtailpin.standins.backend;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counts how often each piece of work was run, over all servers that share the ledger. */
+public final class WorkLedger {
+
+  private final Map<String, LongAdder> runs = new ConcurrentHashMap<>();
+  private final LongAdder total = new LongAdder();
+
+  /**
+   * Records that a piece of work begins to run.
+   *
+   * @param workId its identifier
+   */
+  public void began(String workId) {
+    total.increment();
+    runs.computeIfAbsent(workId, id -> new LongAdder()).increment();
+  }
+
+  /**
+   * Returns how often a piece of work was run.
+   *
+   * @param workId its identifier
+   */
+  public long runsOf(String workId) {
+    LongAdder count = runs.get(workId);
+    return count == null ? 0 : count.sum();
+  }
+
+  /** Returns how many pieces of work were run more than once. */
+  public long repeated() {
+    return runs.values().stream().filter(count -> count.sum() > 1).count();
+  }
+
+  /**
+   * Returns how many pieces of work with a prefix were run more than once.
+   *
+   * @param prefix the start of their identifiers
+   */
+  public long repeated(String prefix) {
+    return runs.entrySet().stream()
+        .filter(run -> run.getKey().startsWith(prefix) && run.getValue().sum() > 1)
+        .count();
+  }
+
+  /** Returns how many runs were recorded. */
+  public long total() {
+    return total.sum();
+  }
+}
