--- a/standins/src/main/java/org/wagtailpin/standins/backend/BackendServerCommand.java
+++ b/standins/src/main/java/org/wagtailpin/standins/backend/BackendServerCommand.java
@@ -1,13 +1,13 @@
 package org.wagtailpin.standins.backend;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 import org.wagtailpin.clock.SystemClock;
+import org.wagtailpin.transport.EventLoops;
 
 /** Command that runs one stand-in backend server until the process is ended. */
 public final class BackendServerCommand {
@@ -86,7 +86,7 @@
   }
 
   private void serve(PrintStream out) {
-    EventLoopGroup group = new NioEventLoopGroup(threads);
+    EventLoopGroup group = EventLoops.create(threads, "backend-server");
     ServerProfile profile =
         new ServerProfile(
             name,
--- a/standins/src/main/java/org/wagtailpin/standins/backend/BackendServerStandIn.java
+++ b/standins/src/main/java/org/wagtailpin/standins/backend/BackendServerStandIn.java
@@ -8,13 +8,13 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.wagtailpin.clock.Clock;
+import org.wagtailpin.transport.EventLoops;
 
 /**
  * A backend server that runs requests in slots with seeded service times, and fails on demand.
@@ -68,7 +68,7 @@
     listener =
         new ServerBootstrap()
             .group(group)
-            .channel(NioServerSocketChannel.class)
+            .channel(EventLoops.serverChannelType())
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/transport/EventLoops.java
@@ -0,0 +1,47 @@
+package org.wagtailpin.transport;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollIoHandler;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.ServerSocketChannel;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+/** Factory of event loops, and of the channel types that run on them. */
+public final class EventLoops {
+
+  private EventLoops() {}
+
+  /**
+   * Creates event loops on daemon threads.
+   *
+   * @param threads how many loops, each on a thread of its own, at least 1
+   * @param name the start of the threads' names
+   * @return the loops, to be shut down by their owner
+   */
+  public static EventLoopGroup create(int threads, String name) {
+    return new MultiThreadIoEventLoopGroup(
+        threads, new DefaultThreadFactory(name, true), ioHandlers());
+  }
+
+  private static IoHandlerFactory ioHandlers() {
+    return Epoll.isAvailable() ? EpollIoHandler.newFactory() : NioIoHandler.newFactory();
+  }
+
+  /** Returns the type of listening channels. */
+  public static Class<? extends ServerSocketChannel> serverChannelType() {
+    return Epoll.isAvailable() ? EpollServerSocketChannel.class : NioServerSocketChannel.class;
+  }
+
+  /** Returns the type of connecting channels. */
+  public static Class<? extends SocketChannel> channelType() {
+    return Epoll.isAvailable() ? EpollSocketChannel.class : NioSocketChannel.class;
+  }
+}
