--- /dev/null
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/load/LoadClients.java
@@ -0,0 +1,39 @@
+package org.wagtailpin.benchmark.load;
+
+import io.netty.channel.EventLoopGroup;
+import java.time.Duration;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.AsyncHttpClientConfig;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
+import org.asynchttpclient.Dsl;
+
+/** Factory of the HTTP clients that send load: no retries, no redirects, a bounded pool. */
+public final class LoadClients {
+
+  private LoadClients() {}
+
+  /**
+   * Creates a client.
+   *
+   * @param group the event loops it runs on, closed by their owner
+   * @param connections greatest number of connections to one address, at least 1
+   * @param timeoutMillis how long a call may take, in milliseconds
+   */
+  public static AsyncHttpClient create(EventLoopGroup group, int connections, int timeoutMillis) {
+    AsyncHttpClientConfig config =
+        new DefaultAsyncHttpClientConfig.Builder()
+            .setEventLoopGroup(group)
+            .setUseNativeTransport(false)
+            .setMaxConnections(connections)
+            .setMaxConnectionsPerHost(connections)
+            .setAcquireFreeChannelTimeout(timeoutMillis)
+            .setRequestTimeout(Duration.ofMillis(timeoutMillis))
+            .setReadTimeout(Duration.ofMillis(timeoutMillis))
+            .setMaxRequestRetry(0)
+            .setFollowRedirect(false)
+            .setCookieStore(null)
+            .setTcpNoDelay(true)
+            .build();
+    return Dsl.asyncHttpClient(config);
+  }
+}
--- /dev/null
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/load/OpenLoopLoad.java
@@ -0,0 +1,165 @@
+package org.wagtailpin.benchmark.load;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.Recorder;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.Request;
+import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.Response;
+
+/**
+ * Sends calls at seeded random times, whether or not earlier ones were answered, and counts what
+ * comes back.
+ *
+ * <p>A latency runs from the time at which the call should have been sent, so that a sender which
+ * falls behind shows in the figures.
+ */
+public final class OpenLoopLoad {
+
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+  private static final long NANOS_PER_MICRO = 1000;
+  private static final long HIGHEST_MICROS = TimeUnit.MINUTES.toMicros(10);
+  private static final int DIGITS = 3;
+  private static final int OK = 200;
+  private static final long PARK_NANOS = 50_000;
+
+  private final AsyncHttpClient client;
+  private final LoadPlan plan;
+  private final String target;
+  private final String runName;
+  private final Recorder recorder = new Recorder(HIGHEST_MICROS, DIGITS);
+  private final LongAdder whole = new LongAdder();
+  private final LongAdder notRun = new LongAdder();
+  private final LongAdder unknown = new LongAdder();
+  private final LongAdder failed = new LongAdder();
+  // One for the sender itself, so that the count reaches 0 only after the last call is sent.
+  private final AtomicLong open = new AtomicLong(1);
+  private final CountDownLatch allEnded = new CountDownLatch(1);
+  private final byte[] body;
+
+  /**
+   * Prepares a load.
+   *
+   * @param client sends the calls
+   * @param plan what to send
+   * @param target the start of the URL, with scheme, address and port
+   * @param runName a name that makes this run's work identifiers unique
+   */
+  public OpenLoopLoad(AsyncHttpClient client, LoadPlan plan, String target, String runName) {
+    this.client = client;
+    this.plan = plan;
+    this.target = target;
+    this.runName = runName;
+    this.body = "x".repeat(plan.bodyBytes()).getBytes(StandardCharsets.US_ASCII);
+  }
+
+  /**
+   * Sends the load and waits for the last answers.
+   *
+   * @return what came of the calls after the warm-up
+   */
+  public LoadResult run() {
+    UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(plan.seed());
+    long start = System.nanoTime();
+    long counted = start + plan.warmUpSeconds() * NANOS_PER_SECOND;
+    long end = counted + plan.seconds() * NANOS_PER_SECOND;
+    long number = 0;
+    for (double next = start; next < end; next += gapNanos(random)) {
+      waitUntil((long) next);
+      send(number++, (long) next, next >= counted);
+    }
+    awaitAnswers();
+    return new LoadResult(
+        target,
+        recorder.getIntervalHistogram(),
+        plan.seconds(),
+        whole.sum(),
+        notRun.sum(),
+        unknown.sum(),
+        failed.sum());
+  }
+
+  private double gapNanos(UniformRandomProvider random) {
+    // Times between arrivals of a Poisson process are exponential.
+    return -Math.log(1 - random.nextDouble()) * NANOS_PER_SECOND / plan.rate();
+  }
+
+  private static void waitUntil(long nanos) {
+    long left = nanos - System.nanoTime();
+    while (left > 0) {
+      if (left > PARK_NANOS) {
+        LockSupport.parkNanos(left - PARK_NANOS);
+      } else {
+        Thread.onSpinWait();
+      }
+      left = nanos - System.nanoTime();
+    }
+  }
+
+  private void send(long number, long intendedNanos, boolean counts) {
+    String workId = runName + "-" + number;
+    RequestBuilder builder =
+        new RequestBuilder(plan.method(), true)
+            .setUrl(target + plan.path())
+            .setHeader("X-Work-Id", workId);
+    if (body.length > 0) {
+      builder.setBody(body);
+    }
+    Request request = builder.build();
+    open.incrementAndGet();
+    client
+        .executeRequest(request)
+        .toCompletableFuture()
+        .whenComplete(
+            (response, error) -> {
+              if (counts) {
+                count(response, error, workId, intendedNanos);
+              }
+              ended();
+            });
+  }
+
+  private void count(Response response, Throwable error, String workId, long intendedNanos) {
+    if (error != null) {
+      failed.increment();
+      return;
+    }
+    String outcome = response.getHeader("Wagtailpin-Outcome");
+    if ("not-run".equals(outcome)) {
+      notRun.increment();
+    } else if ("unknown".equals(outcome)) {
+      unknown.increment();
+    } else if (response.getStatusCode() == OK
+        && response.getResponseBody().contains("\"work\":\"" + workId + "\"")) {
+      whole.increment();
+      recorder.recordValue(
+          Math.min(HIGHEST_MICROS, (System.nanoTime() - intendedNanos) / NANOS_PER_MICRO));
+    } else {
+      failed.increment();
+    }
+  }
+
+  private void ended() {
+    if (open.decrementAndGet() == 0) {
+      allEnded.countDown();
+    }
+  }
+
+  private void awaitAnswers() {
+    ended();
+    try {
+      if (!allEnded.await(plan.timeoutMillis() * 2L, TimeUnit.MILLISECONDS)) {
+        failed.add(open.get());
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
