--- a/wagtailpin/src/main/java/org/wagtailpin/transport/EventLoops.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/transport/EventLoops.java
@@ -1,13 +1,11 @@
 package org.wagtailpin.transport;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.epoll.Epoll;
-import io.netty.channel.epoll.EpollIoHandler;
+import io.netty.channel.epoll.EpollEventLoopGroup;
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.epoll.EpollSocketChannel;
-import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -26,13 +24,13 @@
    * @param name the start of the threads' names
    * @return the loops, to be shut down by their owner
    */
+  // AsyncHttpClient tells the transport by these two classes and takes no other group.
+  @SuppressWarnings("deprecation")
   public static EventLoopGroup create(int threads, String name) {
-    return new MultiThreadIoEventLoopGroup(
-        threads, new DefaultThreadFactory(name, true), ioHandlers());
-  }
-
-  private static IoHandlerFactory ioHandlers() {
-    return Epoll.isAvailable() ? EpollIoHandler.newFactory() : NioIoHandler.newFactory();
+    DefaultThreadFactory threadFactory = new DefaultThreadFactory(name, true);
+    return Epoll.isAvailable()
+        ? new EpollEventLoopGroup(threads, threadFactory)
+        : new NioEventLoopGroup(threads, threadFactory);
   }
 
   /** Returns the type of listening channels. */
