--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/AnswerHead.java
@@ -0,0 +1,14 @@
+package org.wagtailpin.backend;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import org.wagtailpin.routing.LoadReport;
+
+/**
+ * The head of a backend server's answer.
+ *
+ * @param status the HTTP status code, 200 to 599
+ * @param headers the headers as received
+ * @param load the load that the server reported
+ */
+public record AnswerHead(int status, HttpHeaders headers, Optional<LoadReport> load) {}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClient.java
@@ -0,0 +1,111 @@
+package org.wagtailpin.backend;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.DefaultAsyncHttpClient;
+import org.asynchttpclient.Request;
+import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.uri.Uri;
+import org.tinylog.Logger;
+import org.wagtailpin.clock.Clock;
+
+/** Sends requests to backend servers. Safe for use by all traffic threads. */
+public final class BackendClient implements AutoCloseable {
+
+  private static final String SCHEME = "http";
+  private static final long SWEEP_PERIOD_MILLIS = 500;
+
+  private final BackendSettings settings;
+  private final ConnectionCaps caps;
+  private final Clock clock;
+  private final ConnectionPool pool = new ConnectionPool();
+  private final AsyncHttpClient client;
+  private final Future<?> sweep;
+
+  /**
+   * Creates a client.
+   *
+   * @param settings the settings
+   * @param loops the event loops, from {@link org.wagtailpin.transport.EventLoops#createAffine}
+   * @param caps the limits of connections
+   * @param clock the clock
+   */
+  public BackendClient(
+      BackendSettings settings, EventLoopGroup loops, ConnectionCaps caps, Clock clock) {
+    this.settings = settings;
+    this.caps = caps;
+    this.clock = clock;
+    this.client = new DefaultAsyncHttpClient(BackendClientConfig.of(settings, loops, pool, clock));
+    this.sweep =
+        loops
+            .next()
+            .scheduleAtFixedRate(
+                this::closeIdle, SWEEP_PERIOD_MILLIS, SWEEP_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param request the request
+   * @param owner the event loop on which the listener is called
+   * @param listener told of the answer
+   * @return the exchange
+   */
+  public BackendExchange send(BackendRequest request, EventLoop owner, ExchangeListener listener) {
+    ServerConnections connections = pool.of(request.server());
+    connections.limit(caps.connections(request.server()));
+    BackendExchange exchange = new BackendExchange(request, connections, owner, listener);
+    try {
+      exchange.started(client.executeRequest(toRequest(request, connections), exchange));
+    } catch (RuntimeException e) {
+      exchange.onThrowable(e);
+    }
+    return exchange;
+  }
+
+  private static Request toRequest(BackendRequest request, ServerConnections connections) {
+    Uri uri =
+        new Uri(
+            SCHEME,
+            null,
+            request.server().address(),
+            request.server().port(),
+            request.path(),
+            request.query().orElse(null),
+            null);
+    RequestBuilder builder =
+        new RequestBuilder(request.method(), true)
+            .setUri(uri)
+            .setHeaders(request.headers())
+            .setChannelPoolPartitioning(connections);
+    if (request.body() instanceof RequestBody.Held held) {
+      builder.setBody(held.bytes());
+    } else if (request.body() instanceof RequestBody.Streamed streamed) {
+      builder.setBody(streamed.feed());
+    }
+    return builder.build();
+  }
+
+  /** Returns how many connections to backend servers are open. */
+  public int openConnections() {
+    return pool.openConnections();
+  }
+
+  private void closeIdle() {
+    pool.closeIdleSince(clock.millis() - settings.idleConnectionMillis());
+  }
+
+  @Override
+  public void close() {
+    sweep.cancel(false);
+    try {
+      client.close();
+    } catch (IOException e) {
+      Logger.warn(e, "backend client did not close cleanly");
+    }
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClientConfig.java
@@ -0,0 +1,89 @@
+package org.wagtailpin.backend;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoopGroup;
+import java.time.Duration;
+import org.asynchttpclient.AsyncHttpClientConfig;
+import org.asynchttpclient.AsyncHttpClientConfig.ResponseBodyPartFactory;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
+import org.wagtailpin.clock.Clock;
+
+/** The one place where AsyncHttpClient's options are set. */
+final class BackendClientConfig {
+
+  private static final String CODEC = "http";
+  private static final int UNBOUNDED = -1;
+  private static final int TIMER_TICK_MILLIS = 1_000;
+  private static final Duration OFF = Duration.ofMillis(-1);
+
+  private BackendClientConfig() {}
+
+  static AsyncHttpClientConfig of(
+      BackendSettings settings, EventLoopGroup loops, ConnectionPool pool, Clock clock) {
+    DefaultAsyncHttpClientConfig.Builder options = new DefaultAsyncHttpClientConfig.Builder();
+    keepRequestsSingle(options);
+    keepMessagesAsTheyAre(options);
+    limitConnections(options, settings, pool);
+    leaveTimesToCalls(options, settings);
+    return options
+        .setEventLoopGroup(loops)
+        .setTcpNoDelay(true)
+        .setHttpAdditionalChannelInitializer(channel -> addGate(channel, clock))
+        .build();
+  }
+
+  /** A request leaves at most once: repeating it is decided by the retry policy alone. */
+  private static void keepRequestsSingle(DefaultAsyncHttpClientConfig.Builder options) {
+    options
+        .setMaxRequestRetry(0)
+        .setFollowRedirect(false)
+        .setUseProxySelector(false)
+        .setUseProxyProperties(false)
+        .setHttp2Enabled(false)
+        .setHttp2CleartextEnabled(false);
+  }
+
+  private static void keepMessagesAsTheyAre(DefaultAsyncHttpClientConfig.Builder options) {
+    options
+        .setEnableAutomaticDecompression(false)
+        .setCompressionEnforced(false)
+        .setKeepEncodingHeader(true)
+        .setCookieStore(null)
+        .setUserAgent(null)
+        .setDisableUrlEncodingForBoundRequests(true)
+        .setValidateResponseHeaders(true)
+        .setResponseBodyPartFactory(ResponseBodyPartFactory.LAZY);
+  }
+
+  private static void limitConnections(
+      DefaultAsyncHttpClientConfig.Builder options, BackendSettings settings, ConnectionPool pool) {
+    options
+        .setKeepAlive(true)
+        .setChannelPool(pool)
+        .setConnectionSemaphoreFactory(config -> pool)
+        .setMaxConnections(UNBOUNDED)
+        .setMaxConnectionsPerHost(UNBOUNDED)
+        .setAcquireFreeChannelTimeout(0)
+        .setHttpClientCodecMaxInitialLineLength(settings.maxStatusLineBytes())
+        .setHttpClientCodecMaxHeaderSize(settings.maxHeadBytes());
+  }
+
+  /** Deadlines are timed on the event loops, with a resolution of 1 ms; its timer has no use. */
+  private static void leaveTimesToCalls(
+      DefaultAsyncHttpClientConfig.Builder options, BackendSettings settings) {
+    options
+        .setConnectTimeout(Duration.ofMillis(settings.connectTimeoutMillis()))
+        .setRequestTimeout(OFF)
+        .setReadTimeout(OFF)
+        .setConnectionTtl(OFF)
+        .setPooledConnectionIdleTimeout(OFF)
+        .setHashedWheelTickDuration(TIMER_TICK_MILLIS)
+        .setShutdownQuietPeriod(Duration.ZERO);
+  }
+
+  private static void addGate(Channel channel, Clock clock) {
+    ConnectionGate gate = new ConnectionGate(clock);
+    gate.attach(channel);
+    channel.pipeline().addAfter(CODEC, "gate", gate);
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
@@ -0,0 +1,285 @@
+package org.wagtailpin.backend;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.atomic.AtomicReference;
+import org.asynchttpclient.AsyncHandler;
+import org.asynchttpclient.HttpResponseBodyPart;
+import org.asynchttpclient.ListenableFuture;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.error.Peer;
+import org.wagtailpin.error.Step;
+import org.wagtailpin.transport.WagtailpinHeaders;
+
+/**
+ * One request to a backend server and its answer.
+ *
+ * <p>Whether the request may have reached the server is decided once, by a single step from {@link
+ * Dispatch#PENDING}: either the connection begins to write, or the exchange ends and nothing of it
+ * is written any more. So a failure is told as not run only if no byte was or will be written.
+ */
+public final class BackendExchange implements AsyncHandler<Void> {
+
+  private enum Dispatch {
+    PENDING,
+    BEGUN,
+    WITHDRAWN
+  }
+
+  private final BackendRequest request;
+  private final ServerConnections connections;
+  private final EventLoop owner;
+  private final ExchangeListener listener;
+  private final AtomicReference<Dispatch> dispatch = new AtomicReference<>(Dispatch.PENDING);
+  private volatile ConnectionGate gate;
+  private volatile ListenableFuture<Void> future;
+  private volatile Step step = Step.CONNECT;
+
+  // Confined to the thread of the connection.
+  private int status;
+  private boolean headTold;
+  private boolean broken;
+  private HttpHeaders trailers = EmptyHttpHeaders.INSTANCE;
+
+  // Confined to the owner's loop.
+  private boolean ended;
+
+  BackendExchange(
+      BackendRequest request,
+      ServerConnections connections,
+      EventLoop owner,
+      ExchangeListener listener) {
+    this.request = request;
+    this.connections = connections;
+    this.owner = owner;
+    this.listener = listener;
+  }
+
+  void started(ListenableFuture<Void> running) {
+    future = running;
+    if (dispatch.get() == Dispatch.WITHDRAWN) {
+      running.abort(new CancellationException());
+    }
+  }
+
+  /** Holds back the answer; called on the owner's loop. */
+  public void pause() {
+    ConnectionGate current = gate;
+    if (current != null) {
+      current.pause(this);
+    }
+  }
+
+  /** Goes on with the answer; called on the owner's loop. */
+  public void resume() {
+    ConnectionGate current = gate;
+    if (current != null) {
+      current.resume(this);
+    }
+  }
+
+  /**
+   * Gives the exchange up and closes its connection; called on the owner's loop. The listener is
+   * told nothing more.
+   *
+   * @return whether it is proved that the server did not and will not run the request
+   */
+  public boolean cancel() {
+    ended = true;
+    boolean notRun = withdraw();
+    ConnectionGate current = gate;
+    if (current != null) {
+      current.abandon(this);
+    }
+    ListenableFuture<Void> running = future;
+    if (running != null) {
+      running.abort(new CancellationException());
+    }
+    return notRun;
+  }
+
+  private boolean withdraw() {
+    dispatch.compareAndSet(Dispatch.PENDING, Dispatch.WITHDRAWN);
+    return dispatch.get() == Dispatch.WITHDRAWN;
+  }
+
+  /** Asks for leave to write the request, and gives its headers their last form. */
+  boolean beginDispatch(HttpHeaders headers) {
+    if (!dispatch.compareAndSet(Dispatch.PENDING, Dispatch.BEGUN)) {
+      return false;
+    }
+    step = Step.AWAIT_ANSWER;
+    // AsyncHttpClient adds this header where the caller sent none.
+    if (!request.headers().contains(HttpHeaderNames.ACCEPT)) {
+      headers.remove(HttpHeaderNames.ACCEPT);
+    }
+    return true;
+  }
+
+  private void hold(Channel channel) {
+    step = Step.SEND_REQUEST;
+    ConnectionGate taken = ConnectionGate.of(channel);
+    taken.assign(this, connections);
+    gate = taken;
+  }
+
+  @Override
+  public void onConnectionPooled(Channel channel) {
+    hold(channel);
+  }
+
+  @Override
+  public void onTcpConnectSuccess(InetSocketAddress address, Channel channel) {
+    hold(channel);
+  }
+
+  @Override
+  public State onStatusReceived(org.asynchttpclient.HttpResponseStatus received) {
+    status = received.getStatusCode();
+    return State.CONTINUE;
+  }
+
+  @Override
+  public State onHeadersReceived(HttpHeaders headers) {
+    Optional<String> objection = objectionTo(headers);
+    if (objection.isPresent()) {
+      return breakOff(objection.get());
+    }
+    tellHead(headers);
+    return State.CONTINUE;
+  }
+
+  private Optional<String> objectionTo(HttpHeaders headers) {
+    String echo = headers.get(WagtailpinHeaders.ATTEMPT);
+    boolean crossed = echo == null ? request.echoesAttempt() : !echo.equals(request.attempt());
+    if (crossed) {
+      return Optional.of("the answer belongs to another request");
+    }
+    // RFC 9112 section 6.3: a body that ends with the connection can't be told from a broken one.
+    boolean framed =
+        headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+            || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+    if (!framed && mayHaveBody()) {
+      return Optional.of("the answer does not state its length");
+    }
+    return Optional.empty();
+  }
+
+  private boolean mayHaveBody() {
+    return !HttpMethod.HEAD.name().equals(request.method())
+        && status != HttpResponseStatus.NO_CONTENT.code()
+        && status != HttpResponseStatus.NOT_MODIFIED.code();
+  }
+
+  private State breakOff(String detail) {
+    broken = true;
+    fail(detail);
+    return State.ABORT;
+  }
+
+  private void tellHead(HttpHeaders headers) {
+    headTold = true;
+    step = Step.RELAY_ANSWER;
+    String load = headers.get(WagtailpinHeaders.LOAD);
+    AnswerHead head =
+        new AnswerHead(
+            status, headers, load == null ? Optional.empty() : LoadReportHeader.parse(load));
+    tell(() -> listener.head(head));
+  }
+
+  private boolean headIsDue() {
+    return !headTold && !broken;
+  }
+
+  @Override
+  public State onBodyPartReceived(HttpResponseBodyPart received) {
+    // AsyncHttpClient tells no headers if there are none.
+    if (headIsDue() && onHeadersReceived(EmptyHttpHeaders.INSTANCE) == State.ABORT) {
+      return State.ABORT;
+    }
+    if (received.length() > 0) {
+      tellPart(received.getBodyByteBuf().retain());
+    }
+    return State.CONTINUE;
+  }
+
+  private void tellPart(ByteBuf part) {
+    if (owner.inEventLoop()) {
+      passPart(part);
+    } else {
+      owner.execute(() -> passPart(part));
+    }
+  }
+
+  private void passPart(ByteBuf part) {
+    if (ended) {
+      part.release();
+    } else {
+      listener.part(part);
+    }
+  }
+
+  @Override
+  public State onTrailingHeadersReceived(HttpHeaders received) {
+    trailers = received;
+    return State.CONTINUE;
+  }
+
+  @Override
+  public Void onCompleted() {
+    if (headIsDue()) {
+      onHeadersReceived(EmptyHttpHeaders.INSTANCE);
+    }
+    if (!broken) {
+      HttpHeaders last = trailers;
+      tell(
+          () -> {
+            ended = true;
+            listener.end(last);
+          });
+    }
+    return null;
+  }
+
+  @Override
+  public void onThrowable(Throwable cause) {
+    if (!broken) {
+      broken = true;
+      String message = cause.getMessage();
+      fail(message == null ? cause.getClass().getSimpleName() : message);
+    }
+  }
+
+  private void fail(String detail) {
+    boolean notRun = withdraw();
+    Fault fault = new Fault(step, Peer.BACKEND_SERVER, request.server().name(), detail);
+    tell(
+        () -> {
+          ended = true;
+          listener.failed(new ExchangeFailure(fault, notRun));
+        });
+  }
+
+  private void tell(Runnable news) {
+    if (owner.inEventLoop()) {
+      tellNow(news);
+    } else {
+      owner.execute(() -> tellNow(news));
+    }
+  }
+
+  private void tellNow(Runnable news) {
+    if (!ended) {
+      news.run();
+    }
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/ConnectionCaps.java
@@ -0,0 +1,15 @@
+package org.wagtailpin.backend;
+
+import org.wagtailpin.config.ConfigServer;
+
+/** Tells how many connections this entry may hold to a backend server. */
+public interface ConnectionCaps {
+
+  /**
+   * Returns the most connections to a server, at least 0. Called by traffic threads for each
+   * attempt.
+   *
+   * @param server the server
+   */
+  int connections(ConfigServer server);
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/ConnectionGate.java
@@ -0,0 +1,208 @@
+package org.wagtailpin.backend;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AttributeKey;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.channels.ClosedChannelException;
+import org.wagtailpin.clock.Clock;
+
+/**
+ * Guard of one connection to a backend server, between the HTTP codec and AsyncHttpClient.
+ *
+ * <p>It lets a request pass only after the exchange has noted that it may reach the server, lets an
+ * answer pass only while a request waits for one, drops interim answers, and holds back reading
+ * while the caller is slow. What arrives unasked closes the connection.
+ */
+final class ConnectionGate extends ChannelDuplexHandler {
+
+  private static final AttributeKey<ConnectionGate> KEY =
+      AttributeKey.valueOf(ConnectionGate.class, "gate");
+
+  private final Clock clock;
+  private volatile BackendExchange exchange;
+  private volatile ServerConnections connections;
+  private volatile boolean reusable = true;
+  private volatile long idleSinceMillis;
+
+  // Confined to the event loop.
+  private ChannelHandlerContext context;
+  private boolean requestRefused;
+  private boolean requestWritten = true;
+  private boolean answerDue;
+  private boolean interimAnswer;
+  private boolean paused;
+  private boolean readHeldBack;
+
+  ConnectionGate(Clock clock) {
+    this.clock = clock;
+  }
+
+  static ConnectionGate of(Channel channel) {
+    return channel.attr(KEY).get();
+  }
+
+  void attach(Channel channel) {
+    channel.attr(KEY).set(this);
+    idleSinceMillis = clock.millis();
+  }
+
+  /** Assigns the connection to an exchange that has taken it for itself. */
+  void assign(BackendExchange next, ServerConnections owner) {
+    connections = owner;
+    exchange = next;
+  }
+
+  ServerConnections connections() {
+    return connections;
+  }
+
+  boolean reusable() {
+    return reusable;
+  }
+
+  long idleSinceMillis() {
+    return idleSinceMillis;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    context = ctx;
+  }
+
+  @Override
+  public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+    if (message instanceof HttpRequest request && !admit(request)) {
+      requestRefused = true;
+    }
+    if (requestRefused) {
+      ReferenceCountUtil.release(message);
+      promise.tryFailure(new ClosedChannelException());
+      ctx.close();
+      return;
+    }
+    if (message instanceof LastHttpContent) {
+      requestWritten = true;
+    }
+    ctx.write(message, promise);
+  }
+
+  private boolean admit(HttpRequest request) {
+    BackendExchange current = exchange;
+    if (!reusable || current == null || !context.channel().isActive()) {
+      return false;
+    }
+    if (!current.beginDispatch(request.headers())) {
+      return false;
+    }
+    requestWritten = false;
+    answerDue = true;
+    return true;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    if (!answerDue) {
+      drop(message);
+      return;
+    }
+    if (message instanceof HttpResponse head
+        && head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      interimAnswer = true;
+    }
+    if (interimAnswer) {
+      skipInterim(message);
+      return;
+    }
+    if (message instanceof LastHttpContent) {
+      endOfAnswer();
+    }
+    ctx.fireChannelRead(message);
+  }
+
+  private void skipInterim(Object message) {
+    // RFC 9110 section 15.2: interim answers come before the final one and end with their head.
+    if (message instanceof HttpContent) {
+      interimAnswer = !(message instanceof LastHttpContent);
+    }
+    ReferenceCountUtil.release(message);
+  }
+
+  private void endOfAnswer() {
+    answerDue = false;
+    paused = false;
+    exchange = null;
+    idleSinceMillis = clock.millis();
+    // RFC 9112 section 9.6: what follows an unfinished request on the connection has no meaning.
+    reusable = reusable && requestWritten;
+  }
+
+  private void drop(Object message) {
+    ReferenceCountUtil.release(message);
+    reusable = false;
+    context.close();
+  }
+
+  @Override
+  public void read(ChannelHandlerContext ctx) {
+    if (paused) {
+      readHeldBack = true;
+    } else {
+      ctx.read();
+    }
+  }
+
+  /** Holds back reading while the answer of an exchange is not taken; by any thread. */
+  void pause(BackendExchange of) {
+    onLoop(
+        () -> {
+          if (exchange == of) {
+            paused = true;
+          }
+        });
+  }
+
+  /** Goes on with reading; by any thread. */
+  void resume(BackendExchange of) {
+    onLoop(
+        () -> {
+          if (exchange == of && paused) {
+            paused = false;
+            readHeldBack();
+          }
+        });
+  }
+
+  private void readHeldBack() {
+    if (readHeldBack) {
+      readHeldBack = false;
+      context.read();
+    }
+  }
+
+  /** Closes the connection if an exchange still holds it; by any thread. */
+  void abandon(BackendExchange of) {
+    onLoop(
+        () -> {
+          if (exchange == of) {
+            reusable = false;
+            context.close();
+          }
+        });
+  }
+
+  private void onLoop(Runnable task) {
+    if (context.executor().inEventLoop()) {
+      task.run();
+    } else {
+      context.executor().execute(task);
+    }
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/ConnectionPool.java
@@ -0,0 +1,86 @@
+package org.wagtailpin.backend;
+
+import io.netty.channel.Channel;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
+import org.asynchttpclient.channel.ChannelPool;
+import org.asynchttpclient.netty.channel.ConnectionSemaphore;
+import org.wagtailpin.config.ConfigServer;
+
+/** The connections to all backend servers, as AsyncHttpClient's pool and limit of connections. */
+final class ConnectionPool implements ChannelPool, ConnectionSemaphore {
+
+  private record Address(String address, int port) {}
+
+  private final Map<Address, ServerConnections> servers = new ConcurrentHashMap<>();
+  private volatile boolean open = true;
+
+  ServerConnections of(ConfigServer server) {
+    return servers.computeIfAbsent(
+        new Address(server.address(), server.port()), key -> new ServerConnections(server.name()));
+  }
+
+  void closeIdleSince(long millis) {
+    for (ServerConnections connections : servers.values()) {
+      connections.closeIdleSince(millis);
+    }
+  }
+
+  int openConnections() {
+    return servers.values().stream().mapToInt(ServerConnections::open).sum();
+  }
+
+  @Override
+  public void acquireChannelLock(Object key) throws IOException {
+    ((ServerConnections) key).acquire();
+  }
+
+  @Override
+  public void releaseChannelLock(Object key) {
+    ((ServerConnections) key).release();
+  }
+
+  @Override
+  public boolean offer(Channel channel, Object key) {
+    return open && ((ServerConnections) key).offer(channel);
+  }
+
+  @Override
+  public Channel poll(Object key) {
+    return ((ServerConnections) key).poll();
+  }
+
+  @Override
+  public boolean removeAll(Channel channel) {
+    ConnectionGate gate = ConnectionGate.of(channel);
+    return gate != null && gate.connections() != null && gate.connections().remove(channel);
+  }
+
+  @Override
+  public boolean isOpen() {
+    return open;
+  }
+
+  @Override
+  public void destroy() {
+    open = false;
+    closeIdleSince(Long.MAX_VALUE);
+  }
+
+  @Override
+  public void flushPartitions(Predicate<Object> predicate) {
+    for (ServerConnections connections : servers.values()) {
+      if (predicate.test(connections)) {
+        connections.closeIdleSince(Long.MAX_VALUE);
+      }
+    }
+  }
+
+  @Override
+  public Map<String, Long> getIdleChannelCountPerHost() {
+    return new HashMap<>();
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/RequestFeed.java
@@ -0,0 +1,131 @@
+package org.wagtailpin.backend;
+
+import io.netty.buffer.ByteBuf;
+import java.io.IOException;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.asynchttpclient.request.body.Body;
+import org.asynchttpclient.request.body.generator.FeedListener;
+import org.asynchttpclient.request.body.generator.FeedableBodyGenerator;
+
+/**
+ * A request body that is passed on while it arrives.
+ *
+ * <p>One thread feeds it and the thread of the connection takes from it. Its producer stops while
+ * {@link #heldBytes()} is high and is told when bytes were taken.
+ */
+public final class RequestFeed implements FeedableBodyGenerator, Body {
+
+  private final long contentLength;
+  private final Runnable taken;
+  private final Queue<ByteBuf> parts = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger heldBytes = new AtomicInteger();
+  private volatile boolean ended;
+  private volatile boolean aborted;
+  private volatile boolean touched;
+  private volatile FeedListener listener;
+  private ByteBuf current;
+
+  /**
+   * Creates an empty body.
+   *
+   * @param contentLength its length in bytes, negative if it is not known
+   * @param taken called by the thread of the connection when bytes were taken
+   */
+  public RequestFeed(long contentLength, Runnable taken) {
+    this.contentLength = contentLength;
+    this.taken = taken;
+  }
+
+  /** Returns how many bytes wait to be taken. */
+  public int heldBytes() {
+    return heldBytes.get();
+  }
+
+  /** Tells whether a connection has begun to take the body, so that it can't be sent again. */
+  public boolean touched() {
+    return touched;
+  }
+
+  @Override
+  public boolean feed(ByteBuf part, boolean isLast) {
+    if (aborted) {
+      part.release();
+      return false;
+    }
+    heldBytes.addAndGet(part.readableBytes());
+    parts.add(part);
+    ended = ended || isLast;
+    FeedListener waiting = listener;
+    if (waiting != null) {
+      waiting.onContentAdded();
+    }
+    return true;
+  }
+
+  /** Ends the body without its last byte, and lets go what is held. */
+  public void abort() {
+    aborted = true;
+    ByteBuf part = parts.poll();
+    while (part != null) {
+      part.release();
+      part = parts.poll();
+    }
+  }
+
+  @Override
+  public void setListener(FeedListener listener) {
+    this.listener = listener;
+  }
+
+  @Override
+  public Body createBody() {
+    return this;
+  }
+
+  @Override
+  public long getContentLength() {
+    return contentLength;
+  }
+
+  @Override
+  public BodyState transferTo(ByteBuf target) throws IOException {
+    touched = true;
+    boolean last = ended;
+    int moved = 0;
+    while (target.writableBytes() > 0 && nextPart()) {
+      int bytes = Math.min(target.writableBytes(), current.readableBytes());
+      target.writeBytes(current, bytes);
+      moved += bytes;
+    }
+    if (aborted) {
+      throw new IOException("the caller's request body broke off");
+    }
+    if (moved > 0) {
+      heldBytes.addAndGet(-moved);
+      taken.run();
+      return BodyState.CONTINUE;
+    }
+    return last ? BodyState.STOP : BodyState.SUSPEND;
+  }
+
+  private boolean nextPart() {
+    while (current == null || !current.isReadable()) {
+      close();
+      current = parts.poll();
+      if (current == null) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  @Override
+  public void close() {
+    if (current != null) {
+      current.release();
+      current = null;
+    }
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Attempt.java
@@ -0,0 +1,171 @@
+package org.wagtailpin.call;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import org.wagtailpin.backend.AnswerHead;
+import org.wagtailpin.backend.BackendExchange;
+import org.wagtailpin.backend.BackendRequest;
+import org.wagtailpin.backend.ExchangeFailure;
+import org.wagtailpin.backend.ExchangeListener;
+import org.wagtailpin.config.ConfigService;
+import org.wagtailpin.config.RefusalForm;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.error.Peer;
+import org.wagtailpin.error.Step;
+import org.wagtailpin.routing.AttemptOutcome;
+import org.wagtailpin.routing.AttemptReport;
+import org.wagtailpin.routing.Grant;
+import org.wagtailpin.routing.LoadReport;
+
+/** One attempt of a call on a backend server; confined to the call's event loop. */
+final class Attempt implements ExchangeListener {
+
+  private final Call call;
+  private final ConfigService service;
+  private final Grant grant;
+  private final double startedMillis;
+  private BackendExchange exchange;
+  private Optional<LoadReport> load = Optional.empty();
+  private int status;
+  private boolean refused;
+  private boolean finished;
+
+  Attempt(Call call, ConfigService service, Grant grant) {
+    this.call = call;
+    this.service = service;
+    this.grant = grant;
+    this.startedMillis = call.nowMillis();
+  }
+
+  void start(BackendRequest request) {
+    BackendExchange started = call.environment().backend().send(request, call.loop(), this);
+    exchange = started;
+  }
+
+  Grant grant() {
+    return grant;
+  }
+
+  double startedMillis() {
+    return startedMillis;
+  }
+
+  int status() {
+    return status;
+  }
+
+  void pause() {
+    if (exchange != null) {
+      exchange.pause();
+    }
+  }
+
+  void resume() {
+    if (exchange != null) {
+      exchange.resume();
+    }
+  }
+
+  /**
+   * Gives the attempt up because its time is over.
+   *
+   * @param fault the cause
+   * @return whether the server may have run it
+   */
+  AttemptOutcome expire(Fault fault) {
+    boolean notRun = exchange == null || exchange.cancel() || refused;
+    AttemptOutcome outcome =
+        notRun ? new AttemptOutcome.NotRun(fault) : new AttemptOutcome.Unknown(fault);
+    finish(outcome);
+    return outcome;
+  }
+
+  /**
+   * Gives the attempt up because nobody waits for it.
+   *
+   * @return whether it is proved that the server did not run it
+   */
+  boolean cancel() {
+    boolean notRun = exchange == null || exchange.cancel() || refused;
+    finish(new AttemptOutcome.Cancelled());
+    return notRun;
+  }
+
+  @Override
+  public void head(AnswerHead head) {
+    load = head.load();
+    status = head.status();
+    refused = isRefusal(head);
+    if (!refused) {
+      call.answerBegan(head.status(), head.headers());
+    }
+  }
+
+  private boolean isRefusal(AnswerHead head) {
+    for (RefusalForm form : service.refusals()) {
+      String value = head.headers().get(form.headerName());
+      if (form.status() == head.status()
+          && value != null
+          && value.strip().equalsIgnoreCase(form.headerValue())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  @Override
+  public void part(ByteBuf part) {
+    if (refused) {
+      part.release();
+    } else {
+      call.answerPart(part);
+    }
+  }
+
+  @Override
+  public void end(HttpHeaders trailers) {
+    if (refused) {
+      endRefused();
+      return;
+    }
+    finish(new AttemptOutcome.Answered(status));
+    call.answerEnded(trailers);
+  }
+
+  private void endRefused() {
+    Fault fault =
+        new Fault(
+            Step.AWAIT_ANSWER,
+            Peer.BACKEND_SERVER,
+            grant.server().name(),
+            "the server refused the request with status " + status);
+    end(new AttemptOutcome.NotRun(fault));
+  }
+
+  @Override
+  public void failed(ExchangeFailure failure) {
+    if (refused) {
+      endRefused();
+    } else if (failure.notRun()) {
+      end(new AttemptOutcome.NotRun(failure.fault()));
+    } else {
+      end(new AttemptOutcome.Unknown(failure.fault()));
+    }
+  }
+
+  private void end(AttemptOutcome outcome) {
+    finish(outcome);
+    call.attemptFailed(outcome);
+  }
+
+  private void finish(AttemptOutcome outcome) {
+    if (finished) {
+      return;
+    }
+    finished = true;
+    double latencyMillis = call.nowMillis() - startedMillis;
+    grant.finished(new AttemptReport(outcome, latencyMillis, load));
+    call.attemptFinished(this, outcome, latencyMillis);
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
@@ -0,0 +1,456 @@
+package org.wagtailpin.call;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.concurrent.Future;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.wagtailpin.backend.RequestBody;
+import org.wagtailpin.claims.ClaimKey;
+import org.wagtailpin.claims.ClaimResult;
+import org.wagtailpin.claims.ClaimSettlement;
+import org.wagtailpin.claims.HeldAnswer;
+import org.wagtailpin.claims.HeldHeader;
+import org.wagtailpin.config.ConfigService;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.error.Peer;
+import org.wagtailpin.error.Step;
+import org.wagtailpin.routing.AttemptHistory;
+import org.wagtailpin.routing.AttemptOutcome;
+import org.wagtailpin.routing.AttemptReport;
+import org.wagtailpin.routing.CallDescriptor;
+import org.wagtailpin.routing.Grant;
+import org.wagtailpin.routing.PlacementHandle;
+import org.wagtailpin.routing.PlacementListener;
+import org.wagtailpin.routing.RetryDecision;
+import org.wagtailpin.transport.EndToEndHeaders;
+import org.wagtailpin.transport.WagtailpinHeaders;
+
+/**
+ * A call: a caller's request from its admission to its answer.
+ *
+ * <p>Confined to the event loop of the caller's connection; news from other threads is handed over
+ * to it. It ends once, and tells its sink once.
+ */
+public final class Call {
+
+  private static final int BAD_GATEWAY = 502;
+  private static final int SERVICE_UNAVAILABLE = 503;
+  private static final int GATEWAY_TIMEOUT = 504;
+  private static final int CONFLICT = 409;
+  private static final int UNPROCESSABLE = 422;
+  private static final String ANSWERED = "answered";
+
+  private final CallEnvironment environment;
+  private final IncomingRequest request;
+  private final CallDescriptor descriptor;
+  private final ConfigService service;
+  private final Optional<String> key;
+  private final AnswerSink sink;
+  private final EventLoop loop;
+  private Future<?> timer;
+  private AttemptRequests requests;
+  private AttemptHistory history = AttemptHistory.none();
+  private Optional<KeyedWork> keyed = Optional.empty();
+  private Optional<PlacementHandle> waiting = Optional.empty();
+  private Optional<Attempt> attempt = Optional.empty();
+  private boolean mayHaveRun;
+  private boolean answerBegan;
+  private boolean callerGone;
+  private boolean paused;
+  private boolean ended;
+  private double progressMillis;
+
+  /**
+   * Starts a call and its deadline.
+   *
+   * @param environment what calls work with
+   * @param request the head of the request
+   * @param admission the route and service that were found for it
+   * @param sink the caller
+   * @param loop the event loop of the caller's connection, on which all methods are called
+   */
+  public Call(
+      CallEnvironment environment,
+      IncomingRequest request,
+      CallAdmission.Admitted admission,
+      AnswerSink sink,
+      EventLoop loop) {
+    this.environment = environment;
+    this.request = request;
+    this.descriptor = admission.descriptor();
+    this.service = admission.service();
+    this.key = admission.key();
+    this.sink = sink;
+    this.loop = loop;
+    this.timer = loop.schedule(this::expire, remainingMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  CallEnvironment environment() {
+    return environment;
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  double nowMillis() {
+    return environment.clock().exactMillis();
+  }
+
+  private long remainingMillis() {
+    return Math.max(0, descriptor.deadlineMillis() - environment.clock().millis());
+  }
+
+  /**
+   * Goes on with the request's body: claims the key if there is one, and asks for a server.
+   *
+   * @param body the body
+   */
+  public void begin(RequestBody body) {
+    if (ended) {
+      return;
+    }
+    requests = new AttemptRequests(request, service, body);
+    if (key.isPresent()) {
+      claim(key.get(), body);
+    } else {
+      firstAttempt();
+    }
+  }
+
+  private void claim(String value, RequestBody body) {
+    String scope = service.name() + "/" + request.callerGroup();
+    var unused =
+        environment
+            .claims()
+            .claim(
+                new ClaimKey(scope, value),
+                KeyedWork.fingerprint(request, body),
+                descriptor.deadlineMillis())
+            .thenAccept(result -> onLoop(() -> claimed(result)));
+  }
+
+  private void claimed(ClaimResult result) {
+    if (ended) {
+      giveBack(result);
+      return;
+    }
+    if (result instanceof ClaimResult.Granted granted) {
+      keyed =
+          Optional.of(
+              new KeyedWork(
+                  environment.claims(), granted.token(), environment.settings().heldAnswerBytes()));
+      firstAttempt();
+    } else if (result instanceof ClaimResult.Replayed replayed) {
+      replay(replayed.answer());
+    } else if (result instanceof ClaimResult.AlreadyDispatched dispatched) {
+      refuse(CONFLICT, Outcome.UNKNOWN, dispatched.fault());
+    } else if (result instanceof ClaimResult.KeyReused reused) {
+      refuse(UNPROCESSABLE, Outcome.NOT_RUN, reused.fault());
+    } else if (result instanceof ClaimResult.Unavailable unavailable) {
+      refuse(SERVICE_UNAVAILABLE, Outcome.NOT_RUN, unavailable.fault());
+    }
+  }
+
+  private void giveBack(ClaimResult result) {
+    if (result instanceof ClaimResult.Granted granted) {
+      environment.claims().settle(granted.token(), new ClaimSettlement.NotRun());
+    }
+  }
+
+  private void replay(HeldAnswer answer) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    for (HeldHeader header : answer.headers()) {
+      headers.add(header.name(), header.value());
+    }
+    headers.set(WagtailpinHeaders.REPLAYED, "true");
+    headers.set(WagtailpinHeaders.REQUEST_ID, request.id());
+    end("replayed");
+    sink.head(answer.status(), headers);
+    if (answer.body().length > 0) {
+      sink.part(Unpooled.wrappedBuffer(answer.body()));
+    }
+    sink.end(EmptyHttpHeaders.INSTANCE);
+  }
+
+  private void firstAttempt() {
+    environment.retryPolicy().firstAttempt(descriptor);
+    place();
+  }
+
+  private void place() {
+    if (ended) {
+      return;
+    }
+    PlacementHandle handle = environment.placement().request(descriptor, history, new Placed());
+    if (attempt.isEmpty() && !ended) {
+      waiting = Optional.of(handle);
+    }
+  }
+
+  /** Hands the decision on a server over to the call's loop. */
+  private final class Placed implements PlacementListener {
+    @Override
+    public void granted(Grant grant) {
+      onLoop(() -> run(grant));
+    }
+
+    @Override
+    public void refused(Fault fault) {
+      onLoop(() -> notPlaced(fault));
+    }
+  }
+
+  private void run(Grant grant) {
+    waiting = Optional.empty();
+    if (ended) {
+      grant.finished(new AttemptReport(new AttemptOutcome.Cancelled(), 0, Optional.empty()));
+      return;
+    }
+    history = history.with(grant.server().name());
+    Attempt next = new Attempt(this, service, grant);
+    attempt = Optional.of(next);
+    next.start(requests.next(grant.server(), history.attempts(), remainingMillis()));
+  }
+
+  private void notPlaced(Fault fault) {
+    waiting = Optional.empty();
+    if (!ended) {
+      refuse(SERVICE_UNAVAILABLE, outcome(), fault);
+    }
+  }
+
+  void answerBegan(int status, HttpHeaders headers) {
+    answerBegan = true;
+    progressMillis = nowMillis();
+    EndToEndHeaders.retain(headers);
+    headers.set(WagtailpinHeaders.REQUEST_ID, request.id());
+    keyed.ifPresent(work -> work.keepHead(status, headers));
+    if (!callerGone) {
+      sink.head(status, headers);
+    }
+  }
+
+  void answerPart(ByteBuf part) {
+    progressMillis = nowMillis();
+    keyed.ifPresent(work -> work.keepPart(part));
+    if (callerGone) {
+      part.release();
+      abandonIfUseless();
+    } else if (!sink.part(part)) {
+      paused = true;
+      attempt.ifPresent(Attempt::pause);
+    }
+  }
+
+  void answerEnded(HttpHeaders trailers) {
+    keyed.ifPresent(KeyedWork::answered);
+    end(ANSWERED);
+    if (!callerGone) {
+      sink.end(trailers);
+    }
+  }
+
+  /** Tells the call that its sink takes more after it did not. */
+  public void callerWritable() {
+    if (paused && !ended) {
+      paused = false;
+      progressMillis = nowMillis();
+      attempt.ifPresent(Attempt::resume);
+    }
+  }
+
+  void attemptFinished(Attempt finished, AttemptOutcome outcome, double latencyMillis) {
+    mayHaveRun = mayHaveRun || !(outcome instanceof AttemptOutcome.NotRun);
+    environment.metrics().attemptEnded(service.name(), AttemptLabels.label(outcome));
+    environment
+        .decisions()
+        .decided(
+            new Decision(
+                request.id(),
+                service.name(),
+                descriptor.route().name(),
+                finished.grant().server().name(),
+                history.attempts(),
+                AttemptLabels.label(outcome),
+                finished.status(),
+                AttemptLabels.detail(outcome),
+                latencyMillis));
+  }
+
+  void attemptFailed(AttemptOutcome outcome) {
+    attempt = Optional.empty();
+    if (answerBegan) {
+      breakOff();
+      return;
+    }
+    if (callerGone) {
+      settleFailed();
+      end("left");
+      return;
+    }
+    if (mayRepeat(outcome)) {
+      RetryDecision decision = environment.retryPolicy().decide(descriptor, history, outcome);
+      if (decision.retry()) {
+        retryIn(decision.delayMillis());
+        return;
+      }
+    }
+    int status = mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE;
+    refuse(status, outcome(), AttemptLabels.fault(outcome));
+  }
+
+  private void retryIn(long delayMillis) {
+    if (delayMillis <= 0) {
+      place();
+      return;
+    }
+    var unused = loop.schedule(this::place, delayMillis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Work that may not be repeated is sent again only after proof that it was not run. */
+  private boolean mayRepeat(AttemptOutcome outcome) {
+    boolean harmless = outcome instanceof AttemptOutcome.NotRun || descriptor.repeatable();
+    return harmless && requests.body().replayable();
+  }
+
+  private Outcome outcome() {
+    return mayHaveRun ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+  }
+
+  private void expire() {
+    if (ended) {
+      return;
+    }
+    if (answerBegan) {
+      expireAnswer();
+      return;
+    }
+    Fault fault = expiry();
+    waiting.ifPresent(PlacementHandle::withdraw);
+    attempt.ifPresent(running -> running.expire(fault));
+    if (callerGone) {
+      settleFailed();
+      end("left");
+    } else {
+      refuse(GATEWAY_TIMEOUT, outcome(), fault);
+    }
+  }
+
+  private Fault expiry() {
+    if (attempt.isPresent()) {
+      String server = attempt.get().grant().server().name();
+      return new Fault(Step.AWAIT_ANSWER, Peer.BACKEND_SERVER, server, "the deadline passed");
+    }
+    Step step = waiting.isPresent() ? Step.PICK_SERVER : Step.ADMIT;
+    return new Fault(step, Peer.SELF, "", "the deadline passed");
+  }
+
+  /** Once an answer has begun, the deadline bounds the pauses between its parts. */
+  private void expireAnswer() {
+    long allowedMillis = descriptor.route().deadlineMillis();
+    double quietMillis = paused ? 0 : nowMillis() - progressMillis;
+    if (quietMillis < allowedMillis) {
+      long nextMillis = Math.max(1, (long) Math.ceil(allowedMillis - quietMillis));
+      timer = loop.schedule(this::expire, nextMillis, TimeUnit.MILLISECONDS);
+      return;
+    }
+    Fault fault = expiry();
+    attempt.ifPresent(running -> running.expire(fault));
+    breakOff();
+  }
+
+  private void breakOff() {
+    settleFailed();
+    end("broken");
+    if (!callerGone) {
+      sink.reset();
+    }
+  }
+
+  private void settleFailed() {
+    keyed.ifPresent(work -> work.failed(outcome()));
+  }
+
+  private void refuse(int status, Outcome outcome, Fault fault) {
+    settleFailed();
+    end(outcome.label());
+    sink.problem(new Problem(status, outcome, fault));
+  }
+
+  /**
+   * Tells the call that its caller left. Work in flight is cancelled, unless a claimed key lets the
+   * caller ask for the answer later.
+   */
+  public void callerLeft() {
+    if (ended || callerGone) {
+      return;
+    }
+    callerGone = true;
+    if (finishesAlone()) {
+      callerWritable();
+      return;
+    }
+    abandon();
+  }
+
+  /**
+   * Tells the call that the caller's request can't be read to its end.
+   *
+   * @param status the HTTP status code to answer with
+   * @param fault what is wrong with it
+   */
+  public void requestBroke(int status, Fault fault) {
+    if (ended) {
+      return;
+    }
+    waiting.ifPresent(PlacementHandle::withdraw);
+    attempt.ifPresent(running -> running.expire(fault));
+    if (answerBegan) {
+      breakOff();
+    } else {
+      refuse(status, outcome(), fault);
+    }
+  }
+
+  private boolean finishesAlone() {
+    return attempt.isPresent()
+        && keyed.isPresent()
+        && keyed.get().holdsAnswer()
+        && requests.body() instanceof RequestBody.Held;
+  }
+
+  private void abandonIfUseless() {
+    if (keyed.isEmpty() || !keyed.get().holdsAnswer()) {
+      abandon();
+    }
+  }
+
+  private void abandon() {
+    waiting.ifPresent(PlacementHandle::withdraw);
+    boolean ranBefore = mayHaveRun;
+    boolean notRun = attempt.map(Attempt::cancel).orElse(true);
+    mayHaveRun = ranBefore || !notRun;
+    settleFailed();
+    end("left");
+  }
+
+  private void end(String outcome) {
+    ended = true;
+    timer.cancel(false);
+    environment.metrics().callEnded(service.name(), outcome, nowMillis() - request.arrivedMillis());
+  }
+
+  private void onLoop(Runnable task) {
+    if (loop.inEventLoop()) {
+      task.run();
+    } else {
+      loop.execute(task);
+    }
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallAdmission.java
@@ -0,0 +1,94 @@
+package org.wagtailpin.call;
+
+import java.util.Optional;
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.config.ConfigRoute;
+import org.wagtailpin.config.ConfigService;
+import org.wagtailpin.config.ConfigSnapshot;
+import org.wagtailpin.config.KeyRule;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.error.Peer;
+import org.wagtailpin.error.Step;
+import org.wagtailpin.routing.CallDescriptor;
+import org.wagtailpin.transport.WagtailpinHeaders;
+
+/** Whether a request can become a call, by its head alone. */
+public sealed interface CallAdmission {
+
+  /** The greatest number of calls that lead to one. */
+  int MAX_DEPTH = 9;
+
+  /** The greatest length of an idempotency key, in characters. */
+  int MAX_KEY_LENGTH = 255;
+
+  /**
+   * The request can become a call.
+   *
+   * @param descriptor what placement needs to know
+   * @param service the service
+   * @param key the idempotency key to claim, empty if the work is not claimed
+   */
+  record Admitted(CallDescriptor descriptor, ConfigService service, Optional<String> key)
+      implements CallAdmission {}
+
+  /**
+   * The request is refused; it was not run.
+   *
+   * @param problem the answer
+   */
+  record Refused(Problem problem) implements CallAdmission {}
+
+  /**
+   * Finds the route of a request and checks its head.
+   *
+   * @param snapshot the configuration in force
+   * @param request the request
+   * @param clock the clock
+   */
+  static CallAdmission of(ConfigSnapshot snapshot, IncomingRequest request, Clock clock) {
+    if (request.depth() > MAX_DEPTH) {
+      return refused(508, Step.ADMIT, "the call is nested deeper than " + MAX_DEPTH);
+    }
+    Optional<ConfigRoute> route = snapshot.route(request.host(), request.path(), request.method());
+    if (route.isEmpty()) {
+      return refused(404, Step.MATCH_ROUTE, "no route matches the request");
+    }
+    Optional<ConfigService> service = snapshot.service(route.get().service());
+    if (service.isEmpty()) {
+      return refused(503, Step.MATCH_ROUTE, "service " + route.get().service() + " is unknown");
+    }
+    return withKey(route.get(), service.get(), request, clock);
+  }
+
+  private static CallAdmission withKey(
+      ConfigRoute route, ConfigService service, IncomingRequest request, Clock clock) {
+    Optional<String> key =
+        Optional.ofNullable(request.headers().get(WagtailpinHeaders.IDEMPOTENCY_KEY));
+    if (route.keyRule() == KeyRule.REQUIRED && key.isEmpty()) {
+      return refused(400, Step.CLAIM_KEY, "the route requires an Idempotency-Key");
+    }
+    if (route.keyRule() == KeyRule.IGNORED) {
+      key = Optional.empty();
+    }
+    if (key.isPresent() && (key.get().isEmpty() || key.get().length() > MAX_KEY_LENGTH)) {
+      return refused(
+          400, Step.CLAIM_KEY, "an Idempotency-Key has 1 to " + MAX_KEY_LENGTH + " characters");
+    }
+    long waitMillis =
+        Math.min(route.deadlineMillis(), request.timeoutMillis().orElse(Long.MAX_VALUE));
+    CallDescriptor descriptor =
+        new CallDescriptor(
+            request.id(),
+            route,
+            key.isEmpty() && route.mayRepeat(request.method()),
+            request.callerGroup(),
+            request.depth(),
+            clock.millis() + waitMillis);
+    return new Admitted(descriptor, service, key);
+  }
+
+  private static Refused refused(int status, Step step, String detail) {
+    Fault fault = new Fault(step, Peer.SELF, "", detail);
+    return new Refused(new Problem(status, Outcome.NOT_RUN, fault));
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallEnvironment.java
@@ -0,0 +1,32 @@
+package org.wagtailpin.call;
+
+import org.wagtailpin.backend.BackendClient;
+import org.wagtailpin.claims.Claims;
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.config.ConfigSource;
+import org.wagtailpin.routing.Placement;
+import org.wagtailpin.routing.RetryPolicy;
+
+/**
+ * What all calls of an entry work with.
+ *
+ * @param settings the settings of calls
+ * @param config the configuration in force
+ * @param placement decides on servers
+ * @param retryPolicy decides on retries
+ * @param claims the claims on idempotency keys
+ * @param backend sends requests to backend servers
+ * @param clock the clock
+ * @param decisions takes note of routing decisions
+ * @param metrics counts calls
+ */
+public record CallEnvironment(
+    CallSettings settings,
+    ConfigSource config,
+    Placement placement,
+    RetryPolicy retryPolicy,
+    Claims claims,
+    BackendClient backend,
+    Clock clock,
+    DecisionLog decisions,
+    CallMetrics metrics) {}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/KeyedWork.java
@@ -0,0 +1,94 @@
+package org.wagtailpin.call;
+
+import com.dynatrace.hash4j.hashing.HashStream64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.wagtailpin.backend.RequestBody;
+import org.wagtailpin.claims.ClaimSettlement;
+import org.wagtailpin.claims.ClaimToken;
+import org.wagtailpin.claims.Claims;
+import org.wagtailpin.claims.HeldAnswer;
+import org.wagtailpin.claims.HeldHeader;
+
+/** Work under a claimed idempotency key: it keeps the answer and settles the claim once. */
+final class KeyedWork {
+
+  private final Claims claims;
+  private final ClaimToken token;
+  private final int heldAnswerBytes;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private int status;
+  private List<HeldHeader> headers = List.of();
+  private boolean tooLong;
+  private boolean settled;
+
+  KeyedWork(Claims claims, ClaimToken token, int heldAnswerBytes) {
+    this.claims = claims;
+    this.token = token;
+    this.heldAnswerBytes = heldAnswerBytes;
+  }
+
+  /** Returns a hash of what a request asks for. */
+  static long fingerprint(IncomingRequest request, RequestBody body) {
+    HashStream64 hash = Hashing.xxh3_64().hashStream();
+    hash.putString(request.method());
+    hash.putString(request.path());
+    hash.putString(request.query().orElse(""));
+    if (body instanceof RequestBody.Held held) {
+      hash.putByteArray(held.bytes());
+    } else if (body instanceof RequestBody.Streamed streamed) {
+      hash.putLong(streamed.feed().getContentLength());
+    }
+    return hash.getAsLong();
+  }
+
+  void keepHead(int answerStatus, HttpHeaders answerHeaders) {
+    status = answerStatus;
+    List<HeldHeader> kept = new ArrayList<>(answerHeaders.size());
+    for (Map.Entry<String, String> header : answerHeaders) {
+      kept.add(new HeldHeader(header.getKey(), header.getValue()));
+    }
+    headers = kept;
+  }
+
+  void keepPart(ByteBuf part) {
+    if (body.size() + part.readableBytes() > heldAnswerBytes) {
+      tooLong = true;
+      body.reset();
+    }
+    if (!tooLong) {
+      byte[] bytes = new byte[part.readableBytes()];
+      part.getBytes(part.readerIndex(), bytes);
+      body.writeBytes(bytes);
+    }
+  }
+
+  /** Tells whether the whole answer so far is held, so that the work is of use without a caller. */
+  boolean holdsAnswer() {
+    return !tooLong;
+  }
+
+  void answered() {
+    settle(
+        tooLong
+            ? new ClaimSettlement.AnsweredUnheld()
+            : new ClaimSettlement.Answered(new HeldAnswer(status, headers, body.toByteArray())));
+  }
+
+  void failed(Outcome outcome) {
+    settle(
+        outcome == Outcome.NOT_RUN ? new ClaimSettlement.NotRun() : new ClaimSettlement.Unknown());
+  }
+
+  private void settle(ClaimSettlement settlement) {
+    if (!settled) {
+      settled = true;
+      claims.settle(token, settlement);
+    }
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/package-info.java
@@ -0,0 +1,2 @@
+/** The lifecycle of one call: route, claim, placement, attempts, deadline and answer. */
+package org.wagtailpin.call;
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/CallerLimits.java
@@ -0,0 +1,37 @@
+package org.wagtailpin.caller;
+
+/**
+ * Limits of callers' connections.
+ *
+ * @param maxConnections most connections at once; more are closed as they come
+ * @param maxRequestLineBytes longest request line
+ * @param maxHeadBytes greatest size of a request's headers
+ * @param maxBodyBytes longest request body
+ * @param idleMillis how long a connection may wait for its next request
+ * @param headTimeoutMillis longest time from the first byte of a request's head to its last
+ * @param bodyStallMillis longest pause within a request's body
+ * @param answerStallMillis longest time in which a caller takes nothing of its answer
+ * @param lingerMillis how long a connection is still read after its last answer, so that the answer
+ *     is not lost
+ * @param discardBytes how much of a refused body is read so that the connection can be kept
+ * @param unsentBytes how many bytes of an answer wait for a slow caller
+ */
+public record CallerLimits(
+    int maxConnections,
+    int maxRequestLineBytes,
+    int maxHeadBytes,
+    long maxBodyBytes,
+    long idleMillis,
+    long headTimeoutMillis,
+    long bodyStallMillis,
+    long answerStallMillis,
+    long lingerMillis,
+    int discardBytes,
+    int unsentBytes) {
+
+  /** Returns the limits in force where none are stated. */
+  public static CallerLimits defaults() {
+    return new CallerLimits(
+        20_000, 8_192, 16_384, 1L << 30, 60_000, 10_000, 30_000, 30_000, 1_000, 262_144, 65_536);
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/RequestIds.java
@@ -0,0 +1,26 @@
+package org.wagtailpin.caller;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Maker of call identifiers, unique over all entries and their restarts. */
+final class RequestIds {
+
+  private static final int RADIX = 36;
+
+  private final String prefix;
+  private final AtomicLong last = new AtomicLong();
+
+  /**
+   * Creates a maker.
+   *
+   * @param entry the name of this entry
+   * @param incarnation a number that is new at each start of the entry
+   */
+  RequestIds(String entry, long incarnation) {
+    this.prefix = entry + "-" + Long.toString(incarnation, RADIX) + "-";
+  }
+
+  String next() {
+    return prefix + Long.toString(last.incrementAndGet(), RADIX);
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/transport/EndToEndHeaders.java
@@ -0,0 +1,70 @@
+package org.wagtailpin.transport;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** What may pass an intermediary: the removal of the headers that hold for one connection only. */
+public final class EndToEndHeaders {
+
+  // RFC 9110 section 7.6.1: removed even if the Connection header does not list them.
+  private static final List<AsciiString> HOP_BY_HOP =
+      List.of(
+          HttpHeaderNames.CONNECTION,
+          HttpHeaderNames.TRANSFER_ENCODING,
+          HttpHeaderNames.TE,
+          HttpHeaderNames.TRAILER,
+          HttpHeaderNames.UPGRADE,
+          HttpHeaderNames.PROXY_AUTHORIZATION,
+          AsciiString.cached("proxy-authentication-info"),
+          HttpHeaderNames.PROXY_AUTHENTICATE,
+          AsciiString.cached("proxy-connection"),
+          AsciiString.cached("keep-alive"));
+
+  private EndToEndHeaders() {}
+
+  /**
+   * Removes the headers that hold for one connection only, and those of this project.
+   *
+   * @param headers the headers of a message, changed in place
+   */
+  public static void retain(HttpHeaders headers) {
+    removeListed(headers);
+    for (AsciiString name : HOP_BY_HOP) {
+      headers.remove(name);
+    }
+    Iterator<Map.Entry<CharSequence, CharSequence>> fields = headers.iteratorCharSequence();
+    while (fields.hasNext()) {
+      if (isOwn(fields.next().getKey())) {
+        fields.remove();
+      }
+    }
+  }
+
+  private static void removeListed(HttpHeaders headers) {
+    for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
+      for (String name : value.split(",", -1)) {
+        String option = name.strip().toLowerCase(Locale.ROOT);
+        if (isRemovable(option)) {
+          headers.remove(option);
+        }
+      }
+    }
+  }
+
+  private static boolean isRemovable(String option) {
+    // Framing and routing are never left to a caller's list of options.
+    return !option.isEmpty()
+        && !HttpHeaderNames.HOST.contentEqualsIgnoreCase(option)
+        && !HttpHeaderNames.CONTENT_LENGTH.contentEqualsIgnoreCase(option);
+  }
+
+  private static boolean isOwn(CharSequence name) {
+    return AsciiString.regionMatches(
+        name, true, 0, WagtailpinHeaders.PREFIX, 0, WagtailpinHeaders.PREFIX.length());
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/transport/EventLoops.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/transport/EventLoops.java
@@ -1,18 +1,25 @@
 package org.wagtailpin.transport;
 
+import io.netty.channel.DefaultSelectStrategyFactory;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollEventLoopGroup;
 import io.netty.channel.epoll.EpollIoHandler;
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.EventExecutorChooserFactory;
+import io.netty.util.concurrent.ThreadPerTaskExecutor;
+import java.nio.channels.spi.SelectorProvider;
+import java.util.concurrent.Executor;
 
 /** Factory of event loops, and of the channel types that run on them. */
 public final class EventLoops {
@@ -31,6 +38,30 @@
         threads, new DefaultThreadFactory(name, true), ioHandlers());
   }
 
+  /**
+   * Creates event loops that keep work on one thread: a channel opened from one of their threads
+   * runs on that thread.
+   *
+   * @param threads how many loops, each on a thread of its own, at least 1
+   * @param name the start of the threads' names
+   * @return the loops, to be shut down by their owner
+   */
+  @SuppressWarnings("deprecation") // AsyncHttpClient tells the transport by these group types.
+  public static EventLoopGroup createAffine(int threads, String name) {
+    Executor executor = new ThreadPerTaskExecutor(new DefaultThreadFactory(name, true));
+    EventExecutorChooserFactory chooser = new AffineChooserFactory();
+    if (Epoll.isAvailable()) {
+      return new EpollEventLoopGroup(
+          threads, executor, chooser, DefaultSelectStrategyFactory.INSTANCE);
+    }
+    return new NioEventLoopGroup(
+        threads,
+        executor,
+        chooser,
+        SelectorProvider.provider(),
+        DefaultSelectStrategyFactory.INSTANCE);
+  }
+
   private static IoHandlerFactory ioHandlers() {
     return Epoll.isAvailable() ? EpollIoHandler.newFactory() : NioIoHandler.newFactory();
   }
