Test outcomes on loopback; mend answers that were always reset

Cause: Netty's header iterator is read-only, so every relayed answer threw while its own headers were removed, and the caller was reset.

--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -15,6 +16,7 @@
 import org.asynchttpclient.AsyncHandler;
 import org.asynchttpclient.HttpResponseBodyPart;
 import org.asynchttpclient.ListenableFuture;
+import org.tinylog.Logger;
 import org.wagtailpin.error.Fault;
 import org.wagtailpin.error.Peer;
 import org.wagtailpin.error.Step;
@@ -254,11 +256,19 @@
   public void onThrowable(Throwable cause) {
     if (!broken) {
       broken = true;
+      logIfOwn(cause);
       String message = cause.getMessage();
       fail(message == null ? cause.getClass().getSimpleName() : message);
     }
   }
 
+  private static void logIfOwn(Throwable cause) {
+    boolean expected = cause instanceof CancellationException || cause instanceof DecoderException;
+    if (cause instanceof RuntimeException && !expected) {
+      Logger.error(cause, "exchange with a backend server failed");
+    }
+  }
+
   private void fail(String detail) {
     boolean notRun = withdraw();
     Fault fault = new Fault(step, Peer.BACKEND_SERVER, request.server().name(), detail);
--- a/wagtailpin/src/main/java/org/wagtailpin/transport/EndToEndHeaders.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/transport/EndToEndHeaders.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.AsciiString;
+import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Locale;
@@ -37,12 +38,19 @@
     for (AsciiString name : HOP_BY_HOP) {
       headers.remove(name);
     }
+    removeOwn(headers);
+  }
+
+  private static void removeOwn(HttpHeaders headers) {
+    List<CharSequence> own = new ArrayList<>();
     Iterator<Map.Entry<CharSequence, CharSequence>> fields = headers.iteratorCharSequence();
     while (fields.hasNext()) {
-      if (isOwn(fields.next().getKey())) {
-        fields.remove();
+      CharSequence name = fields.next().getKey();
+      if (isOwn(name)) {
+        own.add(name);
       }
     }
+    own.forEach(headers::remove);
   }
 
   private static void removeListed(HttpHeaders headers) {
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/ProofOnlyRetryPolicy.java
@@ -0,0 +1,22 @@
+package org.wagtailpin.call;
+
+import org.wagtailpin.routing.AttemptHistory;
+import org.wagtailpin.routing.AttemptOutcome;
+import org.wagtailpin.routing.CallDescriptor;
+import org.wagtailpin.routing.RetryDecision;
+import org.wagtailpin.routing.RetryPolicy;
+
+/** Retries after proof, or where the work may be repeated, up to three attempts. */
+final class ProofOnlyRetryPolicy implements RetryPolicy {
+
+  private static final int MAX_ATTEMPTS = 3;
+
+  @Override
+  public void firstAttempt(CallDescriptor call) {}
+
+  @Override
+  public RetryDecision decide(CallDescriptor call, AttemptHistory history, AttemptOutcome outcome) {
+    boolean harmless = outcome instanceof AttemptOutcome.NotRun || call.repeatable();
+    return new RetryDecision(harmless && history.attempts() < MAX_ATTEMPTS, "test", 0);
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/RawCaller.java
@@ -0,0 +1,51 @@
+package org.wagtailpin.call;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+
+/** Caller on a raw socket. */
+public final class RawCaller implements AutoCloseable {
+
+  private static final int HANG_GUARD_MILLIS = 20_000;
+
+  private final Socket socket = new Socket();
+
+  public RawCaller(InetSocketAddress entry) throws IOException {
+    socket.connect(entry);
+    socket.setSoTimeout(HANG_GUARD_MILLIS);
+  }
+
+  public Socket socket() {
+    return socket;
+  }
+
+  public void send(String text) throws IOException {
+    socket.getOutputStream().write(HttpText.bytes(text));
+    socket.getOutputStream().flush();
+  }
+
+  public HttpText read() throws IOException {
+    return HttpText.read(socket.getInputStream());
+  }
+
+  public HttpText call(String method, String path, String headers, String body) throws IOException {
+    String length = body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n";
+    send(method + " " + path + " HTTP/1.1\r\nHost: a\r\n" + headers + length + "\r\n" + body);
+    return read();
+  }
+
+  /** Tells whether the connection has ended and brings no more bytes. */
+  public boolean atEnd() throws IOException {
+    try {
+      return socket.getInputStream().read() < 0;
+    } catch (java.net.SocketException e) {
+      return true;
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/RawServer.java
@@ -0,0 +1,123 @@
+package org.wagtailpin.call;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Backend server on a raw socket, whose every byte the test decides. */
+public final class RawServer implements AutoCloseable {
+
+  /** Serves one request of a connection. */
+  public interface Script {
+
+    /**
+     * Serves a request.
+     *
+     * @param request the request, its body read
+     * @param connection the connection
+     * @return whether to read a further request from it
+     */
+    boolean serve(HttpText request, Connection connection) throws IOException;
+  }
+
+  /** An accepted connection. */
+  public record Connection(Socket socket) {
+
+    /** Sends text. */
+    public void send(String text) throws IOException {
+      socket.getOutputStream().write(HttpText.bytes(text));
+      socket.getOutputStream().flush();
+    }
+
+    /** Sends a whole answer that repeats the attempt identifier. */
+    public boolean answer(HttpText request, String extraHeaders, String body) throws IOException {
+      send(
+          "HTTP/1.1 200 OK\r\nWagtailpin-Attempt: "
+              + request.header("wagtailpin-attempt")
+              + "\r\n"
+              + extraHeaders
+              + "Content-Length: "
+              + body.length()
+              + "\r\n\r\n"
+              + body);
+      return true;
+    }
+
+    /** Breaks the connection with a TCP reset. */
+    public boolean reset() throws IOException {
+      socket.setSoLinger(true, 0);
+      socket.close();
+      return false;
+    }
+  }
+
+  private final ServerSocket listener;
+  private final Script script;
+  private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+  private final List<HttpText> requests = new CopyOnWriteArrayList<>();
+  private final AtomicInteger accepted = new AtomicInteger();
+
+  public RawServer(Script script) throws IOException {
+    this.script = script;
+    listener = new ServerSocket(0, 128, InetAddress.getLoopbackAddress());
+    start(this::accept);
+  }
+
+  public int port() {
+    return listener.getLocalPort();
+  }
+
+  /** Returns the requests received, in order. */
+  public List<HttpText> requests() {
+    return requests;
+  }
+
+  public int connections() {
+    return accepted.get();
+  }
+
+  private static void start(Runnable body) {
+    Thread thread = new Thread(body, "raw-server");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = listener.accept();
+        accepted.incrementAndGet();
+        sockets.add(socket);
+        start(() -> serve(socket));
+      }
+    } catch (IOException e) {
+      // The listener was closed: the server ends.
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      Connection connection = new Connection(socket);
+      boolean more = true;
+      while (more) {
+        HttpText request = HttpText.read(socket.getInputStream());
+        requests.add(request);
+        more = script.serve(request, connection);
+      }
+    } catch (IOException e) {
+      // The connection ended, as tests make it do.
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/TestEntry.java
@@ -0,0 +1,186 @@
+package org.wagtailpin.call;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.wagtailpin.backend.BackendClient;
+import org.wagtailpin.backend.BackendSettings;
+import org.wagtailpin.caller.CallerLimits;
+import org.wagtailpin.caller.CallerListener;
+import org.wagtailpin.caller.CallerSettings;
+import org.wagtailpin.caller.ListenerKind;
+import org.wagtailpin.clock.SystemClock;
+import org.wagtailpin.config.ConfigObject;
+import org.wagtailpin.config.ConfigRoute;
+import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.config.ConfigServerSet;
+import org.wagtailpin.config.ConfigService;
+import org.wagtailpin.config.ConfigSnapshot;
+import org.wagtailpin.config.KeyRule;
+import org.wagtailpin.config.RefusalForm;
+import org.wagtailpin.transport.EventLoops;
+
+/** An entry's traffic path on loopback, with one service and its servers in a fixed order. */
+public final class TestEntry implements AutoCloseable {
+
+  public static final RefusalForm REFUSAL = new RefusalForm(503, "Wagtailpin-Refused", "not-run");
+
+  private static final int LOOPS = 2;
+
+  private final EventLoopGroup loops = EventLoops.createAffine(LOOPS, "test-traffic");
+  private final InOrderPlacement placement;
+  private final HeldClaims claims = new HeldClaims();
+  private final CountingMetrics metrics = new CountingMetrics();
+  private final List<Decision> decisions = new CopyOnWriteArrayList<>();
+  private final BackendClient backend;
+  private final CallEnvironment environment;
+  private final CallerListener listener;
+
+  /** What a test can vary; the defaults suit most. */
+  public static final class Builder {
+    private final List<Integer> ports = new ArrayList<>();
+    private long deadlineMillis = 10_000;
+    private KeyRule keyRule = KeyRule.IGNORED;
+    private boolean echoes;
+    private int connections = 100;
+    private ListenerKind kind = ListenerKind.PUBLIC;
+    private CallerLimits limits = CallerLimits.defaults();
+
+    public Builder server(int port) {
+      ports.add(port);
+      return this;
+    }
+
+    public Builder deadlineMillis(long millis) {
+      deadlineMillis = millis;
+      return this;
+    }
+
+    public Builder keyRule(KeyRule rule) {
+      keyRule = rule;
+      return this;
+    }
+
+    public Builder echoes() {
+      echoes = true;
+      return this;
+    }
+
+    public Builder connections(int most) {
+      connections = most;
+      return this;
+    }
+
+    public Builder internal() {
+      kind = ListenerKind.INTERNAL;
+      return this;
+    }
+
+    public Builder limits(CallerLimits changed) {
+      limits = changed;
+      return this;
+    }
+
+    public TestEntry start() throws IOException {
+      return new TestEntry(this);
+    }
+  }
+
+  private TestEntry(Builder builder) throws IOException {
+    SystemClock clock = new SystemClock();
+    ConfigSnapshot snapshot = new ConfigSnapshot(1, objects(builder));
+    placement = new InOrderPlacement(snapshot.servers("work"));
+    backend =
+        new BackendClient(BackendSettings.defaults(), loops, server -> builder.connections, clock);
+    environment =
+        new CallEnvironment(
+            CallSettings.defaults(),
+            () -> snapshot,
+            placement,
+            new ProofOnlyRetryPolicy(),
+            claims,
+            backend,
+            clock,
+            decisions::add,
+            metrics);
+    listener =
+        new CallerListener(
+            new CallerSettings(builder.kind, "127.0.0.1", 0, "e1", builder.limits),
+            loops,
+            environment);
+    listener.start();
+  }
+
+  private static List<ConfigObject> objects(Builder builder) {
+    List<ConfigServer> servers = new ArrayList<>();
+    for (int port : builder.ports) {
+      String name = "s" + (servers.size() + 1);
+      servers.add(new ConfigServer(name, "127.0.0.1", port, "r", "d", 6, 100, false));
+    }
+    ConfigRoute route =
+        new ConfigRoute(
+            "all",
+            Optional.empty(),
+            "/",
+            Set.of(),
+            "work",
+            Optional.empty(),
+            builder.deadlineMillis,
+            builder.keyRule,
+            false);
+    ConfigService service =
+        new ConfigService("work", builder.echoes, List.of(REFUSAL), Optional.empty());
+    return List.of(route, service, new ConfigServerSet("set", "work", servers));
+  }
+
+  public InetSocketAddress address() {
+    return listener.address();
+  }
+
+  public CallerListener listener() {
+    return listener;
+  }
+
+  public RawCaller caller() throws IOException {
+    return new RawCaller(address());
+  }
+
+  /** Makes one call on a connection of its own. */
+  public HttpText call(String method, String headers, String body) throws IOException {
+    try (RawCaller caller = caller()) {
+      return caller.call(method, "/x", headers, body);
+    }
+  }
+
+  public InOrderPlacement placement() {
+    return placement;
+  }
+
+  public HeldClaims claims() {
+    return claims;
+  }
+
+  public CountingMetrics metrics() {
+    return metrics;
+  }
+
+  public List<Decision> decisions() {
+    return decisions;
+  }
+
+  public BackendClient backend() {
+    return backend;
+  }
+
+  @Override
+  public void close() {
+    listener.drain(0).join();
+    backend.close();
+    loops.shutdownGracefully();
+  }
+}
