--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/AddressText.java
@@ -0,0 +1,29 @@
+package org.wagtailpin.config;
+
+import io.netty.util.NetUtil;
+
+/** Checks of IP addresses and address blocks in text form; no name is ever resolved. */
+final class AddressText {
+
+  private static final int BITS_PER_BYTE = 8;
+
+  private AddressText() {}
+
+  static boolean isIpAddress(String text) {
+    return NetUtil.isValidIpV4Address(text) || NetUtil.isValidIpV6Address(text);
+  }
+
+  // RFC 4632 section 3.1: an address, a slash and the length of the prefix in bits.
+  static boolean isAddressBlock(String text) {
+    int slash = text.indexOf('/');
+    if (slash < 0 || !isIpAddress(text.substring(0, slash))) {
+      return false;
+    }
+    String bits = text.substring(slash + 1);
+    if (!bits.matches("[0-9]{1,3}")) {
+      return false;
+    }
+    byte[] address = NetUtil.createByteArrayFromIpAddressString(text.substring(0, slash));
+    return Integer.parseInt(bits) <= address.length * BITS_PER_BYTE;
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigJson.java
@@ -0,0 +1,52 @@
+package org.wagtailpin.config;
+
+import java.util.List;
+import org.wagtailpin.json.JsonObjectReader;
+import org.wagtailpin.json.JsonParseResult;
+import org.wagtailpin.json.JsonProblems;
+import org.wagtailpin.json.JsonTextParser;
+
+/**
+ * Objects of the configuration as JSON, in the form that tickets use.
+ *
+ * <p>Writing is canonical: equal objects give equal bytes. Reading is strict: an unknown key, a
+ * missing one and a value out of its range are mistakes. Safe for use by threads.
+ */
+public final class ConfigJson {
+
+  private static final String ORIGIN = "object";
+
+  private final ObjectWriter writer = new ObjectWriter();
+  private final ObjectFieldsReader reader = new ObjectFieldsReader();
+  private final JsonTextParser parser = new JsonTextParser();
+
+  /**
+   * Writes an object.
+   *
+   * @param object the object
+   * @return its JSON in UTF-8, on one line
+   */
+  public byte[] write(ConfigObject object) {
+    return writer.write(object);
+  }
+
+  /**
+   * Reads an object.
+   *
+   * @param kind the kind that it must be of
+   * @param json its JSON in UTF-8
+   */
+  public ObjectReadResult read(ConfigKind kind, byte[] json) {
+    JsonParseResult parsed = parser.parse(ORIGIN, json);
+    if (parsed instanceof JsonParseResult.Malformed malformed) {
+      return new ObjectReadResult.Malformed(List.of(malformed.problem()));
+    }
+    JsonProblems problems = new JsonProblems();
+    JsonObjectReader fields =
+        JsonObjectReader.of(((JsonParseResult.Parsed) parsed).value(), "", problems);
+    ConfigObject object = reader.read(kind, fields);
+    return problems.isEmpty()
+        ? new ObjectReadResult.Read(object)
+        : new ObjectReadResult.Malformed(problems.found());
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigKind.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigKind.java
@@ -2,14 +2,16 @@
 
 import java.util.Optional;
 
-/** The kinds of object that a ticket can carry. */
+/** The kinds of object that the merged configuration holds. */
 public enum ConfigKind {
   SERVICE("service"),
   ROUTE("route"),
   SERVER_SET("serverSet"),
   LINK("link"),
   LIMIT("limit"),
-  CALLER_GROUP("callerGroup");
+  CALLER_GROUP("callerGroup"),
+  /** The number up to which tickets are closed; made by compaction, never part of a ticket. */
+  TICKET_FLOOR("ticketFloor");
 
   private final String label;
 
@@ -22,6 +24,11 @@
     return label;
   }
 
+  /** Tells whether a ticket can carry objects of this kind. */
+  public boolean inTickets() {
+    return this != TICKET_FLOOR;
+  }
+
   /**
    * Finds a kind by its name in tickets.
    *
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ObjectFieldsReader.java
@@ -0,0 +1,201 @@
+package org.wagtailpin.config;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.wagtailpin.json.JsonObjectReader;
+
+/** Reads the fields of one object of the configuration; mistakes are noted with the reader. */
+final class ObjectFieldsReader {
+
+  static final String KIND = "kind";
+
+  private static final long MAX_DEADLINE_MILLIS = 3_600_000;
+  private static final int MAX_PORT = 65_535;
+  private static final int MAX_SLOTS = 100_000;
+  private static final int MAX_CONNECTIONS = 1_000_000;
+  private static final double MAX_ONE_WAY_MILLIS = 10_000;
+  private static final long MAX_BYTES_PER_SECOND = 1L << 50;
+  private static final double MAX_PROBES_PER_SECOND = 1_000_000;
+  private static final double MIN_WEIGHT = 0.001;
+  private static final double MAX_WEIGHT = 1000;
+  private static final int MIN_STATUS = 100;
+  private static final int MAX_STATUS = 599;
+
+  private static final Map<String, ConfigKind> KINDS = kinds();
+  private static final Map<String, KeyRule> KEY_RULES = keyRules();
+  private static final String TUNABLES =
+      Arrays.stream(Tunable.values()).map(Tunable::label).collect(Collectors.joining(", "));
+
+  private static Map<String, ConfigKind> kinds() {
+    Map<String, ConfigKind> kinds = new LinkedHashMap<>();
+    for (ConfigKind kind : ConfigKind.values()) {
+      if (kind.inTickets()) {
+        kinds.put(kind.label(), kind);
+      }
+    }
+    return kinds;
+  }
+
+  private static Map<String, KeyRule> keyRules() {
+    Map<String, KeyRule> rules = new LinkedHashMap<>();
+    for (KeyRule rule : KeyRule.values()) {
+      rules.put(rule.label(), rule);
+    }
+    return rules;
+  }
+
+  /** Reads the kind that an object names; a missing one is a mistake. */
+  Optional<ConfigKind> kind(JsonObjectReader in) {
+    if (!in.has(KIND)) {
+      in.note(KIND, "one of " + String.join(", ", KINDS.keySet()));
+    }
+    return in.choice(KIND, KINDS);
+  }
+
+  /** Reads an object that is of a kind, whether or not it names the kind itself. */
+  ConfigObject read(ConfigKind kind, JsonObjectReader in) {
+    Optional<ConfigKind> named = in.choice(KIND, KINDS);
+    if (named.isPresent() && named.get() != kind) {
+      in.note(KIND, kind.label());
+    }
+    ConfigObject object =
+        switch (kind) {
+          case SERVICE -> service(in);
+          case ROUTE -> route(in);
+          case SERVER_SET -> serverSet(in);
+          case LINK -> link(in);
+          case LIMIT -> limit(in);
+          case CALLER_GROUP -> callerGroup(in);
+          case TICKET_FLOOR ->
+              throw new IllegalArgumentException("a " + kind.label() + " has no JSON form");
+        };
+    in.end();
+    return object;
+  }
+
+  private static ConfigService service(JsonObjectReader in) {
+    String name = in.name("name");
+    boolean echoesAttempt = in.flag("echoesAttempt", false);
+    List<RefusalForm> refusals = new ArrayList<>();
+    for (JsonObjectReader refusal : in.objects("refusals")) {
+      refusals.add(refusal(refusal));
+    }
+    Optional<String> probePath = path(in, "probePath");
+    return new ConfigService(name, echoesAttempt, refusals, probePath);
+  }
+
+  private static RefusalForm refusal(JsonObjectReader in) {
+    int status = (int) in.integer("status", MIN_STATUS, MAX_STATUS);
+    String headerName = in.text("headerName");
+    String headerValue = in.text("headerValue");
+    in.end();
+    return new RefusalForm(status, headerName, headerValue);
+  }
+
+  private static Optional<String> path(JsonObjectReader in, String key) {
+    Optional<String> path = in.optionalText(key);
+    if (path.isPresent() && !path.get().startsWith("/")) {
+      in.note(key, "a path that begins with /");
+    }
+    return path;
+  }
+
+  private static ConfigRoute route(JsonObjectReader in) {
+    String name = in.name("name");
+    Optional<String> host = in.optionalText("host");
+    if (host.isPresent() && !host.get().equals(host.get().toLowerCase(Locale.ROOT))) {
+      in.note("host", "a host name in lower case");
+    }
+    String pathPrefix = path(in, "pathPrefix").orElse("/");
+    Set<String> methods = new TreeSet<>(in.texts("methods"));
+    if (!methods.stream().allMatch(method -> method.matches("[A-Z]+"))) {
+      in.note("methods", "HTTP methods in upper case");
+    }
+    String service = in.name("service");
+    Optional<Boolean> repeatable = in.optionalFlag("repeatable");
+    long deadlineMillis = in.integer("deadlineMillis", 1, MAX_DEADLINE_MILLIS);
+    KeyRule keyRule = in.choice("keyRule", KEY_RULES).orElse(KeyRule.IGNORED);
+    boolean mayWait = in.flag("mayWait", false);
+    return new ConfigRoute(
+        name, host, pathPrefix, methods, service, repeatable, deadlineMillis, keyRule, mayWait);
+  }
+
+  private static ConfigServerSet serverSet(JsonObjectReader in) {
+    String name = in.name("name");
+    String service = in.name("service");
+    List<ConfigServer> servers = new ArrayList<>();
+    for (JsonObjectReader server : in.objects("servers")) {
+      servers.add(server(server));
+    }
+    return new ConfigServerSet(name, service, servers);
+  }
+
+  private static ConfigServer server(JsonObjectReader in) {
+    String name = in.name("name");
+    String address = in.text("address");
+    if (in.has("address") && !AddressText.isIpAddress(address)) {
+      in.note("address", "an IP address");
+    }
+    int port = (int) in.integer("port", 1, MAX_PORT);
+    String region = in.name("region");
+    String failureDomain = in.name("failureDomain");
+    int slots = (int) in.integer("slots", 1, MAX_SLOTS);
+    int connections = (int) in.integer("connections", 1, MAX_CONNECTIONS);
+    boolean leaving = in.flag("leaving", false);
+    in.end();
+    return new ConfigServer(
+        name, address, port, region, failureDomain, slots, connections, leaving);
+  }
+
+  private static ConfigLink link(JsonObjectReader in) {
+    return new ConfigLink(
+        in.name("name"),
+        in.name("regionA"),
+        in.name("regionB"),
+        in.number("oneWayMillis", 0, MAX_ONE_WAY_MILLIS),
+        in.integer("bytesPerSecond", 0, MAX_BYTES_PER_SECOND),
+        in.number("probesPerSecond", 0, MAX_PROBES_PER_SECOND));
+  }
+
+  private static ConfigLimit limit(JsonObjectReader in) {
+    String name = in.name("name");
+    Optional<String> service = in.optionalName("service");
+    Map<Tunable, Double> values = new EnumMap<>(Tunable.class);
+    if (!in.has("values")) {
+      in.note("values", "an object");
+    }
+    in.object("values").ifPresent(object -> readValues(object, values));
+    return new ConfigLimit(name, service, values);
+  }
+
+  private static void readValues(JsonObjectReader in, Map<Tunable, Double> values) {
+    for (String label : in.keys()) {
+      Optional<Tunable> tunable = Tunable.ofLabel(label);
+      if (tunable.isPresent()) {
+        Tunable known = tunable.get();
+        values.put(known, in.number(label, known.min(), known.max()));
+      } else {
+        in.noteKey(label, "one of " + TUNABLES);
+      }
+    }
+  }
+
+  private static ConfigCallerGroup callerGroup(JsonObjectReader in) {
+    String name = in.name("name");
+    double weight = in.number("weight", MIN_WEIGHT, MAX_WEIGHT);
+    List<String> blocks = in.texts("addressBlocks");
+    if (!blocks.stream().allMatch(AddressText::isAddressBlock)) {
+      in.note("addressBlocks", "IP address blocks such as 10.1.0.0/16");
+    }
+    return new ConfigCallerGroup(name, weight, blocks);
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/json/JsonProblems.java
@@ -0,0 +1,29 @@
+package org.wagtailpin.json;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The mistakes found so far while a text is read. For use by one thread. */
+public final class JsonProblems {
+
+  private final List<JsonProblem> found = new ArrayList<>();
+
+  /**
+   * Notes a mistake.
+   *
+   * @param problem the mistake
+   */
+  public void add(JsonProblem problem) {
+    found.add(problem);
+  }
+
+  /** Tells whether no mistake was found. */
+  public boolean isEmpty() {
+    return found.isEmpty();
+  }
+
+  /** Returns the mistakes in the order in which they were found. */
+  public List<JsonProblem> found() {
+    return List.copyOf(found);
+  }
+}
