--- /dev/null
+++ b/standins/src/main/java/org/wagtailpin/standins/store/StoreReply.java
@@ -0,0 +1,147 @@
+package org.wagtailpin.standins.store;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import org.wagtailpin.store.LeaseResult;
+import org.wagtailpin.store.ListResult;
+import org.wagtailpin.store.ReadResult;
+import org.wagtailpin.store.StoreEntry;
+import org.wagtailpin.store.WatchResult;
+import org.wagtailpin.store.WriteResult;
+import org.wagtailpin.store.wire.ChangeMessage;
+import org.wagtailpin.store.wire.ChangesMessage;
+import org.wagtailpin.store.wire.EntryMessage;
+import org.wagtailpin.store.wire.ListMessage;
+import org.wagtailpin.store.wire.StoreMessages;
+import org.wagtailpin.store.wire.StoreProtocol;
+
+/** The answer to one request; a result that the store could not give drops the connection. */
+final class StoreReply {
+
+  private static final StoreMessages MESSAGES = new StoreMessages();
+  private static final byte[] NO_BODY = {};
+
+  private final ChannelHandlerContext context;
+  private final boolean keepAlive;
+
+  StoreReply(ChannelHandlerContext context, boolean keepAlive) {
+    this.context = context;
+    this.keepAlive = keepAlive;
+  }
+
+  void read(ReadResult result) {
+    if (result instanceof ReadResult.Found found) {
+      StoreEntry entry = found.entry();
+      FullHttpResponse response = response(HttpResponseStatus.OK, entry.value());
+      response.headers().set(StoreProtocol.STORE_REVISION_HEADER, found.storeRevision());
+      response.headers().set(StoreProtocol.KEY_REVISION_HEADER, entry.revision());
+      entry.lease().ifPresent(id -> response.headers().set(StoreProtocol.LEASE_HEADER, id.value()));
+      send(response);
+    } else if (result instanceof ReadResult.Absent absent) {
+      FullHttpResponse response = response(HttpResponseStatus.NOT_FOUND, NO_BODY);
+      response.headers().set(StoreProtocol.STORE_REVISION_HEADER, absent.storeRevision());
+      send(response);
+    } else {
+      drop();
+    }
+  }
+
+  void list(ListResult result) {
+    if (result instanceof ListResult.Listed listed) {
+      List<EntryMessage> entries = listed.entries().stream().map(EntryMessage::of).toList();
+      ListMessage message = new ListMessage(entries, listed.storeRevision());
+      send(response(HttpResponseStatus.OK, MESSAGES.write(message)));
+    } else {
+      drop();
+    }
+  }
+
+  void write(WriteResult result) {
+    if (result instanceof WriteResult.Written written) {
+      sendRevision(HttpResponseStatus.OK, written.revision());
+    } else if (result instanceof WriteResult.Conflict conflict) {
+      sendRevision(HttpResponseStatus.CONFLICT, conflict.currentRevision());
+    } else if (result instanceof WriteResult.NotWritten notWritten) {
+      refused(HttpResponseStatus.BAD_REQUEST, notWritten.fault().detail());
+    } else {
+      drop();
+    }
+  }
+
+  private void sendRevision(HttpResponseStatus status, long revision) {
+    FullHttpResponse response = response(status, NO_BODY);
+    response.headers().set(StoreProtocol.KEY_REVISION_HEADER, revision);
+    send(response);
+  }
+
+  void lease(LeaseResult result) {
+    if (result instanceof LeaseResult.Held held) {
+      FullHttpResponse response = response(HttpResponseStatus.OK, NO_BODY);
+      response.headers().set(StoreProtocol.LEASE_HEADER, held.lease().value());
+      response.headers().set(StoreProtocol.TTL_PARAMETER, held.ttlMillis());
+      send(response);
+    } else if (result instanceof LeaseResult.Lapsed) {
+      FullHttpResponse response = response(HttpResponseStatus.NOT_FOUND, NO_BODY);
+      response.headers().set(StoreProtocol.STORE_REVISION_HEADER, 0);
+      send(response);
+    } else {
+      drop();
+    }
+  }
+
+  void changes(WatchResult result) {
+    if (result instanceof WatchResult.Changed changed) {
+      List<ChangeMessage> changes = changed.changes().stream().map(ChangeMessage::of).toList();
+      ChangesMessage message = new ChangesMessage(changes, changed.storeRevision());
+      send(response(HttpResponseStatus.OK, MESSAGES.write(message)));
+    } else if (result instanceof WatchResult.Compacted compacted) {
+      FullHttpResponse response = response(HttpResponseStatus.GONE, NO_BODY);
+      response.headers().set(StoreProtocol.STORE_REVISION_HEADER, compacted.storeRevision());
+      send(response);
+    } else {
+      drop();
+    }
+  }
+
+  /** Refuses a call, which had no effect. */
+  void refused(HttpResponseStatus status, String detail) {
+    FullHttpResponse response = response(status, detail.getBytes(UTF_8));
+    response.headers().set(StoreProtocol.REFUSED_HEADER, "true");
+    send(response);
+  }
+
+  void text(HttpResponseStatus status, String text) {
+    send(response(status, text.getBytes(UTF_8)));
+  }
+
+  void drop() {
+    ChannelFuture unused = context.close();
+  }
+
+  private static FullHttpResponse response(HttpResponseStatus status, byte[] body) {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+    return response;
+  }
+
+  private void send(FullHttpResponse response) {
+    if (keepAlive) {
+      ChannelFuture unused = context.writeAndFlush(response);
+      return;
+    }
+    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/wagtailpin/standins/store/StoreStandIn.java
@@ -0,0 +1,129 @@
+package org.wagtailpin.standins.store;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.concurrent.TimeUnit;
+import org.wagtailpin.clock.SystemClock;
+import org.wagtailpin.control.ThreadControlLoop;
+import org.wagtailpin.store.memory.FaultyStore;
+import org.wagtailpin.store.memory.MemoryStore;
+import org.wagtailpin.store.memory.StoreFaults;
+
+/**
+ * Stand-in for the platform's store, over HTTP and held in memory.
+ *
+ * <p>It keeps its keys while it is closed and started again, as a store does over an outage.
+ */
+public final class StoreStandIn implements AutoCloseable {
+
+  private static final int MAX_REQUEST_BYTES = 2 * MemoryStore.MAX_VALUE_BYTES;
+  private static final long GIVE_UP_MILLIS = 60_000;
+  private static final long CLOSE_WAIT_SECONDS = 5;
+  private static final int BACKLOG = 1024;
+
+  private final InetSocketAddress bindAddress;
+  private final ThreadControlLoop loop = new ThreadControlLoop("store-standin");
+  private final FaultyStore store;
+  private final CallCounts counts = new CallCounts();
+  private final EventLoopGroup group =
+      new NioEventLoopGroup(1, new DefaultThreadFactory("store-standin-io", true));
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private InetSocketAddress boundAddress;
+  private Channel listener;
+
+  /**
+   * Creates a stand-in that does not listen yet.
+   *
+   * @param bindAddress where to listen, with port 0 for any free one
+   * @param seed the seed of its faults
+   */
+  public StoreStandIn(InetSocketAddress bindAddress, long seed) {
+    this.bindAddress = bindAddress;
+    this.boundAddress = bindAddress;
+    SystemClock clock = new SystemClock();
+    this.store = new FaultyStore(new MemoryStore(clock, loop), clock, loop, seed, GIVE_UP_MILLIS);
+  }
+
+  /**
+   * Begins to listen, on the same port as before if it listened already.
+   *
+   * @throws IllegalStateException if the port cannot be listened on
+   */
+  public void start() {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    connections.add(channel);
+                    channel
+                        .pipeline()
+                        .addLast(new HttpServerCodec())
+                        .addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
+                        .addLast(new StoreRequestHandler(store, counts));
+                  }
+                });
+    ChannelFuture bound = bootstrap.bind(boundAddress).awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new IllegalStateException("cannot listen on " + boundAddress, bound.cause());
+    }
+    listener = bound.channel();
+    boundAddress = (InetSocketAddress) listener.localAddress();
+  }
+
+  /** Stops listening and drops all connections; the keys are kept. */
+  public void stop() {
+    listener.close().syncUninterruptibly();
+    connections.close().syncUninterruptibly();
+  }
+
+  /** Returns where it listens, or listened last. */
+  public URI address() {
+    return URI.create(
+        "http://" + bindAddress.getAddress().getHostAddress() + ":" + boundAddress.getPort());
+  }
+
+  /**
+   * Changes the faults that it shows.
+   *
+   * @param faults the faults from now on
+   */
+  public void changeFaults(StoreFaults faults) {
+    store.changeFaults(faults);
+  }
+
+  /** Returns how many calls were counted so far. */
+  public CallCounts counts() {
+    return counts;
+  }
+
+  /** Stops for good. */
+  @Override
+  public void close() {
+    if (listener != null) {
+      stop();
+    }
+    loop.close();
+    group.shutdownGracefully(0, CLOSE_WAIT_SECONDS, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/HttpStore.java
@@ -0,0 +1,167 @@
+package org.wagtailpin.store;
+
+import java.net.ConnectException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Function;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.BoundRequestBuilder;
+import org.asynchttpclient.Response;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.error.Step;
+import org.wagtailpin.store.wire.StoreProtocol;
+
+/**
+ * The store over HTTP.
+ *
+ * <p>Each call is at most one request. A write ends in {@link WriteResult.NotWritten} only with
+ * proof: no connection could be opened, or the store answered that it refused the call. Any other
+ * end without an answer is {@link WriteResult.Unknown}. Safe for use by threads.
+ */
+public final class HttpStore implements Store {
+
+  private final AsyncHttpClient client;
+  private final String base;
+  private final String clientName;
+  private final StoreTimeouts timeouts;
+  private final StoreAnswers answers;
+
+  /**
+   * Creates a store client.
+   *
+   * @param client sends the requests; it must not repeat any by itself, as that of {@link
+   *     StoreHttpClient}
+   * @param address the store's address, such as {@code http://10.0.0.1:7400}
+   * @param clientName names this client to the store
+   * @param timeouts how long calls may take
+   */
+  public HttpStore(AsyncHttpClient client, URI address, String clientName, StoreTimeouts timeouts) {
+    this.client = client;
+    this.base = address.toString().replaceAll("/+$", "");
+    this.clientName = clientName;
+    this.timeouts = timeouts;
+    this.answers = new StoreAnswers(address.getAuthority());
+  }
+
+  @Override
+  public CompletableFuture<ReadResult> read(String key) {
+    BoundRequestBuilder request =
+        call("GET", StoreProtocol.KEY_PATH).addQueryParam(StoreProtocol.KEY_PARAMETER, key);
+    return send(
+        request,
+        response -> answers.read(key, response),
+        error -> new ReadResult.Failed(fault(Step.READ_STORE, error)));
+  }
+
+  @Override
+  public CompletableFuture<ListResult> list(String prefix) {
+    BoundRequestBuilder request =
+        call("GET", StoreProtocol.LIST_PATH).addQueryParam(StoreProtocol.PREFIX_PARAMETER, prefix);
+    return send(
+        request, answers::list, error -> new ListResult.Failed(fault(Step.READ_STORE, error)));
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> write(
+      String key, byte[] value, WriteCondition condition, Optional<LeaseId> lease) {
+    BoundRequestBuilder request = conditional("PUT", key, condition).setBody(value);
+    lease.ifPresent(id -> addLease(request, id));
+    return send(request, answers::write, this::writeFailure);
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> delete(String key, WriteCondition condition) {
+    return send(conditional("DELETE", key, condition), answers::write, this::writeFailure);
+  }
+
+  private BoundRequestBuilder conditional(String method, String key, WriteCondition condition) {
+    return call(method, StoreProtocol.KEY_PATH)
+        .addQueryParam(StoreProtocol.KEY_PARAMETER, key)
+        .addQueryParam(StoreProtocol.CONDITION_PARAMETER, wordOf(condition));
+  }
+
+  private static String wordOf(WriteCondition condition) {
+    if (condition instanceof WriteCondition.AtRevision at) {
+      return Long.toString(at.revision());
+    }
+    return condition instanceof WriteCondition.Absent ? StoreProtocol.ABSENT : StoreProtocol.ALWAYS;
+  }
+
+  private WriteResult writeFailure(Throwable error) {
+    Fault fault = fault(Step.WRITE_STORE, error);
+    // Without a connection no byte of the request was sent.
+    return error instanceof ConnectException
+        ? new WriteResult.NotWritten(fault)
+        : new WriteResult.Unknown(fault);
+  }
+
+  @Override
+  public CompletableFuture<LeaseResult> grantLease(long ttlMillis) {
+    BoundRequestBuilder request =
+        call("POST", StoreProtocol.LEASE_PATH)
+            .addQueryParam(StoreProtocol.TTL_PARAMETER, Long.toString(ttlMillis));
+    return send(request, answers::lease, this::leaseFailure);
+  }
+
+  @Override
+  public CompletableFuture<LeaseResult> renewLease(LeaseId lease) {
+    BoundRequestBuilder request = call("PUT", StoreProtocol.LEASE_PATH);
+    return send(addLease(request, lease), answers::lease, this::leaseFailure);
+  }
+
+  @Override
+  public CompletableFuture<LeaseResult> revokeLease(LeaseId lease) {
+    BoundRequestBuilder request = call("DELETE", StoreProtocol.LEASE_PATH);
+    return send(addLease(request, lease), answers::lease, this::leaseFailure);
+  }
+
+  private static BoundRequestBuilder addLease(BoundRequestBuilder request, LeaseId lease) {
+    return request.addQueryParam(StoreProtocol.LEASE_PARAMETER, Long.toString(lease.value()));
+  }
+
+  private LeaseResult leaseFailure(Throwable error) {
+    return new LeaseResult.Failed(fault(Step.KEEP_LEASE, error));
+  }
+
+  @Override
+  public CompletableFuture<WatchResult> watch(String prefix, long afterRevision, long waitMillis) {
+    BoundRequestBuilder request =
+        call("GET", StoreProtocol.CHANGES_PATH)
+            .addQueryParam(StoreProtocol.PREFIX_PARAMETER, prefix)
+            .addQueryParam(StoreProtocol.AFTER_PARAMETER, Long.toString(afterRevision))
+            .addQueryParam(StoreProtocol.WAIT_PARAMETER, Long.toString(waitMillis))
+            .setRequestTimeout(Duration.ofMillis(waitMillis + timeouts.callMillis()));
+    return send(
+        request, answers::changes, error -> new WatchResult.Failed(fault(Step.WATCH_STORE, error)));
+  }
+
+  private BoundRequestBuilder call(String method, String path) {
+    return client
+        .prepare(method, base + path)
+        .setHeader(StoreProtocol.CLIENT_HEADER, clientName)
+        .setRequestTimeout(Duration.ofMillis(timeouts.callMillis()));
+  }
+
+  private static <R> CompletableFuture<R> send(
+      BoundRequestBuilder request, Function<Response, R> answered, Function<Throwable, R> failed) {
+    return request
+        .execute()
+        .toCompletableFuture()
+        .handle(
+            (response, error) ->
+                error == null ? answered.apply(response) : failed.apply(causeOf(error)));
+  }
+
+  private static Throwable causeOf(Throwable error) {
+    return error instanceof CompletionException && error.getCause() != null
+        ? error.getCause()
+        : error;
+  }
+
+  private Fault fault(Step step, Throwable error) {
+    return answers.fault(step, error.getClass().getSimpleName() + ": " + error.getMessage());
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/StoreAnswers.java
@@ -0,0 +1,127 @@
+package org.wagtailpin.store;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.asynchttpclient.Response;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.error.Peer;
+import org.wagtailpin.error.Step;
+import org.wagtailpin.store.wire.ChangeMessage;
+import org.wagtailpin.store.wire.ChangesMessage;
+import org.wagtailpin.store.wire.EntryMessage;
+import org.wagtailpin.store.wire.ListMessage;
+import org.wagtailpin.store.wire.StoreMessages;
+import org.wagtailpin.store.wire.StoreProtocol;
+
+/** Turns the store's HTTP answers into results; an answer that makes no sense is a failure. */
+final class StoreAnswers {
+
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+  private static final int GONE = 410;
+
+  private final StoreMessages messages = new StoreMessages();
+  private final String storeName;
+
+  StoreAnswers(String storeName) {
+    this.storeName = storeName;
+  }
+
+  ReadResult read(String key, Response response) {
+    OptionalLong storeRevision = number(response, StoreProtocol.STORE_REVISION_HEADER);
+    if (response.getStatusCode() == NOT_FOUND && storeRevision.isPresent()) {
+      return new ReadResult.Absent(storeRevision.getAsLong());
+    }
+    OptionalLong revision = number(response, StoreProtocol.KEY_REVISION_HEADER);
+    if (response.getStatusCode() != OK || storeRevision.isEmpty() || revision.isEmpty()) {
+      return new ReadResult.Failed(unexpected(Step.READ_STORE, response));
+    }
+    byte[] value = response.getResponseBodyAsBytes();
+    StoreEntry entry = new StoreEntry(key, value, revision.getAsLong(), leaseOf(response));
+    return new ReadResult.Found(entry, storeRevision.getAsLong());
+  }
+
+  ListResult list(Response response) {
+    Optional<ListMessage> message =
+        response.getStatusCode() == OK
+            ? messages.read(ListMessage.class, response.getResponseBodyAsBytes())
+            : Optional.empty();
+    if (message.isEmpty()) {
+      return new ListResult.Failed(unexpected(Step.READ_STORE, response));
+    }
+    List<StoreEntry> entries = message.get().entries().stream().map(EntryMessage::toEntry).toList();
+    return new ListResult.Listed(entries, message.get().storeRevision());
+  }
+
+  WriteResult write(Response response) {
+    OptionalLong revision = number(response, StoreProtocol.KEY_REVISION_HEADER);
+    if (response.getStatusCode() == OK && revision.isPresent()) {
+      return new WriteResult.Written(revision.getAsLong());
+    }
+    if (response.getStatusCode() == CONFLICT && revision.isPresent()) {
+      return new WriteResult.Conflict(revision.getAsLong());
+    }
+    Fault fault = unexpected(Step.WRITE_STORE, response);
+    return response.getHeader(StoreProtocol.REFUSED_HEADER) != null
+        ? new WriteResult.NotWritten(fault)
+        : new WriteResult.Unknown(fault);
+  }
+
+  LeaseResult lease(Response response) {
+    if (response.getStatusCode() == NOT_FOUND
+        && number(response, StoreProtocol.STORE_REVISION_HEADER).isPresent()) {
+      return new LeaseResult.Lapsed();
+    }
+    Optional<LeaseId> lease = leaseOf(response);
+    OptionalLong ttlMillis = number(response, StoreProtocol.TTL_PARAMETER);
+    if (response.getStatusCode() != OK || lease.isEmpty() || ttlMillis.isEmpty()) {
+      return new LeaseResult.Failed(unexpected(Step.KEEP_LEASE, response));
+    }
+    return new LeaseResult.Held(lease.get(), ttlMillis.getAsLong());
+  }
+
+  WatchResult changes(Response response) {
+    OptionalLong storeRevision = number(response, StoreProtocol.STORE_REVISION_HEADER);
+    if (response.getStatusCode() == GONE && storeRevision.isPresent()) {
+      return new WatchResult.Compacted(storeRevision.getAsLong());
+    }
+    Optional<ChangesMessage> message =
+        response.getStatusCode() == OK
+            ? messages.read(ChangesMessage.class, response.getResponseBodyAsBytes())
+            : Optional.empty();
+    if (message.isEmpty()) {
+      return new WatchResult.Failed(unexpected(Step.WATCH_STORE, response));
+    }
+    List<StoreChange> changes =
+        message.get().changes().stream().map(ChangeMessage::toChange).toList();
+    return new WatchResult.Changed(changes, message.get().storeRevision());
+  }
+
+  private static Optional<LeaseId> leaseOf(Response response) {
+    OptionalLong lease = number(response, StoreProtocol.LEASE_HEADER);
+    return lease.isPresent() ? Optional.of(new LeaseId(lease.getAsLong())) : Optional.empty();
+  }
+
+  private static OptionalLong number(Response response, String header) {
+    String text = response.getHeader(header);
+    if (text == null) {
+      return OptionalLong.empty();
+    }
+    try {
+      return OptionalLong.of(Long.parseLong(text));
+    } catch (NumberFormatException e) {
+      return OptionalLong.empty();
+    }
+  }
+
+  private Fault unexpected(Step step, Response response) {
+    String line = response.getResponseBody().lines().findFirst().orElse("");
+    return fault(step, "answer with status " + response.getStatusCode() + ": " + line);
+  }
+
+  Fault fault(Step step, String detail) {
+    return new Fault(step, Peer.STORE, storeName, detail);
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/memory/StoreHistory.java
@@ -0,0 +1,66 @@
+package org.wagtailpin.store.memory;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.wagtailpin.store.ListResult;
+import org.wagtailpin.store.StoreEntry;
+
+/** What keys held before their last changes, so that old reads can be answered. Thread-safe. */
+final class StoreHistory {
+
+  private static final int MAX_RECORDS = 10_000;
+
+  private record Before(
+      long untilMillis, String key, Optional<StoreEntry> entry, long storeRevision) {}
+
+  private final Deque<Before> records = new ArrayDeque<>();
+
+  /** Records what a key held until now. */
+  synchronized void add(
+      long nowMillis, String key, Optional<StoreEntry> entry, long storeRevision) {
+    records.addLast(new Before(nowMillis, key, entry, storeRevision));
+    if (records.size() > MAX_RECORDS) {
+      records.removeFirst();
+    }
+  }
+
+  /** Undoes the changes made since a time. */
+  synchronized ListResult.Listed asOf(long millis, ListResult.Listed now, String prefix) {
+    NavigableMap<String, StoreEntry> entries = byKey(now.entries());
+    long storeRevision = now.storeRevision();
+    Iterator<Before> newestFirst = records.descendingIterator();
+    while (newestFirst.hasNext()) {
+      Before before = newestFirst.next();
+      if (before.untilMillis() <= millis) {
+        break;
+      }
+      storeRevision = before.storeRevision();
+      if (before.key().startsWith(prefix)) {
+        undo(before, entries);
+      }
+    }
+    List<StoreEntry> then = new ArrayList<>(entries.values());
+    return new ListResult.Listed(then, storeRevision);
+  }
+
+  private static NavigableMap<String, StoreEntry> byKey(Collection<StoreEntry> entries) {
+    NavigableMap<String, StoreEntry> byKey = new TreeMap<>();
+    entries.forEach(entry -> byKey.put(entry.key(), entry));
+    return byKey;
+  }
+
+  private static void undo(Before before, NavigableMap<String, StoreEntry> entries) {
+    if (before.entry().isPresent()) {
+      entries.put(before.key(), before.entry().get());
+    } else {
+      entries.remove(before.key());
+    }
+  }
+}
