--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigState.java
@@ -0,0 +1,120 @@
+package org.wagtailpin.config;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * The shared state of the configuration, as one value in the store: the merged objects and the
+ * marks of the accepted tickets.
+ *
+ * <p>Marks and removals are bounded: above their greatest number the lower half of the ticket
+ * numbers is closed, see {@link MergedConfig#closeUpTo}. For use by one thread.
+ */
+public final class ConfigState {
+
+  /** Greatest number of ticket marks kept. */
+  public static final int MAX_MARKS = 4000;
+
+  /** Greatest number of removals kept. */
+  public static final int MAX_REMOVALS = 2000;
+
+  private final MergedConfig merged = new MergedConfig();
+  private final NavigableMap<Long, TicketMark> marks = new TreeMap<>();
+
+  /**
+   * Creates a state.
+   *
+   * @param objects the states of objects
+   * @param marks the marks of accepted tickets
+   */
+  public ConfigState(Collection<VersionedObject> objects, Collection<TicketMark> marks) {
+    merged.mergeAll(objects);
+    marks.forEach(mark -> this.marks.put(mark.number(), mark));
+  }
+
+  /** Returns a state without objects. */
+  public static ConfigState empty() {
+    return new ConfigState(List.of(), List.of());
+  }
+
+  /** Returns the merged objects. */
+  public MergedConfig merged() {
+    return merged;
+  }
+
+  /** Returns the marks in the order of their numbers. */
+  public Collection<TicketMark> marks() {
+    return List.copyOf(marks.values());
+  }
+
+  /**
+   * Returns the mark of a ticket.
+   *
+   * @param number the ticket's number
+   * @return its mark, or empty if it was not accepted or its number is closed
+   */
+  public Optional<TicketMark> mark(long number) {
+    return Optional.ofNullable(marks.get(number));
+  }
+
+  /**
+   * Finds the objects of a ticket whose state is that of a higher ticket.
+   *
+   * @param ticket the ticket
+   */
+  public List<VersionedObject> keptFrom(Ticket ticket) {
+    List<VersionedObject> kept = new ArrayList<>();
+    for (VersionedObject state : ticket.states()) {
+      merged
+          .object(state.id())
+          .filter(held -> held.ticket() > ticket.number())
+          .ifPresent(kept::add);
+    }
+    return kept;
+  }
+
+  /**
+   * Applies a ticket that was checked.
+   *
+   * @param ticket the ticket, above the floor and without a mark
+   * @param attempt identifies the attempt
+   */
+  public void apply(Ticket ticket, String attempt) {
+    merged.mergeAll(ticket.states());
+    marks.put(ticket.number(), new TicketMark(ticket.number(), ticket.contentHash(), attempt));
+    boundMarks(ticket.number());
+    boundRemovals(ticket.number());
+  }
+
+  private void boundMarks(long newest) {
+    if (marks.size() > MAX_MARKS) {
+      closeHalf(new ArrayList<>(marks.keySet()), newest);
+    }
+  }
+
+  private void boundRemovals(long newest) {
+    List<Long> removals = new ArrayList<>();
+    for (VersionedObject object : merged.objects()) {
+      if (object.value().isEmpty() && !object.id().equals(MergedConfig.FLOOR_ID)) {
+        removals.add(object.ticket());
+      }
+    }
+    if (removals.size() > MAX_REMOVALS) {
+      removals.sort(null);
+      closeHalf(removals, newest);
+    }
+  }
+
+  // The ticket just applied stays open, so that its operator can read its mark back.
+  private void closeHalf(List<Long> numbers, long newest) {
+    long floor = Math.min(numbers.get(numbers.size() / 2), newest - 1);
+    if (floor > merged.floor()) {
+      merged.closeUpTo(floor);
+      marks.headMap(floor, true).clear();
+    }
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/StoreConfigWatcher.java
@@ -0,0 +1,174 @@
+package org.wagtailpin.config;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.tinylog.Logger;
+import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.store.Backoff;
+import org.wagtailpin.store.ReadResult;
+import org.wagtailpin.store.Store;
+import org.wagtailpin.store.StoreChange;
+import org.wagtailpin.store.StoreEntry;
+import org.wagtailpin.store.WatchResult;
+
+/**
+ * Watches the shared state in the store and puts it in force.
+ *
+ * <p>At most one call is under way. After a failure it waits with jitter and goes on from the last
+ * revision; it reads the key again if the store no longer holds the changes, or if the store went
+ * back. An old answer does no harm, since states are merged. Runs on the control thread only.
+ */
+public final class StoreConfigWatcher {
+
+  private static final long WATCH_WAIT_MILLIS = 30_000;
+  private static final long FIRST_RETRY_MILLIS = 200;
+  private static final long MAX_RETRY_MILLIS = 5000;
+
+  private final Store store;
+  private final ControlLoop loop;
+  private final ConfigMerger merger;
+  private final Backoff backoff;
+  private final ConfigStateCodec codec = new ConfigStateCodec();
+
+  // Answers to calls of an earlier run are ignored.
+  private long run;
+  private boolean running;
+  private long revision;
+  private Optional<Fault> fault = Optional.empty();
+
+  /**
+   * Creates a watcher that is not started.
+   *
+   * @param store holds the shared state
+   * @param loop the control thread
+   * @param merger puts states in force
+   * @param random the source of jitter
+   */
+  public StoreConfigWatcher(
+      Store store, ControlLoop loop, ConfigMerger merger, UniformRandomProvider random) {
+    this.store = store;
+    this.loop = loop;
+    this.merger = merger;
+    this.backoff = new Backoff(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, random);
+  }
+
+  /** Begins to watch; does nothing if it watches already. */
+  public void start() {
+    if (!running) {
+      running = true;
+      run++;
+      backoff.reset();
+      read();
+    }
+  }
+
+  /** Ends watching; an answer under way is ignored. */
+  public void stop() {
+    running = false;
+    run++;
+  }
+
+  /** Tells whether it watches. */
+  public boolean isRunning() {
+    return running;
+  }
+
+  /** Returns why the last call failed, or empty if it succeeded. */
+  public Optional<Fault> fault() {
+    return fault;
+  }
+
+  private void read() {
+    onLoop(store.read(ConfigKeys.STATE), this::afterRead);
+  }
+
+  private void afterRead(ReadResult result) {
+    if (result instanceof ReadResult.Found found) {
+      merge(found.entry());
+      revision = found.storeRevision();
+      watch();
+    } else if (result instanceof ReadResult.Absent absent) {
+      succeeded();
+      revision = absent.storeRevision();
+      watch();
+    } else if (result instanceof ReadResult.Failed failed) {
+      failed(failed.fault(), this::read);
+    }
+  }
+
+  private void watch() {
+    onLoop(store.watch(ConfigKeys.STATE, revision, WATCH_WAIT_MILLIS), this::afterWatch);
+  }
+
+  private void afterWatch(WatchResult result) {
+    if (result instanceof WatchResult.Changed changed) {
+      changed.changes().forEach(this::mergeChange);
+      boolean wentBack = changed.storeRevision() < revision;
+      revision = changed.storeRevision();
+      if (wentBack) {
+        later(this::read);
+      } else {
+        succeeded();
+        watch();
+      }
+    } else if (result instanceof WatchResult.Compacted) {
+      later(this::read);
+    } else if (result instanceof WatchResult.Failed failed) {
+      failed(failed.fault(), this::watch);
+    }
+  }
+
+  private void mergeChange(StoreChange change) {
+    if (change.key().equals(ConfigKeys.STATE)) {
+      change.entry().ifPresent(this::merge);
+    }
+  }
+
+  private void merge(StoreEntry entry) {
+    ConfigStateReadResult decoded = codec.read(entry.value());
+    if (decoded instanceof ConfigStateReadResult.Read read) {
+      succeeded();
+      merger.mergeFromStore(read.state().merged().objects());
+    } else if (decoded instanceof ConfigStateReadResult.Unreadable unreadable) {
+      // What is in force stays in force; a later revision may be readable again.
+      Logger.error("state at revision {} is unreadable: {}", entry.revision(), unreadable.detail());
+    }
+  }
+
+  private void succeeded() {
+    fault = Optional.empty();
+    backoff.reset();
+  }
+
+  private void failed(Fault why, Runnable next) {
+    fault = Optional.of(why);
+    later(next);
+  }
+
+  private void later(Runnable next) {
+    long startedRun = run;
+    loop.schedule(
+        backoff.nextMillis(),
+        () -> {
+          if (run == startedRun) {
+            next.run();
+          }
+        });
+  }
+
+  private <R> void onLoop(CompletableFuture<R> answer, Consumer<R> next) {
+    long startedRun = run;
+    CompletableFuture<Void> unused =
+        answer.thenAccept(
+            value ->
+                loop.execute(
+                    () -> {
+                      if (run == startedRun) {
+                        next.accept(value);
+                      }
+                    }));
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/TicketAttempt.java
@@ -0,0 +1,188 @@
+package org.wagtailpin.config;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.error.Peer;
+import org.wagtailpin.error.Step;
+import org.wagtailpin.store.Backoff;
+import org.wagtailpin.store.ReadResult;
+import org.wagtailpin.store.Store;
+import org.wagtailpin.store.WriteCondition;
+import org.wagtailpin.store.WriteResult;
+
+/**
+ * One attempt to have a ticket accepted: read, check, swap, and again while there is time.
+ *
+ * <p>A write whose end is unknown can take effect as long as the key is at the revision that the
+ * write was conditioned on. It is settled once the ticket's mark is read back, or once a later
+ * revision without the mark is seen. Until then nothing is told but "unknown". Runs on the control
+ * thread only.
+ */
+final class TicketAttempt {
+
+  private final Ticket ticket;
+  private final ContentHash content;
+  private final String attempt;
+  private final Store store;
+  private final Clock clock;
+  private final ControlLoop loop;
+  private final Backoff backoff;
+  private final long endMillis;
+  private final CompletableFuture<TicketResult> result;
+  private final ConfigStateCodec codec = new ConfigStateCodec();
+  private final TicketChecker checker = new TicketChecker();
+
+  // Highest revision that a write of unknown end was conditioned on; empty if there is none.
+  private Optional<Long> openRevision = Optional.empty();
+  private boolean sawUnknown;
+  private Fault lastFault = new Fault(Step.ACCEPT_TICKET, Peer.STORE, "", "not tried");
+
+  TicketAttempt(
+      Ticket ticket,
+      String attempt,
+      Store store,
+      Clock clock,
+      ControlLoop loop,
+      Backoff backoff,
+      long endMillis,
+      CompletableFuture<TicketResult> result) {
+    this.ticket = ticket;
+    this.content = ticket.contentHash();
+    this.attempt = attempt;
+    this.store = store;
+    this.clock = clock;
+    this.loop = loop;
+    this.backoff = backoff;
+    this.endMillis = endMillis;
+    this.result = result;
+  }
+
+  void read() {
+    onLoop(store.read(ConfigKeys.STATE), this::afterRead);
+  }
+
+  private <R> void onLoop(CompletableFuture<R> answer, Consumer<R> next) {
+    CompletableFuture<Void> unused =
+        answer.thenAccept(value -> loop.execute(() -> next.accept(value)));
+  }
+
+  private void afterRead(ReadResult read) {
+    if (read instanceof ReadResult.Failed failed) {
+      tryAgain(failed.fault());
+    } else if (read instanceof ReadResult.Found found) {
+      ConfigStateReadResult decoded = codec.read(found.entry().value());
+      if (decoded instanceof ConfigStateReadResult.Read good) {
+        decide(good.state(), found.entry().revision());
+      } else if (decoded instanceof ConfigStateReadResult.Unreadable bad) {
+        finish(fault("the value of " + ConfigKeys.STATE + " is no state: " + bad.detail()));
+      }
+    } else {
+      decide(ConfigState.empty(), 0);
+    }
+  }
+
+  private void decide(ConfigState state, long revision) {
+    Optional<TicketMark> mark = state.mark(ticket.number());
+    if (mark.isPresent() && mark.get().content().equals(content)) {
+      boolean ours = mark.get().attempt().equals(attempt);
+      List<VersionedObject> kept = state.keptFrom(ticket);
+      result.complete(
+          ours
+              ? new TicketResult.Accepted(ticket.number(), kept)
+              : new TicketResult.AcceptedBefore(ticket.number(), kept));
+      return;
+    }
+    settle(revision);
+    if (mark.isPresent()) {
+      refuse(new TicketResult.NumberTaken(ticket.number(), content, mark.get().content()));
+    } else if (ticket.number() <= state.merged().floor()) {
+      refuseClosed(state.merged().floor());
+    } else {
+      checkAndSwap(state, revision);
+    }
+  }
+
+  // A write conditioned on an earlier revision can no longer take effect.
+  private void settle(long revision) {
+    if (openRevision.isPresent() && openRevision.get() < revision) {
+      openRevision = Optional.empty();
+    }
+  }
+
+  // The mark of a write of unknown end may have been closed away with its number.
+  private void refuseClosed(long floor) {
+    if (sawUnknown) {
+      result.complete(
+          new TicketResult.Unknown(ticket.number(), fault("the number was closed meanwhile")));
+    } else {
+      refuse(new TicketResult.NumberClosed(ticket.number(), floor));
+    }
+  }
+
+  private void refuse(TicketResult refusal) {
+    if (openRevision.isEmpty()) {
+      result.complete(refusal);
+    } else {
+      tryAgain(lastFault);
+    }
+  }
+
+  private void checkAndSwap(ConfigState state, long revision) {
+    List<TicketProblem> problems = checker.check(ticket, state.merged());
+    if (!problems.isEmpty()) {
+      refuse(new TicketResult.Refused(ticket.number(), problems));
+      return;
+    }
+    state.apply(ticket, attempt);
+    byte[] value = codec.write(state);
+    if (value.length > ConfigKeys.MAX_VALUE_BYTES) {
+      refuse(new TicketResult.TooLarge(ticket.number(), value.length, ConfigKeys.MAX_VALUE_BYTES));
+      return;
+    }
+    WriteCondition condition =
+        revision == 0 ? new WriteCondition.Absent() : new WriteCondition.AtRevision(revision);
+    onLoop(
+        store.write(ConfigKeys.STATE, value, condition, Optional.empty()),
+        written -> afterWrite(written, state, revision));
+  }
+
+  private void afterWrite(WriteResult written, ConfigState state, long revision) {
+    if (written instanceof WriteResult.Written) {
+      result.complete(new TicketResult.Accepted(ticket.number(), state.keptFrom(ticket)));
+    } else if (written instanceof WriteResult.Conflict conflict) {
+      tryAgain(fault("the state changed to revision " + conflict.currentRevision()));
+    } else if (written instanceof WriteResult.NotWritten notWritten) {
+      tryAgain(notWritten.fault());
+    } else if (written instanceof WriteResult.Unknown unknown) {
+      sawUnknown = true;
+      openRevision = Optional.of(Math.max(revision, openRevision.orElse(0L)));
+      tryAgain(unknown.fault());
+    }
+  }
+
+  private void tryAgain(Fault fault) {
+    lastFault = fault;
+    long delayMillis = backoff.nextMillis();
+    if (clock.millis() + delayMillis > endMillis) {
+      finish(fault);
+    } else {
+      loop.schedule(delayMillis, this::read);
+    }
+  }
+
+  private void finish(Fault fault) {
+    result.complete(
+        openRevision.isPresent()
+            ? new TicketResult.Unknown(ticket.number(), fault)
+            : new TicketResult.NotAccepted(ticket.number(), fault));
+  }
+
+  private static Fault fault(String detail) {
+    return new Fault(Step.ACCEPT_TICKET, Peer.STORE, "", detail);
+  }
+}
