Place calls by own work in flight and ageing reports, queue them here

Calls had no placement. A few near servers are compared by this entry's own work in flight, the servers' ageing load reports, slowness and failures; a call that finds no free slot waits here in fair shares and takes the first slot that frees up, or is refused as not run once its deadline cannot be met. Retries draw on a budget for each service.

--- a/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
@@ -11,10 +11,50 @@
 public enum Tunable {
   /** Retries and hedges allowed, as a share of first attempts. */
   RETRY_SHARE("retryShare", "share", 0, 1, 0.1),
+  /** Retries saved up at most by a service. */
+  RETRY_BURST("retryBurst", "attempts", 0, 1000, 10),
+  /** Longest wait before the first retry; doubled for each further one. */
+  RETRY_BACKOFF_MILLIS("retryBackoffMillis", "ms", 0, 60_000, 5),
   /** Most attempts of one call, the first among them. */
   MAX_ATTEMPTS("maxAttempts", "attempts", 1, 10, 3),
   /** Longest time a call is queued for a server. */
-  MAX_QUEUE_MILLIS("maxQueueMillis", "ms", 0, 600_000, 1000);
+  MAX_QUEUE_MILLIS("maxQueueMillis", "ms", 0, 600_000, 1000),
+  /** Servers of the own region that a decision compares. */
+  CANDIDATES("candidates", "servers", 1, 16, 3),
+  /** Age at which a load report has lost two thirds of its weight. */
+  REPORT_TRUST_MILLIS("reportTrustMillis", "ms", 1, 60_000, 40),
+  /** One-way delay between failure domains of a region. */
+  DOMAIN_TRIP_MILLIS("domainTripMillis", "ms", 0, 100, 1),
+  /** How often queued calls are looked at again when nothing else happens. */
+  QUEUE_TICK_MILLIS("queueTickMillis", "ms", 1, 1000, 2),
+  /** How much longer than the wait here a wait at a server counts. */
+  SERVER_WAIT_FACTOR("serverWaitFactor", "factor", 0, 100, 2),
+  /** Share of failed answers from which on a server is ejected. */
+  EJECT_FAILURE_SHARE("ejectFailureShare", "share", 0, 1, 0.5),
+  /** Largest share of the servers of a service that is ejected at once. */
+  EJECT_MAX_SHARE("ejectMaxShare", "share", 0, 1, 0.3),
+  /** How long an ejected server gets no work. */
+  EJECT_MILLIS("ejectMillis", "ms", 0, 600_000, 2000),
+  /** Time over which a new or returned server comes to its full share. */
+  RAMP_MILLIS("rampMillis", "ms", 0, 600_000, 5000),
+  /** What a failed answer is taken to cost, in multiples of the usual service time. */
+  FAILURE_COST("failureCost", "factor", 0, 1000, 10),
+  /** How many times the usual service time makes a route one of long work. */
+  LONG_WORK_FACTOR("longWorkFactor", "factor", 1, 1000, 4),
+  /** What a call to another region is taken to move over the link. */
+  REGION_CALL_BYTES("regionCallBytes", "bytes", 0, 1_000_000_000, 16_384),
+  /** One-way delay to another region of which no link object tells. */
+  REGION_TRIP_MILLIS("regionTripMillis", "ms", 0, 1000, 8),
+  /** Calls beyond its slots that a server is given at most, over all entries. */
+  SERVER_QUEUE("serverQueue", "calls", 0, 1000, 1),
+  /** How long a server that refused gets no work; doubled for each further refusal in a row. */
+  REFUSAL_PAUSE_MILLIS("refusalPauseMillis", "ms", 0, 60_000, 10),
+  /** Time over which slow and failed answers of a server that gets no work are forgotten. */
+  FORGET_MILLIS("forgetMillis", "ms", 1, 600_000, 2000),
+  /** What the work is taken to need before its deadline, in multiples of what its route needs. */
+  DEADLINE_MARGIN("deadlineMargin", "factor", 0, 100, 1.5),
+  /** Slots of a server that are kept free of long work while short work runs. */
+  SHORT_SLOTS("shortSlots", "slots", 0, 1000, 1);
 
   private final String label;
   private final String unit;
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/BudgetedRetryPolicy.java
@@ -0,0 +1,104 @@
+package org.wagtailpin.limits;
+
+import java.util.concurrent.ConcurrentHashMap;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.config.ConfigSnapshot;
+import org.wagtailpin.config.ConfigSource;
+import org.wagtailpin.config.Tunable;
+import org.wagtailpin.routing.AttemptHistory;
+import org.wagtailpin.routing.AttemptOutcome;
+import org.wagtailpin.routing.CallDescriptor;
+import org.wagtailpin.routing.RetryDecision;
+import org.wagtailpin.routing.RetryPolicy;
+
+/**
+ * Retries within a budget for each service.
+ *
+ * <p>Work is tried again only if it may be repeated or is proved not to have run, only at the
+ * outermost level of a deep call, and only if its deadline can still be met.
+ */
+public final class BudgetedRetryPolicy implements RetryPolicy {
+
+  private final ConfigSource config;
+  private final Clock clock;
+  private final RouteTimes times;
+  private final UniformRandomProvider random;
+  private final ConcurrentHashMap<String, RetryBudget> budgets = new ConcurrentHashMap<>();
+
+  /**
+   * Creates a policy with empty budgets.
+   *
+   * @param config the configuration in force
+   * @param clock the clock of the deadlines
+   * @param times the learnt service times
+   * @param random the source of the jitter, safe for all threads
+   */
+  public BudgetedRetryPolicy(
+      ConfigSource config, Clock clock, RouteTimes times, UniformRandomProvider random) {
+    this.config = config;
+    this.clock = clock;
+    this.times = times;
+    this.random = random;
+  }
+
+  @Override
+  public void firstAttempt(CallDescriptor call) {
+    ConfigSnapshot snapshot = config.current();
+    String service = call.route().service();
+    budget(service)
+        .earn(
+            snapshot.tunable(Tunable.RETRY_SHARE, service),
+            snapshot.tunable(Tunable.RETRY_BURST, service));
+  }
+
+  @Override
+  public RetryDecision decide(CallDescriptor call, AttemptHistory history, AttemptOutcome outcome) {
+    if (outcome instanceof AttemptOutcome.Answered) {
+      return refusal("answered");
+    }
+    if (outcome instanceof AttemptOutcome.Cancelled) {
+      return refusal("cancelled");
+    }
+    if (!call.repeatable() && !(outcome instanceof AttemptOutcome.NotRun)) {
+      return refusal("may-have-run");
+    }
+    if (call.depth() > 0) {
+      return refusal("outer-level-retries");
+    }
+    return withinLimits(call, history, outcome);
+  }
+
+  private RetryDecision withinLimits(
+      CallDescriptor call, AttemptHistory history, AttemptOutcome outcome) {
+    ConfigSnapshot snapshot = config.current();
+    String service = call.route().service();
+    if (history.attempts() >= snapshot.tunable(Tunable.MAX_ATTEMPTS, service)) {
+      return refusal("attempts-spent");
+    }
+    boolean atOnce = outcome instanceof AttemptOutcome.NotRun && history.attempts() <= 1;
+    long delay = atOnce ? 0 : backoffMillis(snapshot, service, history.attempts());
+    double expected = times.expectedMillis(service, call.route().name());
+    if (clock.millis() + delay + expected > call.deadlineMillis()) {
+      return refusal("deadline");
+    }
+    if (!budget(service).spend()) {
+      return refusal("budget-spent");
+    }
+    return new RetryDecision(true, "retry", delay);
+  }
+
+  private long backoffMillis(ConfigSnapshot snapshot, String service, int attempts) {
+    double base = snapshot.tunable(Tunable.RETRY_BACKOFF_MILLIS, service);
+    double longest = base * (1L << Math.min(attempts, 10));
+    return (long) (longest * random.nextDouble());
+  }
+
+  private RetryBudget budget(String service) {
+    return budgets.computeIfAbsent(service, name -> new RetryBudget());
+  }
+
+  private static RetryDecision refusal(String rule) {
+    return new RetryDecision(false, rule, 0);
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/DelayedTasks.java
@@ -0,0 +1,16 @@
+package org.wagtailpin.routing;
+
+import org.wagtailpin.control.Scheduled;
+
+/** Runs short tasks later, on any thread. */
+public interface DelayedTasks {
+
+  /**
+   * Runs a task later.
+   *
+   * @param delayMillis how much later, in milliseconds, at least 0
+   * @param task the task, which does not block
+   * @return a handle to call it off
+   */
+  Scheduled schedule(long delayMillis, Runnable task);
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/DepartureList.java
@@ -0,0 +1,27 @@
+package org.wagtailpin.routing;
+
+import java.util.Set;
+
+/** The addresses that the platform's list names as leaving. Safe for all threads. */
+public final class DepartureList {
+
+  private volatile Set<String> addresses = Set.of();
+
+  /**
+   * Replaces the list.
+   *
+   * @param leavingAddresses the IP addresses of the hosts that are leaving
+   */
+  public void publish(Set<String> leavingAddresses) {
+    addresses = Set.copyOf(leavingAddresses);
+  }
+
+  /**
+   * Tells whether a host is leaving.
+   *
+   * @param address its IP address
+   */
+  public boolean leaving(String address) {
+    return addresses.contains(address);
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -0,0 +1,163 @@
+package org.wagtailpin.routing;
+
+import java.util.Optional;
+import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.config.Tunable;
+import org.wagtailpin.limits.RouteTimes;
+import org.wagtailpin.membership.LimitShares;
+
+/**
+ * Chooses between running a call now, on which server, and queueing it here.
+ *
+ * <p>A call goes to a server that is taken to have a free slot. When all compared ones are busy, it
+ * is queued here, where the first slot that frees up takes it, unless the wait at a server is
+ * clearly shorter. Safe for all threads.
+ */
+final class Dispatcher {
+
+  private final ServerPicker picker;
+  private final RegionLinks links;
+  private final LimitShares shares;
+  private final RouteTimes times;
+
+  Dispatcher(ServerPicker picker, RegionLinks links, LimitShares shares, RouteTimes times) {
+    this.picker = picker;
+    this.links = links;
+    this.shares = shares;
+    this.times = times;
+  }
+
+  /** A server with a slot taken on it, and why. */
+  record Dispatch(ServerState server, PlacementReason reason) {}
+
+  /**
+   * Takes a slot for a call, or leaves it queued.
+   *
+   * @param service the service
+   * @param request what is asked for
+   * @return the server, or empty if the call is to wait
+   */
+  Optional<Dispatch> dispatch(ServiceState service, Request request) {
+    Optional<Choice> near = picker.near(service, request.history());
+    Optional<Choice> far = worthTheTrip(service, near, request);
+    if (far.isPresent()) {
+      Optional<Dispatch> dispatch = takeFar(service, far.get(), request);
+      if (dispatch.isPresent()) {
+        return dispatch;
+      }
+    }
+    if (near.isPresent()) {
+      return take(service, near.get(), request);
+    }
+    return spread(service, request);
+  }
+
+  /**
+   * Takes the slot on a server where one has just become free.
+   *
+   * @param service the service
+   * @param server the server
+   * @param request what is asked for
+   */
+  Optional<Dispatch> dispatchTo(ServiceState service, ServerState server, Request request) {
+    return picker
+        .only(service, server, request.history())
+        .filter(choice -> fits(service, choice, request))
+        .flatMap(choice -> begin(service, choice, request, PlacementRule.FREED_SLOT));
+  }
+
+  /** Tells whether the service has any server that takes work. */
+  boolean served(ServiceState service) {
+    return picker.any(service).isPresent();
+  }
+
+  private Optional<Choice> worthTheTrip(
+      ServiceState service, Optional<Choice> near, Request request) {
+    if (near.isPresent() && fits(service, near.get(), request)) {
+      return Optional.empty();
+    }
+    double nearCost =
+        near.map(choice -> choice.costMillis() + waitHereMillis(service))
+            .orElse(Double.POSITIVE_INFINITY);
+    return picker
+        .far(service, request.history())
+        .filter(choice -> fits(service, choice, request))
+        .filter(choice -> choice.costMillis() < nearCost);
+  }
+
+  private Optional<Dispatch> takeFar(ServiceState service, Choice far, Request request) {
+    double bytes = service.view().settings().of(Tunable.REGION_CALL_BYTES);
+    if (!links.takeBytes(far.server().server().region(), bytes)) {
+      return Optional.empty();
+    }
+    return begin(service, far, request, PlacementRule.OTHER_REGION);
+  }
+
+  private Optional<Dispatch> take(ServiceState service, Choice choice, Request request) {
+    if (fits(service, choice, request)) {
+      return begin(service, choice, request, PlacementRule.FREE_SLOT);
+    }
+    if (request.longWork() || !shorterThere(service, choice)) {
+      return Optional.empty();
+    }
+    return begin(service, choice, request, PlacementRule.SHORTER_AT_SERVER);
+  }
+
+  private boolean fits(ServiceState service, Choice choice, Request request) {
+    if (!request.longWork() || service.inFlight() == 0) {
+      return choice.overload() <= 0;
+    }
+    int slots = choice.server().server().slots();
+    double kept = Math.min(slots - 1, service.view().settings().of(Tunable.SHORT_SLOTS));
+    return choice.overload() <= -kept;
+  }
+
+  private boolean shorterThere(ServiceState service, Choice choice) {
+    RoutingSettings settings = service.view().settings();
+    if (choice.overload() > settings.of(Tunable.SERVER_QUEUE)) {
+      return false;
+    }
+    ServerState server = choice.server();
+    double typical = times.typicalMillis(service.name());
+    double waitThere = choice.overload() * typical / server.server().slots();
+    return waitThere * settings.of(Tunable.SERVER_WAIT_FACTOR) <= waitHereMillis(service);
+  }
+
+  /** Returns how long a call that joins the queue here waits for a slot this entry frees. */
+  double waitHereMillis(ServiceState service) {
+    int inFlight = service.inFlight();
+    if (inFlight == 0) {
+      return Double.POSITIVE_INFINITY;
+    }
+    return (service.queue().size() + 1) * times.typicalMillis(service.name()) / inFlight;
+  }
+
+  /** When no near server is fit, the work is spread over all that stay. */
+  private Optional<Dispatch> spread(ServiceState service, Request request) {
+    return picker
+        .any(service)
+        .filter(choice -> choice.overload() <= 0 || service.inFlight() == 0)
+        .flatMap(choice -> begin(service, choice, request, PlacementRule.ALL_BAD));
+  }
+
+  private Optional<Dispatch> begin(
+      ServiceState service, Choice choice, Request request, PlacementRule rule) {
+    ServerState server = choice.server();
+    ConfigServer config = server.server();
+    int connections = shares.wholeShare(config.name(), config.connections());
+    if (!server.load().begin(Math.min(config.slots(), connections))) {
+      return Optional.empty();
+    }
+    service.began();
+    return Optional.of(
+        new Dispatch(
+            server,
+            new PlacementReason(
+                rule,
+                (int) service.view().settings().of(Tunable.CANDIDATES),
+                server.load().inFlight(),
+                choice.load(),
+                server.load().ageMillis(request.nowMillis()),
+                request.queuedMillis())));
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementObservers.java
@@ -0,0 +1,41 @@
+package org.wagtailpin.routing;
+
+import java.util.List;
+import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.error.Fault;
+
+/** Passes each decision on to several observers. */
+public final class PlacementObservers implements PlacementObserver {
+
+  private final List<PlacementObserver> observers;
+
+  /**
+   * Joins observers.
+   *
+   * @param observers the observers, told in this order
+   */
+  public PlacementObservers(List<PlacementObserver> observers) {
+    this.observers = List.copyOf(observers);
+  }
+
+  @Override
+  public void granted(CallDescriptor call, ConfigServer server, PlacementReason reason) {
+    for (PlacementObserver observer : observers) {
+      observer.granted(call, server, reason);
+    }
+  }
+
+  @Override
+  public void refused(CallDescriptor call, Fault fault, PlacementReason reason) {
+    for (PlacementObserver observer : observers) {
+      observer.refused(call, fault, reason);
+    }
+  }
+
+  @Override
+  public void serverChanged(ConfigServer server, ServerChange change) {
+    for (PlacementObserver observer : observers) {
+      observer.serverChanged(server, change);
+    }
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/PrometheusPlacementObserver.java
@@ -0,0 +1,70 @@
+package org.wagtailpin.routing;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.error.Fault;
+
+/** Counts decisions by service and rule, and the time that calls were queued. */
+public final class PrometheusPlacementObserver implements PlacementObserver {
+
+  private static final double MILLIS_PER_SECOND = 1000;
+  private static final double[] QUEUED_SECONDS = {0.001, 0.005, 0.02, 0.1, 0.5, 2};
+
+  private final Counter granted;
+  private final Counter refused;
+  private final Counter changes;
+  private final Histogram queued;
+
+  /**
+   * Registers the metrics.
+   *
+   * @param registry where to register them
+   */
+  public PrometheusPlacementObserver(PrometheusRegistry registry) {
+    granted =
+        Counter.builder()
+            .name("wagtailpin_placements_granted_total")
+            .help("Attempts that got a server, by service and rule")
+            .labelNames("service", "rule")
+            .register(registry);
+    refused =
+        Counter.builder()
+            .name("wagtailpin_placements_refused_total")
+            .help("Attempts that got no server, by service and rule")
+            .labelNames("service", "rule")
+            .register(registry);
+    changes =
+        Counter.builder()
+            .name("wagtailpin_server_changes_total")
+            .help("Servers ejected, returned, leaving and staying")
+            .labelNames("change")
+            .register(registry);
+    queued =
+        Histogram.builder()
+            .name("wagtailpin_placement_queued_seconds")
+            .help("Time that granted attempts were queued here")
+            .classicOnly()
+            .classicUpperBounds(QUEUED_SECONDS)
+            .labelNames("service")
+            .register(registry);
+  }
+
+  @Override
+  public void granted(CallDescriptor call, ConfigServer server, PlacementReason reason) {
+    String service = call.route().service();
+    granted.labelValues(service, reason.rule().label()).inc();
+    queued.labelValues(service).observe(reason.queuedMillis() / MILLIS_PER_SECOND);
+  }
+
+  @Override
+  public void refused(CallDescriptor call, Fault fault, PlacementReason reason) {
+    refused.labelValues(call.route().service(), reason.rule().label()).inc();
+  }
+
+  @Override
+  public void serverChanged(ConfigServer server, ServerChange change) {
+    changes.labelValues(change.label()).inc();
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueuedCall.java
@@ -0,0 +1,94 @@
+package org.wagtailpin.routing;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.wagtailpin.limits.QueuedWork;
+
+/** A call that waits here for a server. It is answered or withdrawn, whichever comes first. */
+final class QueuedCall implements QueuedWork, PlacementHandle {
+
+  private final CallDescriptor call;
+  private final AttemptHistory history;
+  private final PlacementListener listener;
+  private final double weight;
+  private final boolean longWork;
+  private final long queuedAtMillis;
+  private final long latestStartMillis;
+  private final AtomicBoolean waiting = new AtomicBoolean(true);
+
+  QueuedCall(
+      CallDescriptor call,
+      AttemptHistory history,
+      PlacementListener listener,
+      double weight,
+      boolean longWork,
+      long queuedAtMillis,
+      long latestStartMillis) {
+    this.call = call;
+    this.history = history;
+    this.listener = listener;
+    this.weight = weight;
+    this.longWork = longWork;
+    this.queuedAtMillis = queuedAtMillis;
+    this.latestStartMillis = latestStartMillis;
+  }
+
+  CallDescriptor call() {
+    return call;
+  }
+
+  AttemptHistory history() {
+    return history;
+  }
+
+  PlacementListener listener() {
+    return listener;
+  }
+
+  boolean longWork() {
+    return longWork;
+  }
+
+  long queuedAtMillis() {
+    return queuedAtMillis;
+  }
+
+  /** Ends the wait; tells whether this was the one to end it. */
+  boolean take() {
+    return waiting.compareAndSet(true, false);
+  }
+
+  @Override
+  public void withdraw() {
+    waiting.set(false);
+  }
+
+  @Override
+  public String callerGroup() {
+    return call.callerGroup();
+  }
+
+  @Override
+  public double weight() {
+    return weight;
+  }
+
+  @Override
+  public int depth() {
+    return call.depth();
+  }
+
+  @Override
+  public boolean mayWait() {
+    return call.route().mayWait();
+  }
+
+  @Override
+  public long latestStartMillis() {
+    return latestStartMillis;
+  }
+
+  @Override
+  public boolean waiting() {
+    return waiting.get();
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Request.java
@@ -0,0 +1,11 @@
+package org.wagtailpin.routing;
+
+/**
+ * What a call asks of a server.
+ *
+ * @param history the call's earlier attempts
+ * @param longWork whether its route is one of long work
+ * @param nowMillis the time
+ * @param queuedMillis how long it has been queued here
+ */
+record Request(AttemptHistory history, boolean longWork, double nowMillis, double queuedMillis) {}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingSettings.java
@@ -0,0 +1,22 @@
+package org.wagtailpin.routing;
+
+import java.util.EnumMap;
+import java.util.Map;
+import org.wagtailpin.config.ConfigSnapshot;
+import org.wagtailpin.config.Tunable;
+
+/** The named constants in force for one service, looked up once for each configuration. */
+final class RoutingSettings {
+
+  private final Map<Tunable, Double> values = new EnumMap<>(Tunable.class);
+
+  RoutingSettings(ConfigSnapshot snapshot, String service) {
+    for (Tunable tunable : Tunable.values()) {
+      values.put(tunable, snapshot.tunable(tunable, service));
+    }
+  }
+
+  double of(Tunable tunable) {
+    return values.get(tunable);
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
@@ -0,0 +1,134 @@
+package org.wagtailpin.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.config.ConfigLink;
+import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.config.ConfigService;
+import org.wagtailpin.config.ConfigSnapshot;
+import org.wagtailpin.config.ConfigSource;
+import org.wagtailpin.config.Tunable;
+
+/**
+ * The services and servers of the configuration in force, with what is known about them.
+ *
+ * <p>Rebuilt by the first thread that sees a new configuration; others go on with the table they
+ * have. What is known about a server is kept as long as its name, address and port stay.
+ */
+final class RoutingTable {
+
+  private record Tables(
+      ConfigSnapshot snapshot,
+      Map<String, ServiceState> services,
+      Map<String, ServerState> servers,
+      Map<String, Double> groupWeights) {}
+
+  private static final double USUAL_WEIGHT = 1;
+
+  private final ConfigSource config;
+  private final Locality locality;
+  private final Clock clock;
+  private final RegionLinks links;
+  private final AtomicBoolean rebuilding = new AtomicBoolean();
+  private volatile Tables tables;
+
+  RoutingTable(ConfigSource config, Locality locality, Clock clock, RegionLinks links) {
+    this.config = config;
+    this.locality = locality;
+    this.clock = clock;
+    this.links = links;
+    ConfigSnapshot none = ConfigSnapshot.empty();
+    this.tables = new Tables(none, Map.of(), Map.of(), Map.of());
+    refresh();
+  }
+
+  Optional<ServiceState> service(String name) {
+    refresh();
+    return Optional.ofNullable(tables.services().get(name));
+  }
+
+  double weight(String callerGroup) {
+    return tables.groupWeights().getOrDefault(callerGroup, USUAL_WEIGHT);
+  }
+
+  private void refresh() {
+    ConfigSnapshot newest = config.current();
+    if (newest == tables.snapshot() || !rebuilding.compareAndSet(false, true)) {
+      return;
+    }
+    try {
+      tables = rebuilt(newest);
+      links.update(newest);
+    } finally {
+      rebuilding.set(false);
+    }
+  }
+
+  private Tables rebuilt(ConfigSnapshot snapshot) {
+    Map<String, ServiceState> services = new HashMap<>();
+    Map<String, ServerState> servers = new HashMap<>();
+    for (ConfigService service : snapshot.services()) {
+      ServiceView view = view(snapshot, service.name(), servers);
+      services.put(service.name(), serviceState(service.name(), view));
+    }
+    Map<String, Double> weights = new HashMap<>();
+    snapshot.callerGroups().forEach(group -> weights.put(group.name(), group.weight()));
+    return new Tables(snapshot, services, servers, weights);
+  }
+
+  private ServiceState serviceState(String name, ServiceView view) {
+    ServiceState known = tables.services().get(name);
+    if (known == null) {
+      return new ServiceState(name, view);
+    }
+    known.update(view);
+    return known;
+  }
+
+  private ServiceView view(
+      ConfigSnapshot snapshot, String service, Map<String, ServerState> servers) {
+    RoutingSettings settings = new RoutingSettings(snapshot, service);
+    boolean newService = !tables.services().containsKey(service);
+    List<ServerState> near = new ArrayList<>();
+    List<ServerState> far = new ArrayList<>();
+    for (ConfigServer server : snapshot.servers(service)) {
+      double trip = tripMillis(snapshot, settings, server);
+      ServerState state = serverState(server, trip, newService);
+      servers.put(server.name(), state);
+      (server.region().equals(locality.region()) ? near : far).add(state);
+    }
+    return new ServiceView(near, far, settings);
+  }
+
+  /** Servers that a new service starts with are not new themselves, so they take work at once. */
+  private ServerState serverState(ConfigServer server, double tripMillis, boolean newService) {
+    ServerState known = tables.servers().get(server.name());
+    if (known != null && samePlace(known.server(), server)) {
+      known.update(server, tripMillis);
+      return known;
+    }
+    long rampStart = newService ? Long.MIN_VALUE / 2 : clock.millis();
+    return new ServerState(server, tripMillis, rampStart);
+  }
+
+  private static boolean samePlace(ConfigServer one, ConfigServer other) {
+    return one.address().equals(other.address()) && one.port() == other.port();
+  }
+
+  private double tripMillis(
+      ConfigSnapshot snapshot, RoutingSettings settings, ConfigServer server) {
+    if (!server.region().equals(locality.region())) {
+      return snapshot
+          .link(locality.region(), server.region())
+          .map(ConfigLink::oneWayMillis)
+          .orElse(settings.of(Tunable.REGION_TRIP_MILLIS));
+    }
+    boolean sameDomain = server.failureDomain().equals(locality.failureDomain());
+    return sameDomain ? 0 : settings.of(Tunable.DOMAIN_TRIP_MILLIS);
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerChange.java
@@ -0,0 +1,20 @@
+package org.wagtailpin.routing;
+
+/** What changed about a server's part in placement. */
+public enum ServerChange {
+  EJECTED("ejected"),
+  RETURNED("returned"),
+  LEAVING("leaving"),
+  STAYING("staying");
+
+  private final String label;
+
+  ServerChange(String label) {
+    this.label = label;
+  }
+
+  /** Returns the name used in log lines and metrics. */
+  public String label() {
+    return label;
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerCosts.java
@@ -0,0 +1,47 @@
+package org.wagtailpin.routing;
+
+import org.wagtailpin.config.Tunable;
+import org.wagtailpin.limits.RouteTimes;
+
+/** Estimates what a call costs on a server: trips, wait, slowness and the risk of a failure. */
+final class ServerCosts {
+
+  /** How much a busy server costs more than an idle one while both have free slots. */
+  private static final double BUSY_SHARE = 0.1;
+
+  private final RouteTimes times;
+
+  ServerCosts(RouteTimes times) {
+    this.times = times;
+  }
+
+  /**
+   * Estimates the cost of one more call.
+   *
+   * @param service the service
+   * @param server the server
+   * @param nowMillis the time
+   */
+  Choice estimate(ServiceState service, ServerState server, double nowMillis) {
+    RoutingSettings settings = service.view().settings();
+    int slots = server.server().slots();
+    double others =
+        server
+            .load()
+            .others(
+                service.usualOthers(slots),
+                server.health().trust(),
+                settings.of(Tunable.REPORT_TRUST_MILLIS),
+                nowMillis);
+    double load = server.load().inFlight() + Math.max(0, others);
+    double overload = load + 1 - slots;
+    double typical = times.typicalMillis(service.name());
+    double forget = settings.of(Tunable.FORGET_MILLIS);
+    double slowness = server.health().slowness(nowMillis, forget);
+    double waited = (Math.max(0, overload) + BUSY_SHARE * load) / slots;
+    double risk =
+        server.health().failureShare(nowMillis, forget) * settings.of(Tunable.FAILURE_COST);
+    double cost = 2 * server.tripMillis() + typical * (slowness * (1 + waited) + risk);
+    return new Choice(server, cost, overload, load);
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerState.java
@@ -0,0 +1,49 @@
+package org.wagtailpin.routing;
+
+import org.wagtailpin.config.ConfigServer;
+
+/** What an entry knows about one backend server; kept over changes of the configuration. */
+final class ServerState {
+
+  private volatile ConfigServer server;
+  private volatile double tripMillis;
+  private volatile boolean saysLeaving;
+  private final LoadEstimate load = new LoadEstimate();
+  private final ServerHealth health;
+
+  ServerState(ConfigServer server, double tripMillis, long rampStartMillis) {
+    this.server = server;
+    this.tripMillis = tripMillis;
+    this.health = new ServerHealth(rampStartMillis);
+  }
+
+  void update(ConfigServer newServer, double newTripMillis) {
+    server = newServer;
+    tripMillis = newTripMillis;
+  }
+
+  ConfigServer server() {
+    return server;
+  }
+
+  /** Returns the one-way delay from this entry, in milliseconds. */
+  double tripMillis() {
+    return tripMillis;
+  }
+
+  LoadEstimate load() {
+    return load;
+  }
+
+  ServerHealth health() {
+    return health;
+  }
+
+  boolean saysLeaving() {
+    return saysLeaving;
+  }
+
+  void saysLeaving(boolean leaving) {
+    saysLeaving = leaving;
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/SilentPlacementObserver.java
@@ -0,0 +1,17 @@
+package org.wagtailpin.routing;
+
+import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.error.Fault;
+
+/** Observer that does nothing. */
+final class SilentPlacementObserver implements PlacementObserver {
+
+  @Override
+  public void granted(CallDescriptor call, ConfigServer server, PlacementReason reason) {}
+
+  @Override
+  public void refused(CallDescriptor call, Fault fault, PlacementReason reason) {}
+
+  @Override
+  public void serverChanged(ConfigServer server, ServerChange change) {}
+}
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
@@ -0,0 +1,152 @@
+package org.wagtailpin.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.wagtailpin.clock.ManualClock;
+import org.wagtailpin.config.ConfigCallerGroup;
+import org.wagtailpin.config.ConfigLimit;
+import org.wagtailpin.config.ConfigLink;
+import org.wagtailpin.config.ConfigObject;
+import org.wagtailpin.config.ConfigRoute;
+import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.config.ConfigServerSet;
+import org.wagtailpin.config.ConfigService;
+import org.wagtailpin.config.ConfigSnapshot;
+import org.wagtailpin.config.KeyRule;
+import org.wagtailpin.config.Tunable;
+import org.wagtailpin.control.ManualControlLoop;
+import org.wagtailpin.limits.RouteTimes;
+import org.wagtailpin.membership.LimitShares;
+
+/** A placement in controlled time over servers named s0, s1 and so on. */
+final class PlacementFixture {
+
+  static final String SERVICE = "lessons";
+  static final long SEED = 7;
+
+  final ManualClock clock = new ManualClock(1_000_000);
+  final ManualControlLoop loop = new ManualControlLoop(clock);
+  final RouteTimes times = new RouteTimes();
+  final DepartureList departures = new DepartureList();
+  final List<ConfigServer> servers = new ArrayList<>();
+  final List<ConfigObject> extras = new ArrayList<>();
+  int connectionShare = Integer.MAX_VALUE;
+  double shareOfRates = 1;
+  private volatile ConfigSnapshot snapshot = ConfigSnapshot.empty();
+  private long version;
+
+  PlacementFixture server(String name, String region, String domain, int slots) {
+    servers.add(
+        new ConfigServer(name, "10.0.0." + servers.size(), 80, region, domain, slots, 240, false));
+    return this;
+  }
+
+  PlacementFixture servers(int count, int slots) {
+    for (int i = 0; i < count; i++) {
+      server("s" + i, "north", "n1", slots);
+    }
+    return this;
+  }
+
+  PlacementFixture tune(Tunable tunable, double value) {
+    extras.add(new ConfigLimit(tunable.label(), Optional.empty(), Map.of(tunable, value)));
+    return this;
+  }
+
+  PlacementFixture group(String name, double weight) {
+    extras.add(new ConfigCallerGroup(name, weight, List.of()));
+    return this;
+  }
+
+  PlacementFixture link(String one, String other, long bytesPerSecond) {
+    extras.add(new ConfigLink(one + other, one, other, 8, bytesPerSecond, 10));
+    return this;
+  }
+
+  void leaving(String name) {
+    servers.replaceAll(
+        s ->
+            s.name().equals(name)
+                ? new ConfigServer(
+                    s.name(),
+                    s.address(),
+                    s.port(),
+                    s.region(),
+                    s.failureDomain(),
+                    s.slots(),
+                    s.connections(),
+                    true)
+                : s);
+    publish();
+  }
+
+  PlacementFixture publish() {
+    List<ConfigObject> objects = new ArrayList<>(extras);
+    objects.add(new ConfigService(SERVICE, false, List.of(), Optional.empty()));
+    objects.add(new ConfigServerSet("set", SERVICE, List.copyOf(servers)));
+    snapshot = new ConfigSnapshot(++version, objects);
+    return this;
+  }
+
+  QueueingPlacement placement() {
+    return placement(SEED);
+  }
+
+  QueueingPlacement placement(long seed) {
+    return new QueueingPlacement(
+        () -> snapshot,
+        new Locality("north", "n1"),
+        shares(),
+        departures,
+        clock,
+        new SharedRandom(seed),
+        loop::schedule,
+        times,
+        PlacementObserver.none());
+  }
+
+  LimitShares shares() {
+    return new LimitShares() {
+      @Override
+      public int wholeShare(String limitName, int limit) {
+        return Math.min(limit, connectionShare);
+      }
+
+      @Override
+      public double share(double limit) {
+        return limit * shareOfRates;
+      }
+    };
+  }
+
+  CallDescriptor call(long deadlineMillis) {
+    return call("short", "group", 0, false, deadlineMillis);
+  }
+
+  CallDescriptor call(String route, String group, int depth, boolean mayWait, long deadlineMillis) {
+    ConfigRoute configRoute =
+        new ConfigRoute(
+            route,
+            Optional.empty(),
+            "/",
+            Set.of(),
+            SERVICE,
+            Optional.empty(),
+            1000,
+            KeyRule.IGNORED,
+            mayWait);
+    return new CallDescriptor(
+        "r", configRoute, true, group, depth, clock.millis() + deadlineMillis);
+  }
+
+  static AttemptReport answered(double millis) {
+    return new AttemptReport(new AttemptOutcome.Answered(200), millis, Optional.empty());
+  }
+
+  static AttemptReport answered(double millis, LoadReport load) {
+    return new AttemptReport(new AttemptOutcome.Answered(200), millis, Optional.of(load));
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/RecordingListener.java
@@ -0,0 +1,45 @@
+package org.wagtailpin.routing;
+
+import java.util.Optional;
+import org.wagtailpin.error.Fault;
+
+/** Keeps the decision, and fails if there is a second one. */
+final class RecordingListener implements PlacementListener {
+
+  private Grant grant;
+  private Fault fault;
+
+  @Override
+  public void granted(Grant newGrant) {
+    first();
+    grant = newGrant;
+  }
+
+  @Override
+  public void refused(Fault newFault) {
+    first();
+    fault = newFault;
+  }
+
+  private void first() {
+    if (grant != null || fault != null) {
+      throw new AssertionError("a second decision");
+    }
+  }
+
+  Optional<Grant> grant() {
+    return Optional.ofNullable(grant);
+  }
+
+  Optional<Fault> fault() {
+    return Optional.ofNullable(fault);
+  }
+
+  String server() {
+    return grant.server().name();
+  }
+
+  boolean undecided() {
+    return grant == null && fault == null;
+  }
+}
