Add the experiment that compares placement policies on real sockets

Policies could not be compared. The baselines are random, round robin, least in flight, best of two by stale report, and a central bound that knows every slot.

--- /dev/null
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/EntryClient.java
@@ -0,0 +1,216 @@
+package org.wagtailpin.benchmark.experiment;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.wagtailpin.benchmark.experiment.WorkSource.Draw;
+import org.wagtailpin.config.ConfigRoute;
+import org.wagtailpin.config.ConfigSnapshot;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.error.Peer;
+import org.wagtailpin.error.Step;
+import org.wagtailpin.routing.AttemptHistory;
+import org.wagtailpin.routing.AttemptOutcome;
+import org.wagtailpin.routing.AttemptReport;
+import org.wagtailpin.routing.CallDescriptor;
+import org.wagtailpin.routing.Grant;
+import org.wagtailpin.routing.LoadReport;
+import org.wagtailpin.routing.Placement;
+import org.wagtailpin.routing.PlacementListener;
+import org.wagtailpin.routing.RetryDecision;
+import org.wagtailpin.routing.RetryPolicy;
+
+/** One entry: makes its callers' calls and runs them by its placement, on its event loop. */
+final class EntryClient {
+
+  private static final double MICROS_PER_MILLI = 1000;
+  private static final int CALLS_EACH = 1 << 16;
+
+  private final EntrySite site;
+  private final EventLoop loop;
+  private final Placement placement;
+  private final RetryPolicy retries;
+  private final WorkSource source;
+  private final Phases phases;
+  private final RunLedger ledger;
+  private final double callsPerMilliAtFullLoad;
+  private final long callBytes;
+  private final Map<String, ServerLink> links = new HashMap<>();
+  private final Map<String, ConfigRoute> routes = new HashMap<>();
+  private double startMillis;
+  private double nextArrival;
+  private int calls;
+
+  EntryClient(
+      EntrySite site,
+      EventLoop loop,
+      Placement placement,
+      RetryPolicy retries,
+      ExperimentFile file,
+      Phases phases,
+      RunLedger ledger) {
+    this.site = site;
+    this.loop = loop;
+    this.placement = placement;
+    this.retries = retries;
+    this.source = new WorkSource(file, site.seed(), site.number());
+    this.phases = phases;
+    this.ledger = ledger;
+    this.callsPerMilliAtFullLoad =
+        file.services().stream().mapToDouble(WorkSource::callsPerMilli).sum() / site.entries();
+    this.callBytes = file.callBytes();
+    ConfigSnapshot snapshot = site.config().current();
+    snapshot.routes().forEach(route -> routes.put(route.name(), route));
+  }
+
+  void link(String server, ServerLink link) {
+    links.put(server, link);
+  }
+
+  Map<String, ServerLink> links() {
+    return links;
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  /** Starts the calls at a time by the clock. */
+  void start(double atMillis) {
+    startMillis = atMillis;
+    loop.execute(this::scheduleNext);
+  }
+
+  private void scheduleNext() {
+    double load = phases.load(nextArrival);
+    if (load <= 0) {
+      return;
+    }
+    nextArrival += source.gapMillis(load * callsPerMilliAtFullLoad);
+    if (nextArrival >= phases.totalMillis()) {
+      return;
+    }
+    Draw draw = source.next();
+    double arrival = nextArrival;
+    double wait = startMillis + arrival - site.clock().exactMillis();
+    Runnable call =
+        () -> {
+          scheduleNext();
+          new Call(draw, arrival).begin();
+        };
+    loop.schedule(call, (long) Math.max(0, wait * MICROS_PER_MILLI), TimeUnit.MICROSECONDS);
+  }
+
+  /** One call of a caller, through all its attempts. */
+  private final class Call implements PlacementListener {
+
+    private final Draw draw;
+    private final int number = site.number() * CALLS_EACH + calls++ % CALLS_EACH;
+    private final double arrivedMillis;
+    private final Optional<PhaseTally> tally;
+    private final CallDescriptor descriptor;
+    private AttemptHistory history = AttemptHistory.none();
+
+    Call(Draw draw, double arrival) {
+      this.draw = draw;
+      this.arrivedMillis = startMillis + arrival;
+      this.tally = phases.tallyAt(arrival);
+      this.descriptor =
+          new CallDescriptor(
+              Integer.toString(number),
+              routes.get(draw.route().name()),
+              draw.route().repeatable(),
+              draw.group().name(),
+              0,
+              (long) arrivedMillis + draw.route().deadlineMillis());
+    }
+
+    void begin() {
+      tally.ifPresent(t -> t.offered.increment());
+      retries.firstAttempt(descriptor);
+      placement.request(descriptor, history, this);
+    }
+
+    @Override
+    public void granted(Grant grant) {
+      if (loop.inEventLoop()) {
+        send(grant);
+      } else {
+        loop.execute(() -> send(grant));
+      }
+    }
+
+    private void send(Grant grant) {
+      history = history.with(grant.server().name());
+      if (!grant.server().region().equals(site.locality().region())) {
+        tally.ifPresent(t -> t.crossRegionBytes.add(callBytes));
+      }
+      double sentMillis = site.clock().exactMillis();
+      links
+          .get(grant.server().name())
+          .send(number, draw.workMicros(), answer -> answered(grant, sentMillis, answer));
+    }
+
+    private void answered(Grant grant, double sentMillis, Frame answer) {
+      double now = site.clock().exactMillis();
+      LoadReport load = new LoadReport(answer.inFlight(), answer.queued(), answer.leaving());
+      AttemptOutcome outcome = outcome(grant, answer);
+      grant.finished(new AttemptReport(outcome, now - sentMillis, Optional.of(load)));
+      if (outcome instanceof AttemptOutcome.NotRun) {
+        retryOrRefuse(outcome);
+        return;
+      }
+      tally.ifPresent(t -> count(t, answer, now));
+    }
+
+    private AttemptOutcome outcome(Grant grant, Frame answer) {
+      if (answer.status() == StandInServer.REFUSED) {
+        return new AttemptOutcome.NotRun(
+            new Fault(Step.AWAIT_ANSWER, Peer.BACKEND_SERVER, grant.server().name(), "refused"));
+      }
+      return new AttemptOutcome.Answered(answer.status());
+    }
+
+    private void count(PhaseTally phase, Frame answer, double now) {
+      if (answer.status() >= StandInServer.BROKEN) {
+        phase.failed.increment();
+        return;
+      }
+      phase.answered(
+          draw.service().name(),
+          draw.workClass(),
+          now - arrivedMillis,
+          now <= descriptor.deadlineMillis());
+      if (!draw.route().repeatable() && ledger.runs(number) > 1) {
+        phase.repeated.increment();
+      }
+    }
+
+    private void retryOrRefuse(AttemptOutcome outcome) {
+      RetryDecision decision = retries.decide(descriptor, history, outcome);
+      if (!decision.retry()) {
+        countRefusal();
+        return;
+      }
+      tally.ifPresent(t -> t.retries.increment());
+      loop.schedule(
+          () -> placement.request(descriptor, history, this),
+          decision.delayMillis(),
+          TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void refused(Fault fault) {
+      countRefusal();
+    }
+
+    private void countRefusal() {
+      tally.ifPresent(t -> t.refused.increment());
+      if (ledger.runs(number) > 0) {
+        tally.ifPresent(t -> t.untrueRefusals.increment());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/EntrySite.java
@@ -0,0 +1,32 @@
+package org.wagtailpin.benchmark.experiment;
+
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.config.ConfigSource;
+import org.wagtailpin.limits.RouteTimes;
+import org.wagtailpin.routing.DelayedTasks;
+import org.wagtailpin.routing.Locality;
+import org.wagtailpin.routing.PlacementObserver;
+
+/**
+ * What a version gets to make the placement of one entry.
+ *
+ * @param number the number of the entry, from 0
+ * @param entries how many entries there are
+ * @param seed the seed of the run
+ * @param locality where the entry stands
+ * @param config the configuration
+ * @param clock the clock
+ * @param tasks runs tasks later on the entry's event loop
+ * @param times the entry's learnt service times
+ * @param observer told of the decisions
+ */
+record EntrySite(
+    int number,
+    int entries,
+    long seed,
+    Locality locality,
+    ConfigSource config,
+    Clock clock,
+    DelayedTasks tasks,
+    RouteTimes times,
+    PlacementObserver observer) {}
--- /dev/null
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/PhaseTally.java
@@ -0,0 +1,63 @@
+package org.wagtailpin.benchmark.experiment;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+import org.HdrHistogram.ConcurrentHistogram;
+
+/** What was measured in one phase over all runs of a version. Safe for all threads. */
+final class PhaseTally {
+
+  private static final long MOST_MICROS = 60_000_000L;
+  private static final int DIGITS = 3;
+  private static final double MICROS_PER_MILLI = 1000;
+
+  final ConcurrentHistogram shortWork = new ConcurrentHistogram(MOST_MICROS, DIGITS);
+  final ConcurrentHistogram patientWork = new ConcurrentHistogram(MOST_MICROS, DIGITS);
+  final ConcurrentHistogram longWork = new ConcurrentHistogram(MOST_MICROS, DIGITS);
+  private final Map<String, ConcurrentHistogram> shortByService = new ConcurrentHashMap<>();
+  final LongAdder offered = new LongAdder();
+  final LongAdder inTime = new LongAdder();
+  final LongAdder refused = new LongAdder();
+  final LongAdder failed = new LongAdder();
+  final LongAdder repeated = new LongAdder();
+  final LongAdder untrueRefusals = new LongAdder();
+  final LongAdder retries = new LongAdder();
+  final LongAdder crossRegionBytes = new LongAdder();
+  final LongAdder probes = new LongAdder();
+
+  /** Notes an answer. */
+  void answered(String service, WorkClass workClass, double millis, boolean beforeDeadline) {
+    long micros = Math.max(0, Math.min(MOST_MICROS, (long) (millis * MICROS_PER_MILLI)));
+    histogram(workClass).recordValue(micros);
+    if (workClass == WorkClass.SHORT) {
+      serviceShortWork(service).recordValue(micros);
+    }
+    if (beforeDeadline) {
+      inTime.increment();
+    }
+  }
+
+  private ConcurrentHistogram histogram(WorkClass workClass) {
+    return switch (workClass) {
+      case SHORT -> shortWork;
+      case PATIENT -> patientWork;
+      case LONG -> longWork;
+    };
+  }
+
+  /** Returns a percentile of one class of work, in milliseconds. */
+  double millisAt(WorkClass workClass, double percentile) {
+    return histogram(workClass).getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+  }
+
+  private ConcurrentHistogram serviceShortWork(String service) {
+    return shortByService.computeIfAbsent(
+        service, name -> new ConcurrentHistogram(MOST_MICROS, DIGITS));
+  }
+
+  /** Returns a percentile of the short work of one service, in milliseconds. */
+  double shortMillisAt(String service, double percentile) {
+    return serviceShortWork(service).getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+  }
+}
--- /dev/null
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/RuleCounts.java
@@ -0,0 +1,43 @@
+package org.wagtailpin.benchmark.experiment;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.routing.CallDescriptor;
+import org.wagtailpin.routing.PlacementObserver;
+import org.wagtailpin.routing.PlacementReason;
+import org.wagtailpin.routing.ServerChange;
+
+/** Counts which rules decided. Safe for all threads. */
+final class RuleCounts implements PlacementObserver {
+
+  private final Map<String, LongAdder> counts = new ConcurrentHashMap<>();
+
+  private void count(String what) {
+    counts.computeIfAbsent(what, name -> new LongAdder()).increment();
+  }
+
+  @Override
+  public void granted(CallDescriptor call, ConfigServer server, PlacementReason reason) {
+    count(reason.rule().label());
+  }
+
+  @Override
+  public void refused(CallDescriptor call, Fault fault, PlacementReason reason) {
+    count("refused: " + reason.rule().label());
+  }
+
+  @Override
+  public void serverChanged(ConfigServer server, ServerChange change) {
+    count("server " + change.label());
+  }
+
+  Map<String, Long> counts() {
+    Map<String, Long> sums = new TreeMap<>();
+    counts.forEach((name, adder) -> sums.put(name, adder.sum()));
+    return sums;
+  }
+}
--- /dev/null
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/baseline/Pick.java
@@ -0,0 +1,15 @@
+package org.wagtailpin.benchmark.experiment.baseline;
+
+import java.util.List;
+
+/** Picks one of the servers of a service in the entry's region. For use by one thread. */
+public interface Pick {
+
+  /**
+   * Picks a server.
+   *
+   * @param servers the servers, at least one
+   * @return one of them
+   */
+  KnownServer pick(List<KnownServer> servers);
+}
--- /dev/null
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/baseline/RoundRobinPick.java
@@ -0,0 +1,23 @@
+package org.wagtailpin.benchmark.experiment.baseline;
+
+import java.util.List;
+
+/** Picks the servers one after another. */
+public final class RoundRobinPick implements Pick {
+
+  private int next;
+
+  /**
+   * Creates a pick.
+   *
+   * @param first the number of the first server, so that entries do not start alike
+   */
+  public RoundRobinPick(int first) {
+    this.next = first;
+  }
+
+  @Override
+  public KnownServer pick(List<KnownServer> servers) {
+    return servers.get(Math.floorMod(next++, servers.size()));
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/RouteTimes.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/RouteTimes.java
@@ -1,11 +1,13 @@
 package org.wagtailpin.limits;
 
 import java.util.concurrent.ConcurrentHashMap;
+import org.wagtailpin.clock.Clock;
 
 /**
  * The service times learnt for each route and service, and the size class that follows from them.
  *
- * <p>Safe for all threads.
+ * <p>What was learnt of a route fades while it gets no answers, so that a route whose work is
+ * refused for its length is tried again. Safe for all threads.
  */
 public final class RouteTimes {
 
@@ -15,9 +17,22 @@
   private static final double ROUTE_GAIN = 0.05;
   private static final double SERVICE_GAIN = 0.02;
 
-  private final ConcurrentHashMap<String, MovingAverage> routes = new ConcurrentHashMap<>();
+  /** How long a route without answers keeps its full time, and then fades over, in milliseconds. */
+  private static final double KEEP_MILLIS = 1000;
+
+  private final Clock clock;
+  private final ConcurrentHashMap<String, TypicalTime> routes = new ConcurrentHashMap<>();
   private final ConcurrentHashMap<String, TypicalTime> services = new ConcurrentHashMap<>();
 
+  /**
+   * Creates times without any history.
+   *
+   * @param clock the clock
+   */
+  public RouteTimes(Clock clock) {
+    this.clock = clock;
+  }
+
   /**
    * Learns from an answered attempt.
    *
@@ -26,8 +41,9 @@
    * @param millis the time from dispatch to the answer, in milliseconds
    */
   public void learn(String service, String route, double millis) {
-    routes.computeIfAbsent(route, name -> new MovingAverage(ROUTE_GAIN)).add(millis);
-    services.computeIfAbsent(service, name -> new TypicalTime(SERVICE_GAIN)).add(millis);
+    long now = clock.millis();
+    routes.computeIfAbsent(route, name -> new TypicalTime(ROUTE_GAIN)).add(millis, now);
+    services.computeIfAbsent(service, name -> new TypicalTime(SERVICE_GAIN)).add(millis, now);
   }
 
   /**
@@ -37,8 +53,12 @@
    * @param route the route
    */
   public double expectedMillis(String service, String route) {
-    MovingAverage average = routes.get(route);
-    return average == null ? typicalMillis(service) : average.orElse(UNKNOWN_MILLIS);
+    TypicalTime typical = routes.get(route);
+    if (typical == null) {
+      return typicalMillis(service);
+    }
+    double idle = Math.max(0, clock.millis() - typical.lastMillis() - KEEP_MILLIS);
+    return typical.millis(UNKNOWN_MILLIS) * Math.exp(-idle / KEEP_MILLIS);
   }
 
   /**
@@ -59,6 +79,7 @@
    * @param factor how many times the median makes it long, at least 1
    */
   public boolean isLong(String service, String route, double factor) {
-    return expectedMillis(service, route) > factor * typicalMillis(service);
+    TypicalTime typical = routes.get(route);
+    return typical != null && typical.millis(UNKNOWN_MILLIS) > factor * typicalMillis(service);
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/TypicalTime.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/TypicalTime.java
@@ -10,12 +10,14 @@
 
   private final double gain;
   private final AtomicLong bits = new AtomicLong(Double.doubleToRawLongBits(Double.NaN));
+  private volatile long lastMillis;
 
   TypicalTime(double gain) {
     this.gain = gain;
   }
 
-  void add(double sample) {
+  void add(double sample, long nowMillis) {
+    lastMillis = nowMillis;
     bits.updateAndGet(before -> Double.doubleToRawLongBits(next(before, sample)));
   }
 
@@ -31,4 +33,9 @@
     double median = Double.longBitsToDouble(bits.get());
     return Double.isNaN(median) ? fallback : median;
   }
+
+  /** Returns the time of the last sample, 0 before the first. */
+  long lastMillis() {
+    return lastMillis;
+  }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.tinylog.Logger;
 import org.wagtailpin.limits.FairQueue;
 
 /**
@@ -76,12 +77,21 @@
     int served = 1;
     do {
       takeArrivals();
-      round.run();
+      guarded(round);
       size = shortWork.size() + longWork.size();
       served = asked.addAndGet(-served);
     } while (served != 0);
   }
 
+  /** A round that fails must not keep later rounds from running. */
+  private static void guarded(Runnable round) {
+    try {
+      round.run();
+    } catch (RuntimeException e) {
+      Logger.error(e, "a round over queued calls failed");
+    }
+  }
+
   private void takeArrivals() {
     QueuedCall call = arrivals.poll();
     while (call != null) {
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -97,6 +97,9 @@
     if (fits(service, choice, request)) {
       return begin(service, choice, request, PlacementRule.FREE_SLOT);
     }
+    if (service.inFlight() == 0) {
+      return begin(service, choice, request, PlacementRule.NOTHING_IN_FLIGHT);
+    }
     if (request.longWork() || !shorterThere(service, choice)) {
       return Optional.empty();
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementRule.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementRule.java
@@ -8,6 +8,8 @@
   FREED_SLOT("freed-slot"),
   /** All slots are taken to be busy, and the wait at the server is shorter than here. */
   SHORTER_AT_SERVER("shorter-at-server"),
+  /** This entry has no work in flight whose answers could tell more. */
+  NOTHING_IN_FLIGHT("nothing-in-flight"),
   /** A server of another region is cheaper, its trip counted. */
   OTHER_REGION("other-region"),
   /** All servers look bad, so the work is spread over them. */
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
@@ -69,8 +69,12 @@
     double now = clock.exactMillis();
     Choice best = null;
     int compared = 0;
-    for (int i = 0; i < TRIES_FOR_EACH * candidates && compared < candidates; i++) {
-      ServerState server = servers.get(random.nextInt(servers.size()));
+    boolean all = servers.size() <= candidates;
+    int tries = all ? servers.size() : TRIES_FOR_EACH * candidates;
+    int start = random.nextInt(servers.size());
+    for (int i = 0; i < tries && compared < candidates; i++) {
+      int index = all ? (start + i) % servers.size() : random.nextInt(servers.size());
+      ServerState server = servers.get(index);
       if (!usable(server, history) || !warm(service, server)) {
         continue;
       }
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
@@ -29,7 +29,7 @@
 
   final ManualClock clock = new ManualClock(1_000_000);
   final ManualControlLoop loop = new ManualControlLoop(clock);
-  final RouteTimes times = new RouteTimes();
+  final RouteTimes times = new RouteTimes(clock);
   final DepartureList departures = new DepartureList();
   final List<ConfigServer> servers = new ArrayList<>();
   final List<ConfigObject> extras = new ArrayList<>();
