--- a/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerChannelInitializer.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerChannelInitializer.java
@@ -3,8 +3,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
-import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import java.util.function.Supplier;
 
 /** Sets up the codec of a connection between entries. */
@@ -23,8 +21,7 @@
     channel
         .pipeline()
         .addLast(new PeerFrameDecoder(maxFrameBytes))
-        .addLast(new ProtobufVarint32LengthFieldPrepender())
-        .addLast(new ProtobufEncoder())
+        .addLast(new PeerFrameEncoder())
         .addLast(last.get());
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/LeaseKeeper.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/LeaseKeeper.java
@@ -4,6 +4,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.store.Backoff;
 import org.wagtailpin.store.LeaseId;
 import org.wagtailpin.store.LeaseResult;
 import org.wagtailpin.store.Store;
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/Membership.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/Membership.java
@@ -39,6 +39,7 @@
   private final EntryPlace place;
   private final HeartbeatExchange heartbeats;
   private final WatcherElection election;
+  private final WatchDuty duty;
   private final long electionFromMillis;
   private volatile MembershipView view;
   private volatile MembershipStatus status;
@@ -53,6 +54,7 @@
    * @param addresses takes the addresses of other entries; the messenger finds them there
    * @param store holds the lease and the registration
    * @param hostStates the newest states of the platform's hosts
+   * @param duty told whether this entry is to watch the store
    * @param config told what heartbeats say of the others' configuration
    * @param loop runs all this
    * @param clock counts leases and promises
@@ -67,6 +69,7 @@
       LearntAddressBook addresses,
       Store store,
       HostStates hostStates,
+      WatchDuty duty,
       ConfigWatcher config,
       ControlLoop loop,
       Clock clock,
@@ -79,6 +82,7 @@
     this.clock = clock;
     this.random = random;
     this.settings = settings;
+    this.duty = duty;
     this.seeds = List.copyOf(seeds);
     this.lease = new LeaseKeeper(store, loop, clock, random, self, settings);
     this.registration =
@@ -156,6 +160,9 @@
         now >= electionFromMillis
             && !leaving
             && election.elected(place.table().records(), lease.storeReachable(), now);
+    if (now >= electionFromMillis) {
+      duty.watch(elected);
+    }
     if (elected) {
       reader.setNeed(StoreReader.Need.WATCH);
     } else if (place.ledger().joining(now)) {
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/Registration.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/Registration.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.store.Backoff;
 import org.wagtailpin.store.Store;
 
 /**
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/StoreReader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/StoreReader.java
@@ -10,6 +10,7 @@
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.control.ControlLoop;
 import org.wagtailpin.control.Scheduled;
+import org.wagtailpin.store.Backoff;
 import org.wagtailpin.store.ListResult;
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreChange;
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/entrypeer/NettyPeerMessengerTest.java
@@ -0,0 +1,344 @@
+package org.wagtailpin.entrypeer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.UnknownFieldSet;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.wagtailpin.clock.SystemClock;
+import org.wagtailpin.control.ThreadControlLoop;
+import org.wagtailpin.entrypeer.generated.ClaimSettle;
+import org.wagtailpin.entrypeer.generated.ConfigObjects;
+import org.wagtailpin.entrypeer.generated.ConfigPull;
+import org.wagtailpin.entrypeer.generated.Heartbeat;
+import org.wagtailpin.entrypeer.generated.HeartbeatAck;
+import org.wagtailpin.entrypeer.generated.ObjectState;
+import org.wagtailpin.entrypeer.generated.PeerFrame;
+
+class NettyPeerMessengerTest {
+
+  private static final int MAX_FRAME_BYTES = 4096;
+  private static final long TIMEOUT_MILLIS = 2000;
+  private static final long GUARD_SECONDS = 30;
+  private static final int UNKNOWN_FIELD = 999;
+
+  private final ThreadControlLoop loop = new ThreadControlLoop("control");
+  private final LearntAddressBook addresses = new LearntAddressBook();
+  private final List<NettyPeerMessenger> open = new ArrayList<>();
+
+  @AfterEach
+  void closeAll() {
+    open.forEach(NettyPeerMessenger::close);
+    loop.close();
+  }
+
+  private NettyPeerMessenger messenger(String id, long incarnation, int port) {
+    NettyPeerSettings settings =
+        new NettyPeerSettings("127.0.0.1", port, MAX_FRAME_BYTES, 8, 500, 1, 2);
+    NettyPeerMessenger messenger =
+        new NettyPeerMessenger(
+            new PeerIdentity(id, incarnation),
+            addresses,
+            loop,
+            new SystemClock(),
+            RandomSource.XO_RO_SHI_RO_128_PP.create(1),
+            settings);
+    open.add(messenger);
+    return messenger;
+  }
+
+  private int listen(NettyPeerMessenger messenger) {
+    int port = ((ListenResult.Listening) messenger.start()).port();
+    addresses.learn(messenger.self(), "127.0.0.1", port);
+    return port;
+  }
+
+  private static void answerHeartbeats(NettyPeerMessenger messenger) {
+    messenger.answer(
+        PeerFrame.BodyCase.HEARTBEAT,
+        request ->
+            CompletableFuture.completedFuture(
+                PeerFrame.newBuilder()
+                    .setHeartbeatAck(
+                        HeartbeatAck.newBuilder()
+                            .setSequence(request.getHeartbeat().getSequence()))));
+  }
+
+  private static PeerFrame.Builder heartbeat(long sequence) {
+    return PeerFrame.newBuilder().setHeartbeat(Heartbeat.newBuilder().setSequence(sequence));
+  }
+
+  private static PeerReply await(CompletableFuture<PeerReply> reply) {
+    return reply.orTimeout(GUARD_SECONDS, TimeUnit.SECONDS).join();
+  }
+
+  private static PeerReply ask(NettyPeerMessenger messenger, String entry) {
+    return await(messenger.request(entry, heartbeat(1), TIMEOUT_MILLIS));
+  }
+
+  /** Asks until an answer comes, as the next heartbeats do. */
+  private static PeerReply askUntilAnswered(NettyPeerMessenger messenger, String entry) {
+    PeerReply reply = ask(messenger, entry);
+    for (int i = 0; i < 1000 && !(reply instanceof PeerReply.Answered); i++) {
+      reply = ask(messenger, entry);
+    }
+    return reply;
+  }
+
+  @Test
+  void eachRequestGetsItsOwnAnswer() {
+    NettyPeerMessenger asker = messenger("a", 1, 0);
+    NettyPeerMessenger answerer = messenger("b", 2, 0);
+    answerHeartbeats(answerer);
+    listen(answerer);
+    List<CompletableFuture<PeerReply>> replies = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      replies.add(asker.request("b", heartbeat(i), TIMEOUT_MILLIS));
+    }
+    for (int i = 0; i < 5; i++) {
+      PeerFrame answer = ((PeerReply.Answered) await(replies.get(i))).frame();
+      assertThat(answer.getHeartbeatAck().getSequence()).isEqualTo(i);
+      assertThat(answer.getSender()).isEqualTo("b");
+      assertThat(answer.getIncarnation()).isEqualTo(2);
+    }
+  }
+
+  @Test
+  void futureCompletesOnControlLoop() {
+    NettyPeerMessenger asker = messenger("a", 1, 0);
+    NettyPeerMessenger answerer = messenger("b", 2, 0);
+    answerHeartbeats(answerer);
+    listen(answerer);
+    AtomicReference<Optional<String>> thread = new AtomicReference<>(Optional.empty());
+    var noted =
+        asker
+            .request("b", heartbeat(1), TIMEOUT_MILLIS)
+            .thenAccept(reply -> thread.set(Optional.of(Thread.currentThread().getName())));
+    noted.orTimeout(GUARD_SECONDS, TimeUnit.SECONDS).join();
+    assertThat(thread.get()).isEqualTo(Optional.of("control"));
+  }
+
+  @Test
+  void requestToUnknownEntryIsNotSent() {
+    assertThat(ask(messenger("a", 1, 0), "nobody")).isInstanceOf(PeerReply.NotSent.class);
+  }
+
+  @Test
+  void requestToClosedPortIsNotSent() {
+    NettyPeerMessenger asker = messenger("a", 1, 0);
+    NettyPeerMessenger gone = messenger("b", 2, 0);
+    listen(gone);
+    gone.close();
+    assertThat(ask(asker, "b")).isInstanceOf(PeerReply.NotSent.class);
+  }
+
+  @Test
+  void requestWithBodyThatNobodyAnswersHasNoAnswer() {
+    NettyPeerMessenger asker = messenger("a", 1, 0);
+    listen(messenger("b", 2, 0));
+    PeerFrame.Builder frame =
+        PeerFrame.newBuilder().setClaimSettle(ClaimSettle.getDefaultInstance());
+    assertThat(await(asker.request("b", frame, 100))).isInstanceOf(PeerReply.NoAnswer.class);
+  }
+
+  @Test
+  void answerOfOtherEntryAtTheAddressIsNotTaken() {
+    NettyPeerMessenger asker = messenger("a", 1, 0);
+    NettyPeerMessenger other = messenger("c", 3, 0);
+    answerHeartbeats(other);
+    int port = listen(other);
+    addresses.learn("b", "127.0.0.1", port);
+    assertThat(ask(asker, "b")).isInstanceOf(PeerReply.NoAnswer.class);
+  }
+
+  @Test
+  void entryIsAskedByItsAddressAlone() {
+    NettyPeerMessenger asker = messenger("a", 1, 0);
+    NettyPeerMessenger answerer = messenger("b", 2, 0);
+    answerHeartbeats(answerer);
+    int port = listen(answerer);
+    PeerReply reply = ask(asker, LearntAddressBook.nameOfAddress("127.0.0.1", port));
+    assertThat(((PeerReply.Answered) reply).frame().getSender()).isEqualTo("b");
+  }
+
+  @Test
+  void restartedPeerIsReachedAgainWithItsNewIncarnation() {
+    NettyPeerMessenger asker = messenger("a", 1, 0);
+    NettyPeerMessenger first = messenger("b", 2, 0);
+    answerHeartbeats(first);
+    int port = listen(first);
+    assertThat(ask(asker, "b")).isInstanceOf(PeerReply.Answered.class);
+    first.close();
+    NettyPeerMessenger second = messenger("b", 3, port);
+    answerHeartbeats(second);
+    listen(second);
+    PeerReply reply = askUntilAnswered(asker, "b");
+    assertThat(((PeerReply.Answered) reply).frame().getIncarnation()).isEqualTo(3);
+  }
+
+  @Test
+  void requestInFlightHasNoAnswerWhenPeerEnds() throws Exception {
+    NettyPeerMessenger asker = messenger("a", 1, 0);
+    NettyPeerMessenger answerer = messenger("b", 2, 0);
+    CompletableFuture<Void> arrived = new CompletableFuture<>();
+    answerer.answer(
+        PeerFrame.BodyCase.HEARTBEAT,
+        request -> {
+          arrived.complete(null);
+          return new CompletableFuture<>();
+        });
+    listen(answerer);
+    CompletableFuture<PeerReply> reply =
+        asker.request("b", heartbeat(1), TimeUnit.SECONDS.toMillis(GUARD_SECONDS));
+    arrived.get(GUARD_SECONDS, TimeUnit.SECONDS);
+    answerer.close();
+    assertThat(await(reply)).isInstanceOf(PeerReply.NoAnswer.class);
+  }
+
+  @Test
+  void frameAboveCapIsNotSent() {
+    NettyPeerMessenger asker = messenger("a", 1, 0);
+    listen(messenger("b", 2, 0));
+    ObjectState large =
+        ObjectState.newBuilder().setJson(ByteString.copyFrom(new byte[MAX_FRAME_BYTES])).build();
+    PeerFrame.Builder frame =
+        PeerFrame.newBuilder().setConfigObjects(ConfigObjects.newBuilder().addObjects(large));
+    assertThat(await(asker.request("b", frame, TIMEOUT_MILLIS)))
+        .isInstanceOf(PeerReply.NotSent.class);
+  }
+
+  @Test
+  void connectionIsClosedOnFrameAboveCap() throws Exception {
+    NettyPeerMessenger answerer = messenger("b", 2, 0);
+    answerHeartbeats(answerer);
+    int port = listen(answerer);
+    try (Socket socket = connect(port)) {
+      CodedOutputStream out = CodedOutputStream.newInstance(socket.getOutputStream());
+      out.writeUInt32NoTag(MAX_FRAME_BYTES + 1);
+      out.flush();
+      assertThat(socket.getInputStream().read()).isEqualTo(-1);
+    }
+    assertThat(ask(messenger("a", 1, 0), "b")).isInstanceOf(PeerReply.Answered.class);
+  }
+
+  @Test
+  void connectionIsClosedOnBytesThatAreNoFrame() throws Exception {
+    NettyPeerMessenger answerer = messenger("b", 2, 0);
+    int port = listen(answerer);
+    try (Socket socket = connect(port)) {
+      socket.getOutputStream().write(new byte[] {3, (byte) 0xff, (byte) 0xff, (byte) 0xff});
+      socket.getOutputStream().flush();
+      assertThat(socket.getInputStream().read()).isEqualTo(-1);
+    }
+  }
+
+  @Test
+  void frameThatArrivesInHalvesIsAnswered() throws Exception {
+    NettyPeerMessenger answerer = messenger("b", 2, 0);
+    answerHeartbeats(answerer);
+    int port = listen(answerer);
+    byte[] bytes = delimited(fromOutside().build());
+    try (Socket socket = connect(port)) {
+      OutputStream out = socket.getOutputStream();
+      for (byte one : bytes) {
+        out.write(one);
+        out.flush();
+      }
+      PeerFrame answer = PeerFrame.parseDelimitedFrom(socket.getInputStream());
+      assertThat(answer.getRequestId()).isEqualTo(77);
+      assertThat(answer.getIsAnswer()).isTrue();
+    }
+  }
+
+  @Test
+  void bodyAndFieldsOfLaterVersionAreIgnored() throws Exception {
+    NettyPeerMessenger answerer = messenger("b", 2, 0);
+    answerHeartbeats(answerer);
+    int port = listen(answerer);
+    UnknownFieldSet later =
+        UnknownFieldSet.newBuilder()
+            .addField(
+                UNKNOWN_FIELD,
+                UnknownFieldSet.Field.newBuilder()
+                    .addLengthDelimited(ByteString.copyFromUtf8("later"))
+                    .build())
+            .build();
+    PeerFrame unknownBody = fromOutside().clearBody().setUnknownFields(later).build();
+    PeerFrame knownBody = fromOutside().setVersion(9).setUnknownFields(later).build();
+    try (Socket socket = connect(port)) {
+      socket.getOutputStream().write(delimited(unknownBody));
+      socket.getOutputStream().write(delimited(knownBody));
+      PeerFrame answer = PeerFrame.parseDelimitedFrom(socket.getInputStream());
+      assertThat(answer.getRequestId()).isEqualTo(77);
+    }
+  }
+
+  @Test
+  void unknownFieldsAreKept() throws Exception {
+    UnknownFieldSet later =
+        UnknownFieldSet.newBuilder()
+            .addField(UNKNOWN_FIELD, UnknownFieldSet.Field.newBuilder().addVarint(5).build())
+            .build();
+    ConfigPull pull = ConfigPull.newBuilder().setUnknownFields(later).build();
+    PeerFrame frame = fromOutside().setConfigPull(pull).build();
+    NettyPeerMessenger answerer = messenger("b", 2, 0);
+    AtomicReference<PeerFrame> seen = new AtomicReference<>();
+    answerer.answer(
+        PeerFrame.BodyCase.CONFIG_PULL,
+        request -> {
+          seen.set(request);
+          return CompletableFuture.completedFuture(
+              PeerFrame.newBuilder().setConfigObjects(ConfigObjects.getDefaultInstance()));
+        });
+    int port = listen(answerer);
+    try (Socket socket = connect(port)) {
+      socket.getOutputStream().write(delimited(frame));
+      assertThat(PeerFrame.parseDelimitedFrom(socket.getInputStream()).hasConfigObjects()).isTrue();
+    }
+    assertThat(seen.get().getConfigPull().getUnknownFields()).isEqualTo(later);
+  }
+
+  @Test
+  void requestsBeyondQueueAreNotSent() {
+    NettyPeerMessenger asker = messenger("a", 1, 0);
+    // An address of the block for documentation: RFC 5737 section 3. No connection opens there.
+    addresses.learn("far", "192.0.2.1", 7000);
+    List<CompletableFuture<PeerReply>> replies = new ArrayList<>();
+    for (int i = 0; i < 50; i++) {
+      replies.add(asker.request("far", heartbeat(i), TIMEOUT_MILLIS));
+    }
+    for (CompletableFuture<PeerReply> reply : replies) {
+      assertThat(await(reply)).isInstanceOf(PeerReply.NotSent.class);
+    }
+  }
+
+  private static PeerFrame.Builder fromOutside() {
+    return heartbeat(1).setVersion(1).setSender("outside").setIncarnation(4).setRequestId(77);
+  }
+
+  private static byte[] delimited(PeerFrame frame) throws IOException {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    frame.writeDelimitedTo(out);
+    return out.toByteArray();
+  }
+
+  private static Socket connect(int port) throws IOException {
+    Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+    socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(GUARD_SECONDS));
+    return socket;
+  }
+}
