--- /dev/null
+++ b/standins/src/main/java/org/wagtailpin/standins/hosts/HostListStandIn.java
@@ -0,0 +1,110 @@
+package org.wagtailpin.standins.hosts;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.hostlist.Host;
+import org.wagtailpin.transport.EventLoops;
+
+/** Stand-in for the platform's host list, over HTTP and held in memory. */
+public final class HostListStandIn implements AutoCloseable {
+
+  private static final int MAX_REQUEST_BYTES = 65_536;
+  private static final long CLOSE_WAIT_SECONDS = 5;
+
+  private final InetSocketAddress bindAddress;
+  private final LaggingHosts hosts;
+  private final EventLoopGroup group = EventLoops.create(1, "hosts-standin");
+  private Optional<Channel> listener = Optional.empty();
+
+  /**
+   * Creates a stand-in that does not listen yet.
+   *
+   * @param bindAddress where to listen, with port 0 for any free one
+   * @param clock counts the lag
+   * @param lagMillis how long a change is not seen, in milliseconds, at least 0
+   */
+  public HostListStandIn(InetSocketAddress bindAddress, Clock clock, long lagMillis) {
+    this.bindAddress = bindAddress;
+    this.hosts = new LaggingHosts(clock, lagMillis);
+  }
+
+  /**
+   * Begins to listen.
+   *
+   * @throws IllegalStateException if the port cannot be listened on
+   */
+  public void start() {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(group)
+            .channel(EventLoops.serverChannelType())
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(new HttpServerCodec())
+                        .addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
+                        .addLast(new HostListRequestHandler(hosts));
+                  }
+                });
+    ChannelFuture bound = bootstrap.bind(bindAddress).awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new IllegalStateException("cannot listen on " + bindAddress, bound.cause());
+    }
+    listener = Optional.of(bound.channel());
+  }
+
+  /**
+   * Returns where it listens.
+   *
+   * @throws IllegalStateException if it does not listen
+   */
+  public URI address() {
+    Channel channel =
+        listener.orElseThrow(() -> new IllegalStateException("host list does not listen"));
+    InetSocketAddress bound = (InetSocketAddress) channel.localAddress();
+    return URI.create("http://" + bound.getAddress().getHostAddress() + ":" + bound.getPort());
+  }
+
+  /**
+   * Sets how long changes are not seen, for those not seen yet as well.
+   *
+   * @param millis the lag, in milliseconds, at least 0
+   */
+  public void setLag(long millis) {
+    hosts.setLag(millis);
+  }
+
+  /**
+   * Changes a host, or adds it.
+   *
+   * @param host the host in its new state
+   */
+  public void put(Host host) {
+    hosts.put(host);
+  }
+
+  /** Stops for good. */
+  @Override
+  public void close() {
+    listener.ifPresent(channel -> channel.close().awaitUninterruptibly());
+    group
+        .shutdownGracefully(0, CLOSE_WAIT_SECONDS, TimeUnit.SECONDS)
+        .awaitUninterruptibly(CLOSE_WAIT_SECONDS, TimeUnit.SECONDS);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/wagtailpin/standins/hosts/HostListStandInCommand.java
@@ -0,0 +1,80 @@
+package org.wagtailpin.standins.hosts;
+
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.concurrent.CountDownLatch;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.wagtailpin.clock.SystemClock;
+
+/** Command that runs the host list stand-in until the process is ended. */
+public final class HostListStandInCommand {
+
+  private static final int DONE = 0;
+  private static final int NOT_DONE = 1;
+  private static final int USAGE = 2;
+
+  @Option(name = "--address", metaVar = "IP", usage = "IP address to listen on")
+  private String address = "127.0.0.1";
+
+  @Option(name = "--port", metaVar = "PORT", usage = "TCP port to listen on, 0 for any free one")
+  private int port = 7500;
+
+  @Option(name = "--lag-millis", metaVar = "N", usage = "how long a change is not seen")
+  private long lagMillis = 10_000;
+
+  @Option(name = "--help", help = true, usage = "print this help")
+  private boolean help;
+
+  /**
+   * Runs the command.
+   *
+   * @param args the arguments after the command's name
+   * @param out where it tells that it listens
+   * @param err where mistakes are told
+   * @return the exit code: 0 done, 1 not done, 2 usage
+   */
+  public static int run(String[] args, PrintStream out, PrintStream err) {
+    HostListStandInCommand command = new HostListStandInCommand();
+    CmdLineParser parser = new CmdLineParser(command);
+    try {
+      parser.parseArgument(args);
+    } catch (CmdLineException e) {
+      err.println(e.getMessage());
+      parser.printUsage(err);
+      return USAGE;
+    }
+    if (command.help) {
+      out.println("standin hosts: runs a host list, held in memory, that lags.");
+      parser.printUsage(out);
+      return DONE;
+    }
+    return command.listen(out, err);
+  }
+
+  private int listen(PrintStream out, PrintStream err) {
+    try (HostListStandIn standIn =
+        new HostListStandIn(bindAddress(), new SystemClock(), lagMillis)) {
+      standIn.start();
+      out.println("host list stand-in listens on " + standIn.address() + ", lag " + lagMillis);
+      new CountDownLatch(1).await();
+      return DONE;
+    } catch (UnknownHostException e) {
+      err.println("--address: found " + address + ", expected an IP address");
+      return USAGE;
+    } catch (IllegalStateException e) {
+      err.println(e.getMessage());
+      return NOT_DONE;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return NOT_DONE;
+    }
+  }
+
+  private InetSocketAddress bindAddress() throws UnknownHostException {
+    return new InetSocketAddress(InetAddress.getByName(address), port);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/wagtailpin/standins/hosts/LaggingHosts.java
@@ -0,0 +1,48 @@
+package org.wagtailpin.standins.hosts;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.hostlist.Host;
+
+/** Hosts whose changes are seen only after a lag. Safe for all threads. */
+final class LaggingHosts {
+
+  /**
+   * A change that is not seen yet.
+   *
+   * @param changedAtMillis when it was made, by the monotonic clock in milliseconds
+   * @param host the host in its new state
+   */
+  private record Change(long changedAtMillis, Host host) {}
+
+  private final Clock clock;
+  private final Map<String, Host> seen = new TreeMap<>();
+  private final Deque<Change> changes = new ArrayDeque<>();
+  private long lagMillis;
+
+  LaggingHosts(Clock clock, long lagMillis) {
+    this.clock = clock;
+    this.lagMillis = lagMillis;
+  }
+
+  synchronized void setLag(long millis) {
+    lagMillis = millis;
+  }
+
+  synchronized void put(Host host) {
+    changes.addLast(new Change(clock.millis(), host));
+  }
+
+  synchronized List<Host> visible() {
+    long now = clock.millis();
+    while (!changes.isEmpty() && changes.peekFirst().changedAtMillis() + lagMillis <= now) {
+      Host host = changes.removeFirst().host();
+      seen.put(host.name(), host);
+    }
+    return List.copyOf(seen.values());
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/entrypeer/NettyPeerMessenger.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/NettyPeerMessenger.java
@@ -42,6 +42,7 @@
   private final NettyPeerSettings settings;
   private final RequestDispatcher dispatcher;
   private final PendingRequests pending;
+  private final PeerTraffic traffic = new PeerTraffic();
   private final EventLoopGroup group;
   private final EventLoop eventLoop;
   private final Bootstrap bootstrap;
@@ -95,7 +96,8 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
-                new PeerChannelInitializer(settings.maxFrameBytes(), this::acceptedHandler));
+                new PeerChannelInitializer(
+                    settings.maxFrameBytes(), traffic, this::acceptedHandler));
     ChannelFuture bound =
         server.bind(settings.bindAddress(), settings.port()).awaitUninterruptibly();
     if (!bound.isSuccess()) {
@@ -134,8 +136,14 @@
     return reply;
   }
 
+  /** Returns the counts of messages and bytes. */
+  public PeerTraffic traffic() {
+    return traffic;
+  }
+
   private PeerLink newLink(String entry) {
-    return new PeerLink(entry, addresses, bootstrap, eventLoop, pending, settings, clock, random);
+    return new PeerLink(
+        entry, addresses, bootstrap, eventLoop, pending, settings, traffic, clock, random);
   }
 
   @Override
--- a/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerChannelInitializer.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerChannelInitializer.java
@@ -9,10 +9,12 @@
 final class PeerChannelInitializer extends ChannelInitializer<Channel> {
 
   private final int maxFrameBytes;
+  private final PeerTraffic traffic;
   private final Supplier<ChannelHandler> last;
 
-  PeerChannelInitializer(int maxFrameBytes, Supplier<ChannelHandler> last) {
+  PeerChannelInitializer(int maxFrameBytes, PeerTraffic traffic, Supplier<ChannelHandler> last) {
     this.maxFrameBytes = maxFrameBytes;
+    this.traffic = traffic;
     this.last = last;
   }
 
@@ -20,8 +22,8 @@
   protected void initChannel(Channel channel) {
     channel
         .pipeline()
-        .addLast(new PeerFrameDecoder(maxFrameBytes))
-        .addLast(new PeerFrameEncoder())
+        .addLast(new PeerFrameDecoder(maxFrameBytes, traffic))
+        .addLast(new PeerFrameEncoder(traffic))
         .addLast(last.get());
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerFrameDecoder.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerFrameDecoder.java
@@ -19,9 +19,11 @@
   private static final int CONTINUATION_BIT = 0x80;
 
   private final int maxFrameBytes;
+  private final PeerTraffic traffic;
 
-  PeerFrameDecoder(int maxFrameBytes) {
+  PeerFrameDecoder(int maxFrameBytes, PeerTraffic traffic) {
     this.maxFrameBytes = maxFrameBytes;
+    this.traffic = traffic;
   }
 
   @Override
@@ -39,6 +41,7 @@
     }
     byte[] bytes = ByteBufUtil.getBytes(in, in.readerIndex(), (int) length);
     in.skipBytes((int) length);
+    traffic.received(length);
     out.add(PeerFrame.parseFrom(bytes));
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerFrameEncoder.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerFrameEncoder.java
@@ -11,6 +11,12 @@
 /** Writes frames, each behind its length as a varint. */
 final class PeerFrameEncoder extends MessageToByteEncoder<PeerFrame> {
 
+  private final PeerTraffic traffic;
+
+  PeerFrameEncoder(PeerTraffic traffic) {
+    this.traffic = traffic;
+  }
+
   @Override
   protected ByteBuf allocateBuffer(
       ChannelHandlerContext context, PeerFrame frame, boolean preferDirect) {
@@ -23,6 +29,7 @@
       throws IOException {
     try (ByteBufOutputStream stream = new ByteBufOutputStream(out)) {
       frame.writeDelimitedTo(stream);
+      traffic.sent(stream.writtenBytes());
     }
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerLink.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerLink.java
@@ -28,6 +28,7 @@
   private final EventLoop eventLoop;
   private final PendingRequests pending;
   private final NettyPeerSettings settings;
+  private final PeerTraffic traffic;
   private final Clock clock;
   private final UniformRandomProvider random;
   private final Queue<PeerFrame> waiting = new ArrayDeque<>();
@@ -45,6 +46,7 @@
       EventLoop eventLoop,
       PendingRequests pending,
       NettyPeerSettings settings,
+      PeerTraffic traffic,
       Clock clock,
       UniformRandomProvider random) {
     this.entry = entry;
@@ -53,6 +55,7 @@
     this.eventLoop = eventLoop;
     this.pending = pending;
     this.settings = settings;
+    this.traffic = traffic;
     this.clock = clock;
     this.random = random;
   }
@@ -122,7 +125,7 @@
     PeerLinkHandler handler = new PeerLinkHandler(this);
     bootstrap
         .clone(eventLoop)
-        .handler(new PeerChannelInitializer(settings.maxFrameBytes(), () -> handler))
+        .handler(new PeerChannelInitializer(settings.maxFrameBytes(), traffic, () -> handler))
         .connect(address)
         .addListener((ChannelFuture connected) -> connected(address, connected));
   }
--- a/wagtailpin/src/test/java/org/wagtailpin/membership/SimulatedEntry.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/membership/SimulatedEntry.java
@@ -23,7 +23,10 @@
     this.loop = loop;
     this.clock = clock;
     this.store =
-        new CuttableStore(fleet.store(), fleet.random(), () -> storeCut || fleet.storeDown());
+        new CuttableStore(
+            fleet.store(),
+            fleet.random(),
+            () -> fleet.storeDown() ? StoreWay.LOSES_ANSWERS : storeWay);
     this.membership =
         fleet.newMembership(
             member,
