Record claims in a log per shard of the store

Work that may not be repeated needs one place that decides who dispatched it first. Each shard's head is one key that changes by compare-and-swap only, so a paused owner is refused by the store.

--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/claims/ClaimPeers.java
@@ -0,0 +1,106 @@
+package org.wagtailpin.claims;
+
+import java.util.concurrent.CompletableFuture;
+import org.wagtailpin.entrypeer.PeerMessenger;
+import org.wagtailpin.entrypeer.PeerReply;
+import org.wagtailpin.entrypeer.generated.ClaimRequest;
+import org.wagtailpin.entrypeer.generated.ClaimSettle;
+import org.wagtailpin.entrypeer.generated.HeldAnswerRequest;
+import org.wagtailpin.entrypeer.generated.PeerFrame;
+
+/**
+ * Asks owners and holders, over the messenger or on this entry itself, and answers other entries.
+ */
+final class ClaimPeers {
+
+  /** How long a reply may take beyond the time that the other entry waits itself. */
+  static final long REPLY_MARGIN_MILLIS = 100;
+
+  private static final long SETTLE_TIMEOUT_MILLIS = 1_000;
+
+  private final PeerMessenger messenger;
+  private final ClaimOwner owner;
+  private final DispatchRecords records;
+
+  ClaimPeers(PeerMessenger messenger, ClaimOwner owner, DispatchRecords records) {
+    this.messenger = messenger;
+    this.owner = owner;
+    this.records = records;
+  }
+
+  /** Sets this entry to answer the claims of others. */
+  void listen() {
+    messenger.answer(
+        PeerFrame.BodyCase.CLAIM_REQUEST, frame -> answerClaim(frame.getClaimRequest()));
+    messenger.answer(
+        PeerFrame.BodyCase.CLAIM_SETTLE, frame -> answerSettle(frame.getClaimSettle()));
+    messenger.answer(
+        PeerFrame.BodyCase.HELD_ANSWER_REQUEST, frame -> answerHeld(frame.getHeldAnswerRequest()));
+  }
+
+  private CompletableFuture<PeerFrame.Builder> answerClaim(ClaimRequest request) {
+    return owner
+        .claim(
+            KeyHash.of(new ClaimKey(request.getScope(), request.getKey())),
+            request.getFingerprint(),
+            request.getAttempt(),
+            request.getWaitMillis(),
+            request.getOwnerUnreachable())
+        .thenApply(ClaimMessages::reply);
+  }
+
+  private CompletableFuture<PeerFrame.Builder> answerSettle(ClaimSettle settle) {
+    KeyHash key = KeyHash.of(new ClaimKey(settle.getScope(), settle.getKey()));
+    boolean recorded = settle.getNotRun() && owner.release(key, settle.getAttempt());
+    return CompletableFuture.completedFuture(ClaimMessages.settled(recorded));
+  }
+
+  private CompletableFuture<PeerFrame.Builder> answerHeld(HeldAnswerRequest request) {
+    return records
+        .outcome(request.getAttempt(), request.getWaitMillis())
+        .thenApply(ClaimMessages::heldReply);
+  }
+
+  /** Asks an entry to record a claim. */
+  CompletableFuture<PeerReply> claim(
+      String entry,
+      ClaimKey key,
+      long fingerprint,
+      String attempt,
+      long waitMillis,
+      boolean ownerUnreachable) {
+    if (entry.equals(messenger.self())) {
+      return owner
+          .claim(KeyHash.of(key), fingerprint, attempt, waitMillis, ownerUnreachable)
+          .thenApply(verdict -> new PeerReply.Answered(ClaimMessages.reply(verdict).build()));
+    }
+    PeerFrame.Builder frame =
+        ClaimMessages.request(key, fingerprint, attempt, waitMillis, ownerUnreachable);
+    return messenger.request(entry, frame, waitMillis + REPLY_MARGIN_MILLIS);
+  }
+
+  /** Tells an entry that an attempt did not run; gives whether it took that in. */
+  CompletableFuture<Boolean> release(String entry, ClaimKey key, String attempt) {
+    if (entry.equals(messenger.self())) {
+      return CompletableFuture.completedFuture(owner.release(KeyHash.of(key), attempt));
+    }
+    return messenger
+        .request(entry, ClaimMessages.notRun(key, attempt), SETTLE_TIMEOUT_MILLIS)
+        .thenApply(reply -> reply instanceof PeerReply.Answered);
+  }
+
+  /** Asks the entry that made an attempt what became of it. */
+  CompletableFuture<HeldOutcome> outcome(AttemptId attempt, ClaimKey key, long waitMillis) {
+    if (attempt.entry().equals(messenger.self())) {
+      return records.outcome(attempt.text(), waitMillis);
+    }
+    PeerFrame.Builder frame = ClaimMessages.heldRequest(key, attempt.text(), waitMillis);
+    return messenger
+        .request(attempt.entry(), frame, waitMillis + REPLY_MARGIN_MILLIS)
+        .thenApply(
+            reply ->
+                reply instanceof PeerReply.Answered answered
+                    ? ClaimMessages.heldOutcome(answered.frame())
+                    : new HeldOutcome.Gone());
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/claims/DispatchRecords.java
@@ -0,0 +1,120 @@
+package org.wagtailpin.claims;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.control.ControlLoop;
+
+/**
+ * What this entry knows of its own attempts: which still run, which were never dispatched, and the
+ * answers of those that ran.
+ *
+ * <p>Answers are held for the window and within a number of bytes, the oldest going first. What is
+ * forgotten is answered with {@link HeldOutcome.Gone}, which promises nothing.
+ */
+final class DispatchRecords {
+
+  private static final int MAX_RECORDS = 50_000;
+  private static final int HEADER_OVERHEAD_BYTES = 64;
+
+  private static final class Dispatch {
+    private final long startMillis;
+    private final List<CompletableFuture<HeldOutcome>> waiters = new ArrayList<>();
+    private HeldOutcome outcome = new HeldOutcome.Running();
+    private long bytes;
+
+    Dispatch(long startMillis) {
+      this.startMillis = startMillis;
+    }
+
+    boolean running() {
+      return outcome instanceof HeldOutcome.Running;
+    }
+  }
+
+  private final ClaimSettings settings;
+  private final Clock clock;
+  private final ControlLoop loop;
+  private final Map<String, Dispatch> records = new LinkedHashMap<>();
+  private long heldBytes;
+
+  DispatchRecords(ClaimSettings settings, Clock clock, ControlLoop loop) {
+    this.settings = settings;
+    this.clock = clock;
+    this.loop = loop;
+  }
+
+  long heldBytes() {
+    return heldBytes;
+  }
+
+  void start(String attempt) {
+    records.put(attempt, new Dispatch(clock.millis()));
+    forgetOld();
+  }
+
+  /** Sets the outcome of an attempt that runs; later outcomes are ignored. */
+  void finish(String attempt, HeldOutcome outcome) {
+    Dispatch dispatch = records.get(attempt);
+    if (dispatch == null || !dispatch.running()) {
+      return;
+    }
+    dispatch.outcome = outcome;
+    dispatch.bytes = bytes(outcome);
+    heldBytes += dispatch.bytes;
+    List<CompletableFuture<HeldOutcome>> waiters = List.copyOf(dispatch.waiters);
+    dispatch.waiters.clear();
+    forgetOld();
+    waiters.forEach(waiter -> waiter.complete(outcome));
+  }
+
+  /** Tells the outcome of an attempt, waiting for one that runs. */
+  CompletableFuture<HeldOutcome> outcome(String attempt, long waitMillis) {
+    Dispatch dispatch = records.get(attempt);
+    if (dispatch == null) {
+      return CompletableFuture.completedFuture(new HeldOutcome.Gone());
+    }
+    if (!dispatch.running() || waitMillis <= 0) {
+      return CompletableFuture.completedFuture(dispatch.outcome);
+    }
+    CompletableFuture<HeldOutcome> waiter = new CompletableFuture<>();
+    dispatch.waiters.add(waiter);
+    loop.schedule(waitMillis, () -> endWait(dispatch, waiter));
+    return waiter;
+  }
+
+  private static void endWait(Dispatch dispatch, CompletableFuture<HeldOutcome> waiter) {
+    waiter.complete(dispatch.outcome);
+    dispatch.waiters.removeIf(CompletableFuture::isDone);
+  }
+
+  private void forgetOld() {
+    Iterator<Dispatch> oldestFirst = records.values().iterator();
+    while (oldestFirst.hasNext()) {
+      Dispatch dispatch = oldestFirst.next();
+      boolean tooMany = records.size() > MAX_RECORDS || heldBytes > settings.heldAnswerBytes();
+      if (!tooMany && clock.millis() - dispatch.startMillis <= settings.windowMillis()) {
+        return;
+      }
+      if (!dispatch.running()) {
+        oldestFirst.remove();
+        heldBytes -= dispatch.bytes;
+      }
+    }
+  }
+
+  private static long bytes(HeldOutcome outcome) {
+    if (!(outcome instanceof HeldOutcome.Held held)) {
+      return 0;
+    }
+    long bytes = held.answer().body().length;
+    for (HeldHeader header : held.answer().headers()) {
+      bytes += HEADER_OVERHEAD_BYTES + header.name().length() + header.value().length();
+    }
+    return bytes;
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/claims/ReleaseSender.java
@@ -0,0 +1,52 @@
+package org.wagtailpin.claims;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.wagtailpin.control.ControlLoop;
+
+/**
+ * Tells the owner of a key that an attempt did not run, a few times if need be.
+ *
+ * <p>Best effort: when it fails, the next claim of the key asks the entry that made the attempt.
+ */
+final class ReleaseSender {
+
+  private static final int MAX_TRIES = 3;
+  private static final long RETRY_MILLIS = 500;
+
+  private final ShardOwners owners;
+  private final ClaimPeers peers;
+  private final ControlLoop loop;
+
+  ReleaseSender(ShardOwners owners, ClaimPeers peers, ControlLoop loop) {
+    this.owners = owners;
+    this.peers = peers;
+    this.loop = loop;
+  }
+
+  /** Sends a release and does not wait. */
+  void send(ClaimKey key, int shard, String attempt) {
+    send(key, shard, attempt, () -> {});
+  }
+
+  /** Sends a release and goes on after the first try, whether it was taken in or not. */
+  void send(ClaimKey key, int shard, String attempt, Runnable then) {
+    attempt(key, shard, attempt, MAX_TRIES, then);
+  }
+
+  private void attempt(ClaimKey key, int shard, String attempt, int tries, Runnable then) {
+    Optional<String> owner = owners.owner(shard);
+    CompletableFuture<Boolean> sent =
+        owner.isPresent()
+            ? peers.release(owner.get(), key, attempt)
+            : CompletableFuture.completedFuture(false);
+    Continuation.of(
+        sent,
+        taken -> {
+          if (!taken && tries > 1) {
+            loop.schedule(RETRY_MILLIS, () -> attempt(key, shard, attempt, tries - 1, () -> {}));
+          }
+          then.run();
+        });
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/claims/ShardedClaims.java
@@ -0,0 +1,118 @@
+package org.wagtailpin.claims;
+
+import java.util.concurrent.CompletableFuture;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.control.Scheduled;
+import org.wagtailpin.entrypeer.PeerMessenger;
+import org.wagtailpin.membership.MembershipSource;
+import org.wagtailpin.store.Store;
+
+/**
+ * Claims recorded in the store, in batches, by the entry that owns the shard of the key.
+ *
+ * <p>Each shard of the key space is a log in the store, whose newest part is one key that changes
+ * by compare-and-swap. A claim is granted once the store is known to have taken the batch that
+ * holds it. Which entry owns a shard follows from the live members and matters for speed only: of
+ * two entries that write to one log, the store refuses the one whose copy is old.
+ *
+ * <p>While the store is down, claims end in {@link ClaimResult.Unavailable} within {@link
+ * ClaimSettings#maxClaimWaitMillis()}. All state is touched on the control loop only; the methods
+ * are safe for all threads.
+ */
+public final class ShardedClaims implements Claims {
+
+  private static final long LEAVE_POLL_MILLIS = 10;
+
+  private final ClaimContext context;
+  private final ClaimOwner owner;
+  private final ControlLoop loop;
+  private final ClaimCounters counters = new ClaimCounters();
+
+  /**
+   * Creates the claims of one entry and sets it to answer those of others.
+   *
+   * @param settings the settings, with the same number of shards in all entries
+   * @param incarnation a number that is new at each start of this entry
+   * @param store the platform's store
+   * @param messenger the way to other entries, not yet started
+   * @param membership the live entries
+   * @param clock the time
+   * @param loop the control loop that the messenger answers on
+   * @param random spreads retries; used on the control loop only
+   */
+  public ShardedClaims(
+      ClaimSettings settings,
+      long incarnation,
+      Store store,
+      PeerMessenger messenger,
+      MembershipSource membership,
+      Clock clock,
+      ControlLoop loop,
+      UniformRandomProvider random) {
+    ShardOwners owners = new ShardOwners(membership);
+    AttemptSequence attempts = new AttemptSequence(messenger.self(), incarnation);
+    DispatchRecords records = new DispatchRecords(settings, clock, loop);
+    this.loop = loop;
+    this.owner = new ClaimOwner(settings, attempts, store, owners, clock, loop, random, counters);
+    ClaimPeers peers = new ClaimPeers(messenger, owner, records);
+    ReleaseSender releases = new ReleaseSender(owners, peers, loop);
+    this.context = new ClaimContext(settings, owners, attempts, records, peers, releases, clock);
+    peers.listen();
+  }
+
+  /** Returns the counters of this entry. */
+  public ClaimCounters counters() {
+    return counters;
+  }
+
+  @Override
+  public CompletableFuture<ClaimResult> claim(ClaimKey key, long fingerprint, long deadlineMillis) {
+    ClaimCall call = new ClaimCall(key, fingerprint, deadlineMillis, shard(key), context);
+    loop.execute(call::start);
+    return call.result();
+  }
+
+  @Override
+  public void settle(ClaimToken token, ClaimSettlement settlement) {
+    loop.execute(() -> settleNow(token, settlement));
+  }
+
+  private void settleNow(ClaimToken token, ClaimSettlement settlement) {
+    DispatchRecords records = context.records();
+    if (settlement instanceof ClaimSettlement.Answered answered) {
+      records.finish(token.attempt(), new HeldOutcome.Held(answered.answer()));
+    } else if (settlement instanceof ClaimSettlement.NotRun) {
+      records.finish(token.attempt(), new HeldOutcome.NotRun());
+      context.releases().send(token.key(), shard(token.key()), token.attempt());
+    } else {
+      records.finish(token.attempt(), new HeldOutcome.Gone());
+    }
+  }
+
+  private int shard(ClaimKey key) {
+    return KeyHash.of(key).shard(context.settings().shards());
+  }
+
+  /**
+   * Waits until this entry, which leaves, has written what it took on.
+   *
+   * @param waitMillis how long to wait at most, in milliseconds
+   * @return whether nothing was left
+   */
+  public CompletableFuture<Boolean> flush(long waitMillis) {
+    CompletableFuture<Boolean> flushed = new CompletableFuture<>();
+    long endMillis = context.clock().millis() + waitMillis;
+    loop.execute(() -> awaitIdle(endMillis, flushed));
+    return flushed;
+  }
+
+  private void awaitIdle(long endMillis, CompletableFuture<Boolean> flushed) {
+    if (owner.idle() || context.clock().millis() >= endMillis) {
+      flushed.complete(owner.idle());
+      return;
+    }
+    Scheduled unused = loop.schedule(LEAVE_POLL_MILLIS, () -> awaitIdle(endMillis, flushed));
+  }
+}
