--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/claims/ClaimEntry.java
@@ -0,0 +1,59 @@
+package org.wagtailpin.claims;
+
+import java.util.Collection;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.entrypeer.PeerIdentity;
+import org.wagtailpin.entrypeer.memory.MemoryPeerNetwork;
+import org.wagtailpin.store.Store;
+
+/** One start of an entry that makes claims, in controlled time. */
+final class ClaimEntry {
+
+  private final String id;
+  private final PausableLoop loop;
+  private final ManualMembership membership;
+  private final ShardedClaims claims;
+
+  ClaimEntry(
+      String id,
+      long incarnation,
+      Collection<String> live,
+      ClaimSettings settings,
+      Store store,
+      MemoryPeerNetwork network,
+      Clock clock,
+      ControlLoop timeline,
+      UniformRandomProvider random) {
+    this.id = id;
+    this.loop = new PausableLoop(timeline);
+    this.membership = new ManualMembership(id, live);
+    this.claims =
+        new ShardedClaims(
+            settings,
+            incarnation,
+            store,
+            network.connect(new PeerIdentity(id, incarnation), loop),
+            membership,
+            clock,
+            loop,
+            random);
+  }
+
+  String id() {
+    return id;
+  }
+
+  PausableLoop loop() {
+    return loop;
+  }
+
+  ManualMembership membership() {
+    return membership;
+  }
+
+  ShardedClaims claims() {
+    return claims;
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/claims/PausableLoop.java
@@ -0,0 +1,53 @@
+package org.wagtailpin.claims;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.control.Scheduled;
+
+/** One process's control loop on a shared timeline: what falls due in a pause runs after it. */
+final class PausableLoop implements ControlLoop {
+
+  private final ControlLoop timeline;
+  private final List<Runnable> held = new ArrayList<>();
+  private boolean paused;
+  private boolean stopped;
+
+  PausableLoop(ControlLoop timeline) {
+    this.timeline = timeline;
+  }
+
+  @Override
+  public void execute(Runnable task) {
+    schedule(0, task);
+  }
+
+  @Override
+  public Scheduled schedule(long delayMillis, Runnable task) {
+    return timeline.schedule(delayMillis, () -> run(task));
+  }
+
+  private void run(Runnable task) {
+    if (paused) {
+      held.add(task);
+    } else if (!stopped) {
+      task.run();
+    }
+  }
+
+  void pause() {
+    paused = true;
+  }
+
+  void resume() {
+    paused = false;
+    held.forEach(timeline::execute);
+    held.clear();
+  }
+
+  /** Ends the process: nothing of it runs any more. */
+  void stop() {
+    stopped = true;
+    held.clear();
+  }
+}
