--- a/wagtailpin/src/test/java/org/wagtailpin/claims/ClaimEntry.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/claims/ClaimEntry.java
@@ -14,6 +14,7 @@
   private final String id;
   private final PausableLoop loop;
   private final ManualMembership membership;
+  private final RefusingMessenger messenger;
   private final ShardedClaims claims;
 
   ClaimEntry(
@@ -29,16 +30,10 @@
     this.id = id;
     this.loop = new PausableLoop(timeline);
     this.membership = new ManualMembership(id, live);
+    this.messenger =
+        new RefusingMessenger(network.connect(new PeerIdentity(id, incarnation), loop));
     this.claims =
-        new ShardedClaims(
-            settings,
-            incarnation,
-            store,
-            network.connect(new PeerIdentity(id, incarnation), loop),
-            membership,
-            clock,
-            loop,
-            random);
+        new ShardedClaims(settings, incarnation, store, messenger, membership, clock, loop, random);
   }
 
   String id() {
@@ -53,6 +48,10 @@
     return membership;
   }
 
+  RefusingMessenger messenger() {
+    return messenger;
+  }
+
   ShardedClaims claims() {
     return claims;
   }
