--- /dev/null
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/claims/ClaimCommand.java
@@ -0,0 +1,126 @@
+package org.wagtailpin.benchmark.claims;
+
+import java.io.PrintStream;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.wagtailpin.claims.ClaimSettings;
+
+/** Command that measures claims against the rate of keyed calls. */
+public final class ClaimCommand {
+
+  private static final int DONE = 0;
+  private static final int USAGE = 2;
+
+  private static final double[] RATES = {20, 50, 100, 200, 500, 1_000, 2_000};
+  private static final int WARM_UP_SECONDS = 10;
+  private static final int MEASURED_SECONDS = 60;
+
+  @Option(name = "--entries", usage = "entries in the fleet")
+  private int entries = 16;
+
+  @Option(name = "--shards", usage = "shards of the key space")
+  private int shards = ClaimSettings.defaults().shards();
+
+  @Option(name = "--interval", usage = "least time between two batches of a shard, ms")
+  private long intervalMillis = ClaimSettings.defaults().batchIntervalMillis();
+
+  @Option(name = "--segment", usage = "size at which a segment is closed, bytes")
+  private int segmentBytes = ClaimSettings.defaults().segmentBytes();
+
+  @Option(name = "--store", usage = "time until the store answers, ms")
+  private long storeMillis = 5;
+
+  @Option(
+      name = "--window-rate",
+      usage = "claims a second in the run over a whole window, 0 for none")
+  private double windowRate = 200;
+
+  @Option(name = "--seed", usage = "seed of the arrival times")
+  private long seed = 1;
+
+  @Option(name = "--help", help = true, usage = "print this text")
+  private boolean help;
+
+  /** Runs the command alone. */
+  public static void main(String[] args) {
+    System.exit(new ClaimCommand().run(args, System.out, System.err));
+  }
+
+  /**
+   * Runs the command.
+   *
+   * @param args the arguments after the command's name
+   * @param out where the results are printed
+   * @param err where errors and usage are printed
+   * @return the exit code
+   */
+  public int run(String[] args, PrintStream out, PrintStream err) {
+    CmdLineParser parser = new CmdLineParser(this);
+    try {
+      parser.parseArgument(args);
+    } catch (CmdLineException e) {
+      err.println(e.getMessage());
+      parser.printUsage(err);
+      return USAGE;
+    }
+    if (help) {
+      parser.printUsage(out);
+      return DONE;
+    }
+    measureRates(out);
+    if (windowRate > 0) {
+      measureWindow(out);
+    }
+    return DONE;
+  }
+
+  private void measureRates(PrintStream out) {
+    out.printf(
+        "entries %d, shards %d, interval %d ms, segment %d bytes, store %d ms, seed %d%n",
+        entries, shards, intervalMillis, segmentBytes, storeMillis, seed);
+    out.println(ClaimLoadResult.heading());
+    for (double rate : RATES) {
+      ClaimLoad load = new ClaimLoad(entries, settings(), storeMillis, seed);
+      load.run(rate, WARM_UP_SECONDS);
+      out.println(load.run(rate, MEASURED_SECONDS).row());
+    }
+  }
+
+  private void measureWindow(PrintStream out) {
+    long before = usedBytes();
+    ClaimLoad load = new ClaimLoad(entries, settings(), storeMillis, seed);
+    int seconds = (int) (settings().windowMillis() / 1_000);
+    load.run(windowRate, seconds);
+    long used = usedBytes() - before;
+    double claims = windowRate * seconds;
+    out.printf(
+        "after a window at %.0f claims/s: %d keys and %d bytes in the store (%.0f a claim);"
+            + " heap of all entries and of the store %d bytes (%.0f a claim)%n",
+        windowRate,
+        load.storedKeys(),
+        load.storedBytes(),
+        load.storedBytes() / claims,
+        used,
+        used / claims);
+  }
+
+  private static long usedBytes() {
+    System.gc();
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+
+  private ClaimSettings settings() {
+    ClaimSettings defaults = ClaimSettings.defaults();
+    return new ClaimSettings(
+        shards,
+        defaults.windowMillis(),
+        intervalMillis,
+        defaults.maxClaimWaitMillis(),
+        defaults.maxReplayWaitMillis(),
+        segmentBytes,
+        defaults.maxPendingPerShard(),
+        defaults.heldAnswerBytes());
+  }
+}
--- /dev/null
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/claims/ClaimLoad.java
@@ -0,0 +1,142 @@
+package org.wagtailpin.benchmark.claims;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.ToLongFunction;
+import org.HdrHistogram.Histogram;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.wagtailpin.claims.ClaimCounters;
+import org.wagtailpin.claims.ClaimKey;
+import org.wagtailpin.claims.ClaimResult;
+import org.wagtailpin.claims.ClaimSettings;
+import org.wagtailpin.claims.ClaimSettlement;
+import org.wagtailpin.claims.ShardedClaims;
+import org.wagtailpin.clock.ManualClock;
+import org.wagtailpin.control.ManualControlLoop;
+import org.wagtailpin.entrypeer.PeerIdentity;
+import org.wagtailpin.entrypeer.memory.MemoryPeerNetwork;
+import org.wagtailpin.membership.Member;
+import org.wagtailpin.membership.MembershipView;
+import org.wagtailpin.store.ListResult;
+import org.wagtailpin.store.StoreEntry;
+import org.wagtailpin.store.memory.MemoryStore;
+
+/**
+ * A fleet of entries that claims new keys at a rate, in controlled time.
+ *
+ * <p>Arrivals are a Poisson process spread over all entries. The store answers after a fixed time,
+ * messages between entries take 1 ms. The processor time is that of the machine.
+ */
+final class ClaimLoad {
+
+  private static final double SECOND_MILLIS = 1_000;
+  private static final long CALL_MILLIS = 5_000;
+  private static final long HIGHEST_MILLIS = 60_000;
+  private static final int DIGITS = 3;
+
+  private final ManualClock clock = new ManualClock(0);
+  private final ManualControlLoop timeline = new ManualControlLoop(clock);
+  private final UniformRandomProvider random;
+  private final MemoryStore memory = new MemoryStore(clock, timeline);
+  private final List<ShardedClaims> entries = new ArrayList<>();
+  private final Histogram waitMillis = new Histogram(HIGHEST_MILLIS, DIGITS);
+  private long granted;
+  private long refused;
+  private long claimed;
+
+  ClaimLoad(int entryCount, ClaimSettings settings, long storeMillis, long seed) {
+    this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    DelayedStore store = new DelayedStore(memory, timeline, storeMillis);
+    MemoryPeerNetwork network = new MemoryPeerNetwork(timeline, random);
+    List<Member> members = new ArrayList<>();
+    for (int i = 0; i < entryCount; i++) {
+      members.add(new Member("entry-" + i, 1, "127.0.0.1", 1, "tunis", "tunis-a", false));
+    }
+    for (Member member : members) {
+      MembershipView view = new MembershipView(1, member.id(), members);
+      entries.add(
+          new ShardedClaims(
+              settings,
+              1,
+              store,
+              network.connect(new PeerIdentity(member.id(), 1), timeline),
+              () -> view,
+              clock,
+              timeline,
+              random));
+    }
+  }
+
+  /** Runs the load for some seconds and forgets what was measured before. */
+  ClaimLoadResult run(double claimsPerSecond, int seconds) {
+    waitMillis.reset();
+    granted = 0;
+    refused = 0;
+    long writes = total(ClaimCounters::storeWrites);
+    long bytes = total(ClaimCounters::bytesWritten);
+    long reads = total(ClaimCounters::storeReads);
+    long startNanos = System.nanoTime();
+    send(claimsPerSecond, seconds);
+    long spentNanos = System.nanoTime() - startNanos;
+    return new ClaimLoadResult(
+        claimsPerSecond,
+        granted / (double) seconds,
+        refused,
+        (total(ClaimCounters::storeWrites) - writes) / (double) seconds,
+        (total(ClaimCounters::storeReads) - reads) / (double) seconds,
+        (total(ClaimCounters::bytesWritten) - bytes) / (double) seconds,
+        waitMillis.getValueAtPercentile(50),
+        waitMillis.getValueAtPercentile(99),
+        spentNanos / 1e3 / Math.max(1, granted));
+  }
+
+  private void send(double claimsPerSecond, int seconds) {
+    long endMillis = clock.millis() + seconds * (long) SECOND_MILLIS;
+    double nextMillis = clock.millis();
+    while (nextMillis < endMillis) {
+      timeline.advance(Math.max(0, (long) nextMillis - clock.millis()));
+      claim();
+      nextMillis -= Math.log1p(-random.nextDouble()) * SECOND_MILLIS / claimsPerSecond;
+    }
+    timeline.advance(Math.max(0, endMillis - clock.millis()));
+  }
+
+  private void claim() {
+    ShardedClaims entry = entries.get(random.nextInt(entries.size()));
+    ClaimKey key = new ClaimKey("orders", "key-" + ++claimed);
+    long askedMillis = clock.millis();
+    CompletableFuture<ClaimResult> result = entry.claim(key, claimed, askedMillis + CALL_MILLIS);
+    CompletableFuture<Void> unused =
+        result.thenAccept(ended -> take(entry, ended, clock.millis() - askedMillis));
+  }
+
+  private void take(ShardedClaims entry, ClaimResult result, long tookMillis) {
+    if (result instanceof ClaimResult.Granted done) {
+      granted++;
+      waitMillis.recordValue(Math.min(HIGHEST_MILLIS, tookMillis));
+      entry.settle(done.token(), new ClaimSettlement.AnsweredUnheld());
+    } else {
+      refused++;
+    }
+  }
+
+  private long total(ToLongFunction<ClaimCounters> counter) {
+    return entries.stream().map(ShardedClaims::counters).mapToLong(counter).sum();
+  }
+
+  /** Returns the number of keys that the claims have in the store. */
+  int storedKeys() {
+    return stored().size();
+  }
+
+  /** Returns the size of the claims' values in the store, in bytes. */
+  long storedBytes() {
+    return stored().stream().mapToLong(entry -> entry.value().length).sum();
+  }
+
+  private List<StoreEntry> stored() {
+    return ((ListResult.Listed) memory.list("claims/").join()).entries();
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/claims/ClaimSettings.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/claims/ClaimSettings.java
@@ -33,7 +33,7 @@
   private static final long DEFAULT_BATCH_INTERVAL_MILLIS = 80;
   private static final long DEFAULT_MAX_CLAIM_WAIT_MILLIS = 1_000;
   private static final long DEFAULT_MAX_REPLAY_WAIT_MILLIS = 2_000;
-  private static final int DEFAULT_SEGMENT_BYTES = 2_048;
+  private static final int DEFAULT_SEGMENT_BYTES = 1_024;
   private static final int DEFAULT_MAX_PENDING_PER_SHARD = 2_000;
   private static final long DEFAULT_HELD_ANSWER_BYTES = 32L * 1024 * 1024;
 
--- a/wagtailpin/src/main/java/org/wagtailpin/claims/ClaimShard.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/claims/ClaimShard.java
@@ -40,13 +40,13 @@
   private final Clock clock;
   private final ControlLoop loop;
   private final ClaimCounters counters;
+  private final WritePace pace;
   private final Deque<PendingClaim> queue = new ArrayDeque<>();
   private final Deque<Release> releases = new ArrayDeque<>();
   private final Map<String, PendingClaim> pending = new LinkedHashMap<>();
   private final Map<String, Long> withdrawn = new LinkedHashMap<>();
   private boolean busy;
   private boolean pumpScheduled;
-  private long nextWriteMillis;
 
   ClaimShard(
       ClaimSettings settings,
@@ -63,7 +63,7 @@
     this.clock = clock;
     this.loop = loop;
     this.counters = counters;
-    this.nextWriteMillis = clock.millis();
+    this.pace = new WritePace(clock, settings.batchIntervalMillis());
   }
 
   /** Tells whether nothing waits and nothing is being written. */
@@ -141,7 +141,7 @@
     if (busy || idle()) {
       return;
     }
-    long waitMillis = nextWriteMillis - clock.millis();
+    long waitMillis = pace.waitMillis();
     if (waitMillis > 0) {
       schedulePump(waitMillis);
     } else if (writer.loaded()) {
@@ -170,7 +170,7 @@
         loaded -> {
           busy = false;
           if (!loaded) {
-            nextWriteMillis = clock.millis() + writer.backoffMillis();
+            pace.hold(writer.backoffMillis());
           }
           pump();
         });
@@ -205,7 +205,7 @@
     List<PendingClaim> claims = takeClaims(batch, keys, answers);
     if (batch.getRecordsCount() > 0) {
       busy = true;
-      nextWriteMillis = clock.millis() + settings.batchIntervalMillis();
+      pace.countBatch();
       writer.append(batch.build(), written -> settle(claims, written));
     }
     answers.forEach(Runnable::run);
