--- a/wagtailpin/src/main/java/org/wagtailpin/transport/EventLoops.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/transport/EventLoops.java
@@ -2,19 +2,16 @@
 
 import io.netty.channel.DefaultSelectStrategyFactory;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollEventLoopGroup;
-import io.netty.channel.epoll.EpollIoHandler;
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultEventExecutorChooserFactory;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.EventExecutorChooserFactory;
 import io.netty.util.concurrent.ThreadPerTaskExecutor;
@@ -34,8 +31,7 @@
    * @return the loops, to be shut down by their owner
    */
   public static EventLoopGroup create(int threads, String name) {
-    return new MultiThreadIoEventLoopGroup(
-        threads, new DefaultThreadFactory(name, true), ioHandlers());
+    return create(threads, name, DefaultEventExecutorChooserFactory.INSTANCE);
   }
 
   /**
@@ -46,10 +42,14 @@
    * @param name the start of the threads' names
    * @return the loops, to be shut down by their owner
    */
-  @SuppressWarnings("deprecation") // AsyncHttpClient tells the transport by these group types.
   public static EventLoopGroup createAffine(int threads, String name) {
+    return create(threads, name, new AffineChooserFactory());
+  }
+
+  @SuppressWarnings("deprecation") // AsyncHttpClient tells the transport by these group types.
+  private static EventLoopGroup create(
+      int threads, String name, EventExecutorChooserFactory chooser) {
     Executor executor = new ThreadPerTaskExecutor(new DefaultThreadFactory(name, true));
-    EventExecutorChooserFactory chooser = new AffineChooserFactory();
     if (Epoll.isAvailable()) {
       return new EpollEventLoopGroup(
           threads, executor, chooser, DefaultSelectStrategyFactory.INSTANCE);
@@ -62,10 +62,6 @@
         DefaultSelectStrategyFactory.INSTANCE);
   }
 
-  private static IoHandlerFactory ioHandlers() {
-    return Epoll.isAvailable() ? EpollIoHandler.newFactory() : NioIoHandler.newFactory();
-  }
-
   /** Returns the type of listening channels. */
   public static Class<? extends ServerSocketChannel> serverChannelType() {
     return Epoll.isAvailable() ? EpollServerSocketChannel.class : NioServerSocketChannel.class;
