--- a/wagtailpin/src/main/java/org/wagtailpin/entrypeer/NettyPeerMessenger.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/NettyPeerMessenger.java
@@ -6,12 +6,9 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.Map;
@@ -26,6 +23,7 @@
 import org.wagtailpin.error.Fault;
 import org.wagtailpin.error.Peer;
 import org.wagtailpin.error.Step;
+import org.wagtailpin.transport.EventLoops;
 
 /**
  * Messenger over TCP: each frame is a protobuf message behind its length.
@@ -44,7 +42,7 @@
   private final NettyPeerSettings settings;
   private final RequestDispatcher dispatcher;
   private final PendingRequests pending;
-  private final NioEventLoopGroup group;
+  private final EventLoopGroup group;
   private final EventLoop eventLoop;
   private final Bootstrap bootstrap;
   private final ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
@@ -75,11 +73,11 @@
     this.settings = settings;
     this.dispatcher = new RequestDispatcher(self, loop);
     this.pending = new PendingRequests(loop);
-    this.group = new NioEventLoopGroup(1, new DefaultThreadFactory("entry-peer", true));
+    this.group = EventLoops.create(1, "entry-peer");
     this.eventLoop = group.next();
     this.bootstrap =
         new Bootstrap()
-            .channel(NioSocketChannel.class)
+            .channel(EventLoops.channelType())
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectMillis());
   }
@@ -93,7 +91,7 @@
     ServerBootstrap server =
         new ServerBootstrap()
             .group(group)
-            .channel(NioServerSocketChannel.class)
+            .channel(EventLoops.serverChannelType())
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
