--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigMerger.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigMerger.java
@@ -8,7 +8,7 @@
 /**
  * Puts states from the store and from peers in force.
  *
- * <p>All methods but {@link #origin} run on the control thread. Each call merges its states
+ * <p>All methods but {@link #report} run on the control thread. Each call merges its states
  * together, so that traffic threads see them at once or not at all.
  */
 public final class ConfigMerger {
@@ -17,7 +17,7 @@
   private final MergedConfig merged;
   private final PublishedConfig published;
   private final List<ConfigListener> listeners = new ArrayList<>();
-  private volatile ConfigOrigin origin = ConfigOrigin.none();
+  private volatile ConfigReport report;
 
   /**
    * Creates a merger.
@@ -30,6 +30,7 @@
     this.clock = clock;
     this.merged = merged;
     this.published = published;
+    this.report = ConfigReport.of(merged, ConfigOrigin.none());
   }
 
   /**
@@ -67,8 +68,8 @@
     if (!merged.mergeAll(states)) {
       return false;
     }
-    origin = new ConfigOrigin(source, peerName, clock.wallMillis());
     published.publish(merged);
+    report = ConfigReport.of(merged, new ConfigOrigin(source, peerName, clock.wallMillis()));
     listeners.forEach(listener -> listener.configChanged(merged));
     return true;
   }
@@ -78,8 +79,8 @@
     return merged;
   }
 
-  /** Returns where the newest state came from; for any thread. */
-  public ConfigOrigin origin() {
-    return origin;
+  /** Returns what is in force and where it came from; for any thread. */
+  public ConfigReport report() {
+    return report;
   }
 }
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/operator/AdminAnswer.java
@@ -0,0 +1,37 @@
+package org.wagtailpin.operator;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/**
+ * The answer of an admin page.
+ *
+ * @param status the HTTP status code
+ * @param contentType the media type of the body
+ * @param body the body
+ */
+@SuppressWarnings("ArrayRecordComponent") // a body is bytes; answers are never compared
+public record AdminAnswer(int status, String contentType, byte[] body) {
+
+  private static final int OK = 200;
+  private static final String TEXT = "text/plain; charset=utf-8";
+  private static final String JSON = "application/json";
+
+  /**
+   * Creates an answer of text.
+   *
+   * @param status the HTTP status code
+   * @param text the text
+   */
+  public static AdminAnswer text(int status, String text) {
+    return new AdminAnswer(status, TEXT, text.getBytes(UTF_8));
+  }
+
+  /**
+   * Creates an answer of JSON with status 200.
+   *
+   * @param json the JSON in UTF-8
+   */
+  public static AdminAnswer json(byte[] json) {
+    return new AdminAnswer(OK, JSON, json);
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/operator/AdminListener.java
@@ -0,0 +1,99 @@
+package org.wagtailpin.operator;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Listener for operators, apart from the one for callers, on a thread of its own.
+ *
+ * <p>It serves pages that must not block; a page that fails is answered with status 500.
+ */
+public final class AdminListener implements AutoCloseable {
+
+  private static final int MAX_REQUEST_BYTES = 8192;
+  private static final int IDLE_SECONDS = 60;
+  private static final long CLOSE_WAIT_SECONDS = 5;
+
+  private final InetSocketAddress bindAddress;
+  private final Map<String, AdminPage> pages = new LinkedHashMap<>();
+  private final EventLoopGroup group =
+      new NioEventLoopGroup(1, new DefaultThreadFactory("admin", true));
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private Channel listener;
+
+  /**
+   * Creates a listener that does not listen yet.
+   *
+   * @param bindAddress where to listen, with port 0 for any free one
+   * @param pages the pages, each with a path of its own
+   */
+  public AdminListener(InetSocketAddress bindAddress, List<AdminPage> pages) {
+    this.bindAddress = bindAddress;
+    pages.forEach(page -> this.pages.put(page.path(), page));
+  }
+
+  /**
+   * Begins to listen.
+   *
+   * @throws IllegalStateException if the port cannot be listened on
+   */
+  public void start() {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    connections.add(channel);
+                    channel
+                        .pipeline()
+                        .addLast(new ReadTimeoutHandler(IDLE_SECONDS))
+                        .addLast(new HttpServerCodec())
+                        .addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
+                        .addLast(new AdminHandler(pages));
+                  }
+                });
+    ChannelFuture bound = bootstrap.bind(bindAddress).awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new IllegalStateException("cannot listen on " + bindAddress, bound.cause());
+    }
+    listener = bound.channel();
+  }
+
+  /** Returns where it listens; only after {@link #start}. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) listener.localAddress();
+  }
+
+  /** Stops listening and ends all connections. */
+  @Override
+  public void close() {
+    if (listener != null) {
+      listener.close().syncUninterruptibly();
+    }
+    connections.close().awaitUninterruptibly();
+    group.shutdownGracefully(0, CLOSE_WAIT_SECONDS, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/operator/MetricsPage.java
@@ -0,0 +1,41 @@
+package org.wagtailpin.operator;
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/** Page of the metrics in the text form that Prometheus reads. */
+public final class MetricsPage implements AdminPage {
+
+  private static final int OK = 200;
+
+  private final PrometheusRegistry registry;
+  private final PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
+
+  /**
+   * Creates the page.
+   *
+   * @param registry holds the metrics
+   */
+  public MetricsPage(PrometheusRegistry registry) {
+    this.registry = registry;
+  }
+
+  @Override
+  public String path() {
+    return "/metrics";
+  }
+
+  @Override
+  public AdminAnswer answer() {
+    ByteArrayOutputStream text = new ByteArrayOutputStream();
+    try {
+      writer.write(text, registry.scrape());
+    } catch (IOException e) {
+      throw new UncheckedIOException("writing to memory failed", e);
+    }
+    return new AdminAnswer(OK, writer.getContentType(), text.toByteArray());
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/operator/ReadyPage.java
@@ -0,0 +1,34 @@
+package org.wagtailpin.operator;
+
+import java.util.Optional;
+
+/** Page that tells whether the entry takes callers' requests: status 200 if so, else 503. */
+public final class ReadyPage implements AdminPage {
+
+  private static final int OK = 200;
+  private static final int SERVICE_UNAVAILABLE = 503;
+
+  private final Readiness readiness;
+
+  /**
+   * Creates the page.
+   *
+   * @param readiness tells whether the entry is ready
+   */
+  public ReadyPage(Readiness readiness) {
+    this.readiness = readiness;
+  }
+
+  @Override
+  public String path() {
+    return "/readyz";
+  }
+
+  @Override
+  public AdminAnswer answer() {
+    Optional<String> hindrance = readiness.hindrance();
+    return hindrance.isEmpty()
+        ? AdminAnswer.text(OK, "ready\n")
+        : AdminAnswer.text(SERVICE_UNAVAILABLE, "not ready: " + hindrance.get() + "\n");
+  }
+}
--- a/wagtailpin/src/test/java/org/wagtailpin/config/StoreConfigWatcherTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/config/StoreConfigWatcherTest.java
@@ -29,8 +29,9 @@
     fixture.loop.advance(10);
 
     assertThat(entry.published.current().service("a")).isPresent();
-    assertThat(entry.merger.origin().source()).isEqualTo(ConfigOrigin.Source.STORE);
-    assertThat(entry.merger.origin().sinceWallMillis()).isAtMost(fixture.clock.wallMillis());
+    assertThat(entry.merger.report().source()).isEqualTo("store");
+    assertThat(entry.merger.report().includes(ticket(1, service("a")))).isTrue();
+    assertThat(entry.merger.report().sinceWallMillis()).isAtMost(fixture.clock.wallMillis());
   }
 
   @Test
