Run the whole path: ticket, entry, claim, backend server, answer

Cause: the parts stood side by side. daemon.EntryNode wires them: one control thread, affine traffic loops, the store, the messenger, membership, claims, placement, listeners for callers and operators; settings are read strictly.

Before: no call was served.

--- /dev/null
+++ b/daemon/src/main/java/org/wagtailpin/daemon/SettingsReader.java
@@ -0,0 +1,106 @@
+package org.wagtailpin.daemon;
+
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.wagtailpin.json.JsonObjectReader;
+import org.wagtailpin.json.JsonParseResult;
+import org.wagtailpin.json.JsonProblems;
+import org.wagtailpin.json.JsonTextParser;
+
+/** Reader of an entry's settings, which are JSON with comments. Safe for use by threads. */
+public final class SettingsReader {
+
+  private static final int MAX_PORT = 65_535;
+  private static final int MAX_THREADS = 64;
+  private static final long MAX_MILLIS = 3_600_000;
+  private static final int MAX_LOG_CAPACITY = 1_000_000;
+
+  private static final int DEFAULT_THREADS = 4;
+  private static final long DEFAULT_NOTICE_MILLIS = 3_000;
+  private static final long DEFAULT_GRACE_MILLIS = 30_000;
+  private static final int DEFAULT_LOG_CAPACITY = 8_192;
+
+  private final JsonTextParser parser = new JsonTextParser();
+
+  /**
+   * Reads settings.
+   *
+   * @param file the name of their file, for messages
+   * @param text their text in UTF-8
+   */
+  public SettingsReadResult read(String file, byte[] text) {
+    JsonParseResult parsed = parser.parse(file, text);
+    if (parsed instanceof JsonParseResult.Malformed malformed) {
+      return new SettingsReadResult.Malformed(List.of(malformed.problem()));
+    }
+    JsonProblems problems = new JsonProblems();
+    JsonObjectReader in =
+        JsonObjectReader.of(((JsonParseResult.Parsed) parsed).value(), "", problems);
+    EntrySettings settings = settings(in);
+    in.end();
+    return problems.isEmpty()
+        ? new SettingsReadResult.Read(settings)
+        : new SettingsReadResult.Malformed(problems.found());
+  }
+
+  private static EntrySettings settings(JsonObjectReader in) {
+    return new EntrySettings(
+        in.name("id"),
+        in.name("region"),
+        in.name("failureDomain"),
+        address(in, "callers"),
+        in.object("internal").map(SettingsReader::address),
+        address(in, "admin"),
+        address(in, "peers"),
+        seeds(in),
+        uri(in, "store").orElse(URI.create("http://127.0.0.1")),
+        in.has("hostList") ? uri(in, "hostList") : Optional.empty(),
+        (int) in.integer("trafficThreads", 1, MAX_THREADS, DEFAULT_THREADS),
+        in.integer("noticeMillis", 0, MAX_MILLIS, DEFAULT_NOTICE_MILLIS),
+        in.integer("graceMillis", 0, MAX_MILLIS, DEFAULT_GRACE_MILLIS),
+        (int) in.integer("decisionLogCapacity", 1, MAX_LOG_CAPACITY, DEFAULT_LOG_CAPACITY),
+        seed(in));
+  }
+
+  private static ListenAddress address(JsonObjectReader in, String key) {
+    in.require(key, "an object with address and port");
+    return in.object(key)
+        .map(SettingsReader::address)
+        .orElseGet(() -> new ListenAddress("127.0.0.1", 0));
+  }
+
+  private static ListenAddress address(JsonObjectReader in) {
+    String address = in.text("address");
+    int port = (int) in.integer("port", 0, MAX_PORT);
+    in.end();
+    return new ListenAddress(address, port);
+  }
+
+  private static List<ListenAddress> seeds(JsonObjectReader in) {
+    List<ListenAddress> seeds = new ArrayList<>();
+    if (in.has("seeds")) {
+      in.objects("seeds").forEach(seed -> seeds.add(address(seed)));
+    }
+    return seeds;
+  }
+
+  private static Optional<URI> uri(JsonObjectReader in, String key) {
+    String text = in.text(key);
+    try {
+      URI uri = URI.create(text);
+      if ("http".equals(uri.getScheme()) && uri.getHost() != null) {
+        return Optional.of(uri);
+      }
+    } catch (IllegalArgumentException e) {
+      // Noted below, as any other text that is not an HTTP address.
+    }
+    in.note(key, "an address such as http://10.0.0.1:7400");
+    return Optional.empty();
+  }
+
+  private static Optional<Long> seed(JsonObjectReader in) {
+    return in.has("seed") ? Optional.of(in.integer("seed", 0, Long.MAX_VALUE)) : Optional.empty();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -0,0 +1,107 @@
+package org.wagtailpin.daemon;
+
+import io.netty.channel.EventLoopGroup;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.function.Consumer;
+import org.tinylog.Logger;
+import org.wagtailpin.backend.BackendClient;
+import org.wagtailpin.backend.BackendSettings;
+import org.wagtailpin.call.CallEnvironment;
+import org.wagtailpin.call.CallMetrics;
+import org.wagtailpin.call.CallSettings;
+import org.wagtailpin.call.JsonDecisionLog;
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.limits.BudgetedRetryPolicy;
+import org.wagtailpin.limits.RouteTimes;
+import org.wagtailpin.membership.LimitShares;
+import org.wagtailpin.routing.DepartureList;
+import org.wagtailpin.routing.Locality;
+import org.wagtailpin.routing.PrometheusPlacementObserver;
+import org.wagtailpin.routing.QueueingPlacement;
+import org.wagtailpin.routing.SharedRandom;
+
+/** The parts of an entry that serve calls on traffic threads. */
+public final class TrafficParts implements AutoCloseable {
+
+  private final BackendClient backend;
+  private final JsonDecisionLog decisions;
+  private final DepartureList departures = new DepartureList();
+  private final CallEnvironment environment;
+
+  TrafficParts(
+      EntrySettings settings,
+      Clock clock,
+      ControlLoop loop,
+      EventLoopGroup trafficLoops,
+      ControlParts control,
+      PrometheusRegistry registry,
+      long seed) {
+    LimitShares shares = control.membership();
+    SharedRandom random = new SharedRandom(seed);
+    RouteTimes times = new RouteTimes(clock);
+    Consumer<String> lines = line -> Logger.tag("decision").info("{}", line);
+    decisions = new JsonDecisionLog(settings.decisionLogCapacity(), clock, lines);
+    backend =
+        new BackendClient(
+            BackendSettings.defaults(),
+            trafficLoops,
+            server -> shares.wholeShare("connections/" + server.name(), server.connections()),
+            clock);
+    QueueingPlacement placement =
+        new QueueingPlacement(
+            control.published(),
+            new Locality(settings.region(), settings.failureDomain()),
+            shares,
+            departures,
+            clock,
+            random,
+            loop::schedule,
+            times,
+            new PrometheusPlacementObserver(registry));
+    environment =
+        new CallEnvironment(
+            CallSettings.defaults(),
+            control.published(),
+            placement,
+            new BudgetedRetryPolicy(control.published(), clock, times, random),
+            control.claims(),
+            backend,
+            clock,
+            decisions,
+            new SilentCallMetrics());
+  }
+
+  CallEnvironment environment() {
+    return environment;
+  }
+
+  /** Returns the list of hosts that are leaving, which placement keeps off. */
+  public DepartureList departures() {
+    return departures;
+  }
+
+  /** Returns how many decisions were not logged because the log was full. */
+  public long droppedDecisions() {
+    return decisions.dropped();
+  }
+
+  /** Returns how many connections to backend servers are open. */
+  public int backendConnections() {
+    return backend.openConnections();
+  }
+
+  @Override
+  public void close() {
+    backend.close();
+    decisions.close();
+  }
+
+  private static final class SilentCallMetrics implements CallMetrics {
+    @Override
+    public void callEnded(String service, String outcome, double latencyMillis) {}
+
+    @Override
+    public void attemptEnded(String service, String outcome) {}
+  }
+}
