--- a/standins/src/main/java/org/wagtailpin/standins/store/StoreStandIn.java
+++ b/standins/src/main/java/org/wagtailpin/standins/store/StoreStandIn.java
@@ -8,12 +8,9 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -23,6 +20,7 @@
 import org.wagtailpin.store.memory.FaultyStore;
 import org.wagtailpin.store.memory.MemoryStore;
 import org.wagtailpin.store.memory.StoreFaults;
+import org.wagtailpin.transport.EventLoops;
 
 /**
  * Stand-in for the platform's store, over HTTP and held in memory.
@@ -40,8 +38,7 @@
   private final ThreadControlLoop loop = new ThreadControlLoop("store-standin");
   private final FaultyStore store;
   private final CallCounts counts = new CallCounts();
-  private final EventLoopGroup group =
-      new NioEventLoopGroup(1, new DefaultThreadFactory("store-standin-io", true));
+  private final EventLoopGroup group = EventLoops.create(1, "store-standin-io");
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private InetSocketAddress boundAddress;
   private Channel listener;
@@ -68,7 +65,7 @@
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(group)
-            .channel(NioServerSocketChannel.class)
+            .channel(EventLoops.serverChannelType())
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childHandler(
--- /dev/null
+++ b/tools/src/main/java/org/wagtailpin/tools/ApplyCommand.java
@@ -0,0 +1,93 @@
+package org.wagtailpin.tools;
+
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.kohsuke.args4j.Argument;
+import org.wagtailpin.clock.SystemClock;
+import org.wagtailpin.config.TicketResult;
+
+/** Command that has tickets accepted into the shared state. */
+public final class ApplyCommand extends ArgumentsCommand<ApplyCommand.Arguments> {
+
+  /** The command's arguments. */
+  static final class Arguments extends StoreArguments {
+    @Argument(metaVar = "TICKET", required = true, usage = "files of tickets, in their order")
+    private List<String> files = new ArrayList<>();
+  }
+
+  @Override
+  public String name() {
+    return "apply";
+  }
+
+  @Override
+  public String summary() {
+    return "Has tickets accepted into the shared state, each whole or not at all.";
+  }
+
+  @Override
+  String usage() {
+    return "TICKET... [--store URL] [--wait --entries IP:PORT,...]";
+  }
+
+  @Override
+  Arguments defaults() {
+    return new Arguments();
+  }
+
+  @Override
+  int run(Arguments arguments, Console console) {
+    Optional<URI> address = arguments.storeAddress(console);
+    if (address.isEmpty() || !arguments.isComplete(console)) {
+      return ExitCode.USAGE;
+    }
+    List<TicketFile> tickets = new ArrayList<>();
+    for (String file : arguments.files) {
+      TicketFile.read(file, console).ifPresent(tickets::add);
+    }
+    if (tickets.size() < arguments.files.size()) {
+      console.complain("nothing was applied");
+      return ExitCode.NOT_DONE;
+    }
+    try (StoreConnection store = new StoreConnection(address.get())) {
+      return applyAll(tickets, arguments, store, console);
+    }
+  }
+
+  private static int applyAll(
+      List<TicketFile> tickets, Arguments arguments, StoreConnection store, Console console) {
+    for (TicketFile ticket : tickets) {
+      int code = apply(ticket, arguments, store, console);
+      if (code != ExitCode.DONE) {
+        return code;
+      }
+    }
+    return ExitCode.DONE;
+  }
+
+  private static int apply(
+      TicketFile ticket, Arguments arguments, StoreConnection store, Console console) {
+    TicketResult result =
+        store.acceptor().accept(ticket.ticket(), arguments.patienceMillis()).join();
+    if (result instanceof TicketResult.Refused refused) {
+      ticket.complain(refused.problems(), console);
+    }
+    String settle =
+        "bin/wagtailpin apply " + ticket.file() + " --store " + arguments.storeText();
+    int code = new ResultTeller(console).tell(result, settle);
+    if (code != ExitCode.DONE || !arguments.waits()) {
+      return code;
+    }
+    EntryReports entries = new EntryReports(store.http(), arguments.entriesText());
+    ForceWait wait = new ForceWait(entries, new SystemClock(), console);
+    if (wait.await(ticket.ticket(), arguments.waitMillis())) {
+      return ExitCode.DONE;
+    }
+    console.complain(
+        "ticket %d is accepted but was not seen in force at all entries in %d ms",
+        ticket.ticket().number(), arguments.waitMillis());
+    return ExitCode.NOT_DONE;
+  }
+}
--- /dev/null
+++ b/tools/src/main/java/org/wagtailpin/tools/ArgumentsCommand.java
@@ -0,0 +1,47 @@
+package org.wagtailpin.tools;
+
+import java.util.List;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** Command whose arguments are read into a new object for each run. */
+abstract class ArgumentsCommand<A extends ArgumentsCommand.Arguments> implements Command {
+
+  /** What all commands take. */
+  abstract static class Arguments {
+    @Option(name = "--help", help = true, usage = "print this help")
+    private boolean help;
+  }
+
+  /** Returns arguments with their defaults. */
+  abstract A defaults();
+
+  /** Returns how the command is called, after its name. */
+  abstract String usage();
+
+  /** Runs the command with arguments that are well formed. */
+  abstract int run(A arguments, Console console);
+
+  @Override
+  public final int run(List<String> words, Console console) {
+    A arguments = defaults();
+    CmdLineParser parser = new CmdLineParser(arguments);
+    try {
+      parser.parseArgument(words);
+    } catch (CmdLineException e) {
+      console.complain("%s: %s", name(), e.getMessage());
+      console.complain("usage: wagtailpin %s %s", name(), usage());
+      parser.printUsage(console.err());
+      return ExitCode.USAGE;
+    }
+    Arguments common = arguments;
+    if (common.help) {
+      console.say("usage: wagtailpin %s %s", name(), usage());
+      console.say("%s", summary());
+      parser.printUsage(console.out());
+      return ExitCode.DONE;
+    }
+    return run(arguments, console);
+  }
+}
--- /dev/null
+++ b/tools/src/main/java/org/wagtailpin/tools/DrainCommand.java
@@ -0,0 +1,101 @@
+package org.wagtailpin.tools;
+
+import java.net.URI;
+import java.util.Optional;
+import org.kohsuke.args4j.Argument;
+import org.wagtailpin.clock.SystemClock;
+import org.wagtailpin.config.SharedStateResult;
+import org.wagtailpin.config.TicketResult;
+
+/** Command that has a backend server get no new work. */
+public final class DrainCommand extends ArgumentsCommand<DrainCommand.Arguments> {
+
+  private static final int MAX_TRIES = 10;
+
+  /** The command's arguments. */
+  static final class Arguments extends StoreArguments {
+    @Argument(metaVar = "SERVER", required = true, usage = "name of the backend server")
+    private String server = "";
+  }
+
+  @Override
+  public String name() {
+    return "drain";
+  }
+
+  @Override
+  public String summary() {
+    return "Marks a backend server as leaving, by a ticket with the next free number.";
+  }
+
+  @Override
+  String usage() {
+    return "SERVER [--store URL] [--wait --entries IP:PORT,...]";
+  }
+
+  @Override
+  Arguments defaults() {
+    return new Arguments();
+  }
+
+  @Override
+  int run(Arguments arguments, Console console) {
+    Optional<URI> address = arguments.storeAddress(console);
+    if (address.isEmpty() || !arguments.isComplete(console)) {
+      return ExitCode.USAGE;
+    }
+    try (StoreConnection store = new StoreConnection(address.get())) {
+      for (int attempt = 0; attempt < MAX_TRIES; attempt++) {
+        Optional<Integer> code = drain(arguments, store, console);
+        if (code.isPresent()) {
+          return code.get();
+        }
+      }
+    }
+    console.complain("other operators changed the state %d times meanwhile", MAX_TRIES);
+    return ExitCode.NOT_DONE;
+  }
+
+  /** Makes and applies a ticket; empty if another operator was faster. */
+  private static Optional<Integer> drain(
+      Arguments arguments, StoreConnection store, Console console) {
+    SharedStateResult read = store.readState().join();
+    if (read instanceof SharedStateResult.Failed failed) {
+      console.complain("%s: not drained: %s", arguments.server, failed.fault());
+      return Optional.of(ExitCode.NOT_DONE);
+    }
+    Optional<DrainTicket> drain =
+        DrainTicket.of(arguments.server, ((SharedStateResult.Held) read).state());
+    if (drain.isEmpty()) {
+      console.complain("found no server %s, expected one of the shared state", arguments.server);
+      return Optional.of(ExitCode.NOT_DONE);
+    }
+    if (drain.get().alreadyLeaving()) {
+      console.say("%s: leaving since ticket %d", arguments.server, drain.get().basis().ticket());
+      return Optional.of(ExitCode.DONE);
+    }
+    TicketResult result = drain.get().accept(store, arguments.patienceMillis());
+    boolean raced =
+        result instanceof TicketResult.NumberTaken || result instanceof TicketResult.BasisChanged;
+    return raced ? Optional.empty() : Optional.of(finish(result, drain.get(), arguments, store, console));
+  }
+
+  private static int finish(
+      TicketResult result,
+      DrainTicket drain,
+      Arguments arguments,
+      StoreConnection store,
+      Console console) {
+    String settle =
+        "bin/wagtailpin drain " + arguments.server + " --store " + arguments.storeText();
+    int code = new ResultTeller(console).tell(result, settle);
+    if (code != ExitCode.DONE || !arguments.waits()) {
+      return code;
+    }
+    EntryReports entries = new EntryReports(store.http(), arguments.entriesText());
+    ForceWait wait = new ForceWait(entries, new SystemClock(), console);
+    return wait.await(drain.ticket(), arguments.waitMillis())
+        ? ExitCode.DONE
+        : ExitCode.NOT_DONE;
+  }
+}
--- /dev/null
+++ b/tools/src/main/java/org/wagtailpin/tools/FileText.java
@@ -0,0 +1,26 @@
+package org.wagtailpin.tools;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.Optional;
+
+/** Reads the files that commands are given. */
+final class FileText {
+
+  private FileText() {}
+
+  /** Returns a file's bytes, or empty after telling why it cannot be read. */
+  static Optional<byte[]> read(String file, Console console) {
+    try {
+      return Optional.of(Files.readAllBytes(Path.of(file)));
+    } catch (NoSuchFileException e) {
+      console.complain("%s: found no such file, expected a readable file", file);
+    } catch (IOException | InvalidPathException e) {
+      console.complain("%s: found %s, expected a readable file", file, e.getMessage());
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/tools/src/main/java/org/wagtailpin/tools/Launcher.java
@@ -0,0 +1,68 @@
+package org.wagtailpin.tools;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Runs the command that the first argument names. */
+public final class Launcher {
+
+  private static final String HELP = "--help";
+
+  private final List<Command> commands;
+  private final Console console;
+
+  /**
+   * Creates a launcher.
+   *
+   * @param commands the commands, in the order of the help
+   * @param console where commands write
+   */
+  public Launcher(List<Command> commands, Console console) {
+    this.commands = List.copyOf(commands);
+    this.console = console;
+  }
+
+  /** Returns the commands of this build. */
+  static List<Command> registry() {
+    List<Command> commands = new ArrayList<>();
+    commands.add(new CheckCommand(Optional.empty()));
+    commands.add(new ApplyCommand());
+    commands.add(new StatusCommand());
+    commands.add(new DrainCommand());
+    return commands;
+  }
+
+  /**
+   * Runs the command that the first word names.
+   *
+   * @param words the command's name and its arguments
+   * @return one of the codes of {@link ExitCode}
+   */
+  public int run(List<String> words) {
+    if (words.isEmpty() || words.get(0).equals(HELP)) {
+      console.say("usage: wagtailpin COMMAND ..., with --help for the arguments of a command");
+      commands.forEach(command -> console.say("  %-12s%s", command.name(), command.summary()));
+      console.say("exit codes: 0 done, 1 not done, 2 usage, 3 outcome unknown");
+      return words.isEmpty() ? ExitCode.USAGE : ExitCode.DONE;
+    }
+    for (Command command : commands) {
+      if (command.name().equals(words.get(0))) {
+        return command.run(words.subList(1, words.size()), console);
+      }
+    }
+    List<String> names = commands.stream().map(Command::name).toList();
+    console.complain("found %s, expected one of %s", words.get(0), String.join(", ", names));
+    return ExitCode.USAGE;
+  }
+
+  /**
+   * Runs a command and ends the process with its code.
+   *
+   * @param words the command's name and its arguments
+   */
+  public static void main(String[] words) {
+    Console console = new Console(System.out, System.err);
+    System.exit(new Launcher(registry(), console).run(List.of(words)));
+  }
+}
--- /dev/null
+++ b/tools/src/main/java/org/wagtailpin/tools/ResultTeller.java
@@ -0,0 +1,71 @@
+package org.wagtailpin.tools;
+
+import java.util.List;
+import org.wagtailpin.config.TicketResult;
+import org.wagtailpin.config.VersionedObject;
+
+/** Tells an operator how the acceptance of a ticket ended. */
+final class ResultTeller {
+
+  private final Console console;
+
+  ResultTeller(Console console) {
+    this.console = console;
+  }
+
+  /**
+   * Tells a result.
+   *
+   * @param result how it ended
+   * @param settle the command that settles an unknown outcome
+   * @return the exit code
+   */
+  int tell(TicketResult result, String settle) {
+    long number = result.ticket();
+    if (result instanceof TicketResult.Accepted accepted) {
+      console.say("ticket %d: accepted", number);
+      tellKept(accepted.kept());
+      return ExitCode.DONE;
+    }
+    if (result instanceof TicketResult.AcceptedBefore before) {
+      console.say("ticket %d: accepted before with the same content, nothing changed", number);
+      tellKept(before.kept());
+      return ExitCode.DONE;
+    }
+    if (result instanceof TicketResult.Unknown unknown) {
+      console.complain("ticket %d: outcome unknown: %s", number, unknown.fault());
+      console.complain("settle it with: %s", settle);
+      return ExitCode.UNKNOWN;
+    }
+    console.complain("ticket %d: not accepted, nothing changed: %s", number, reason(result));
+    return ExitCode.NOT_DONE;
+  }
+
+  private void tellKept(List<VersionedObject> kept) {
+    for (VersionedObject object : kept) {
+      console.say("  %s keeps its state of ticket %d", object.id(), object.ticket());
+    }
+  }
+
+  private static String reason(TicketResult result) {
+    if (result instanceof TicketResult.NumberTaken taken) {
+      return String.format(
+          "the number was accepted with content %s, found content %s",
+          taken.accepted(), taken.offered());
+    }
+    if (result instanceof TicketResult.NumberClosed closed) {
+      return "numbers up to " + closed.floor() + " are closed, expected a higher one";
+    }
+    if (result instanceof TicketResult.TooLarge large) {
+      return String.format(
+          "the state would be %d bytes, expected at most %d", large.bytes(), large.maxBytes());
+    }
+    if (result instanceof TicketResult.BasisChanged changed) {
+      return changed.basis().id() + " was changed meanwhile";
+    }
+    if (result instanceof TicketResult.NotAccepted notAccepted) {
+      return notAccepted.fault().toString();
+    }
+    return "the state it would make is wrong";
+  }
+}
--- /dev/null
+++ b/tools/src/main/java/org/wagtailpin/tools/StatusCommand.java
@@ -0,0 +1,89 @@
+package org.wagtailpin.tools;
+
+import java.net.URI;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.wagtailpin.config.ConfigReport;
+import org.wagtailpin.config.MergedConfig;
+import org.wagtailpin.config.SharedStateResult;
+
+/** Command that tells which entries have the shared state in force. */
+public final class StatusCommand extends ArgumentsCommand<StatusCommand.Arguments> {
+
+  /** The command's arguments. */
+  static final class Arguments extends StoreArguments {}
+
+  @Override
+  public String name() {
+    return "status";
+  }
+
+  @Override
+  public String summary() {
+    return "Tells which entries have the accepted configuration in force, and since when.";
+  }
+
+  @Override
+  String usage() {
+    return "--entries IP:PORT,... [--store URL]";
+  }
+
+  @Override
+  Arguments defaults() {
+    return new Arguments();
+  }
+
+  @Override
+  int run(Arguments arguments, Console console) {
+    Optional<URI> address = arguments.storeAddress(console);
+    if (address.isEmpty()) {
+      return ExitCode.USAGE;
+    }
+    try (StoreConnection store = new StoreConnection(address.get())) {
+      Optional<String> accepted = accepted(store, console);
+      List<EntryAnswer> answers =
+          new EntryReports(store.http(), arguments.entriesText()).ask();
+      boolean all = true;
+      for (EntryAnswer answer : answers) {
+        all &= tell(answer, accepted, console);
+      }
+      return all && accepted.isPresent() ? ExitCode.DONE : ExitCode.NOT_DONE;
+    }
+  }
+
+  private static Optional<String> accepted(StoreConnection store, Console console) {
+    SharedStateResult result = store.readState().join();
+    if (result instanceof SharedStateResult.Failed failed) {
+      console.complain("store: what is accepted is not known: %s", failed.fault());
+      return Optional.empty();
+    }
+    MergedConfig merged = ((SharedStateResult.Held) result).state().merged();
+    String digest = ConfigReport.digestText(merged);
+    console.say(
+        "store: digest %s, highest ticket %d, closed up to %d, %d objects",
+        digest, merged.highestTicket(), merged.floor(), merged.live().size());
+    return Optional.of(digest);
+  }
+
+  private static boolean tell(
+      EntryAnswer answer, Optional<String> accepted, Console console) {
+    if (answer instanceof EntryAnswer.Silent silent) {
+      console.say("%s: no answer: %s", silent.address(), silent.detail());
+      return false;
+    }
+    ConfigReport report = ((EntryAnswer.Told) answer).report();
+    boolean same = accepted.isPresent() && accepted.get().equals(report.digest());
+    String verdict = accepted.isEmpty() ? "not compared" : same ? "in force" : "not in force";
+    console.say(
+        "%s: %s: digest %s, highest ticket %d, since %s, from %s %s",
+        answer.address(),
+        verdict,
+        report.digest(),
+        report.highestTicket(),
+        Instant.ofEpochMilli(report.sinceWallMillis()),
+        report.source(),
+        report.peer());
+    return same;
+  }
+}
--- /dev/null
+++ b/tools/src/main/java/org/wagtailpin/tools/TicketFile.java
@@ -0,0 +1,40 @@
+package org.wagtailpin.tools;
+
+import java.util.List;
+import java.util.Optional;
+import org.wagtailpin.config.Ticket;
+import org.wagtailpin.config.TicketPlaces;
+import org.wagtailpin.config.TicketProblem;
+import org.wagtailpin.config.TicketReadResult;
+import org.wagtailpin.config.TicketReader;
+
+/**
+ * A ticket and the file that it was read from.
+ *
+ * @param file the file's name
+ * @param ticket the ticket
+ * @param places where the file names the ticket's objects
+ */
+record TicketFile(String file, Ticket ticket, TicketPlaces places) {
+
+  /** Reads a ticket, or returns empty after telling its mistakes. */
+  static Optional<TicketFile> read(String file, Console console) {
+    return FileText.read(file, console).flatMap(text -> parse(file, text, console));
+  }
+
+  /** Parses a ticket, or returns empty after telling its mistakes. */
+  static Optional<TicketFile> parse(String file, byte[] text, Console console) {
+    TicketReadResult result = new TicketReader().read(file, text);
+    if (result instanceof TicketReadResult.Malformed malformed) {
+      malformed.problems().forEach(problem -> console.complain("%s", problem));
+      return Optional.empty();
+    }
+    TicketReadResult.Read read = (TicketReadResult.Read) result;
+    return Optional.of(new TicketFile(file, read.ticket(), read.places()));
+  }
+
+  /** Tells what is wrong with the state that the ticket would make. */
+  void complain(List<TicketProblem> problems, Console console) {
+    problems.forEach(problem -> console.complain("%s", places.locate(problem)));
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/SharedStateReader.java
@@ -0,0 +1,44 @@
+package org.wagtailpin.config;
+
+import java.util.concurrent.CompletableFuture;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.error.Peer;
+import org.wagtailpin.error.Step;
+import org.wagtailpin.store.ReadResult;
+import org.wagtailpin.store.Store;
+
+/** Reader of the shared state from the store, for tools. Safe for use by threads. */
+public final class SharedStateReader {
+
+  private final Store store;
+  private final ConfigStateCodec codec = new ConfigStateCodec();
+
+  /**
+   * Creates a reader.
+   *
+   * @param store holds the shared state
+   */
+  public SharedStateReader(Store store) {
+    this.store = store;
+  }
+
+  /** Reads the state, which is empty if no ticket was accepted yet. */
+  public CompletableFuture<SharedStateResult> read() {
+    return store.read(ConfigKeys.STATE).thenApply(this::resultOf);
+  }
+
+  private SharedStateResult resultOf(ReadResult read) {
+    if (read instanceof ReadResult.Failed failed) {
+      return new SharedStateResult.Failed(failed.fault());
+    }
+    if (!(read instanceof ReadResult.Found found)) {
+      return new SharedStateResult.Held(ConfigState.empty());
+    }
+    ConfigStateReadResult decoded = codec.read(found.entry().value());
+    if (decoded instanceof ConfigStateReadResult.Unreadable unreadable) {
+      Fault fault = new Fault(Step.READ_STORE, Peer.STORE, "", unreadable.detail());
+      return new SharedStateResult.Failed(fault);
+    }
+    return new SharedStateResult.Held(((ConfigStateReadResult.Read) decoded).state());
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/SharedStateResult.java
@@ -0,0 +1,21 @@
+package org.wagtailpin.config;
+
+import org.wagtailpin.error.Fault;
+
+/** How the reading of the shared state from the store ended. */
+public sealed interface SharedStateResult {
+
+  /**
+   * The state could be read.
+   *
+   * @param state the state
+   */
+  record Held(ConfigState state) implements SharedStateResult {}
+
+  /**
+   * The state could not be read.
+   *
+   * @param fault why
+   */
+  record Failed(Fault fault) implements SharedStateResult {}
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/config/TicketAcceptor.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/TicketAcceptor.java
@@ -1,5 +1,6 @@
 package org.wagtailpin.config;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wagtailpin.clock.Clock;
@@ -50,6 +51,19 @@
    * @return how it ended; never completes exceptionally
    */
   public CompletableFuture<TicketResult> accept(Ticket ticket, long patienceMillis) {
+    return accept(ticket, List.of(), patienceMillis);
+  }
+
+  /**
+   * Accepts a ticket that was made from states read before, if these still hold.
+   *
+   * @param ticket the ticket
+   * @param basis the states that it was made from
+   * @param patienceMillis how long to try, in milliseconds
+   * @return how it ended; never completes exceptionally
+   */
+  public CompletableFuture<TicketResult> accept(
+      Ticket ticket, List<VersionedObject> basis, long patienceMillis) {
     CompletableFuture<TicketResult> result = new CompletableFuture<>();
     loop.execute(
         () -> {
@@ -57,7 +71,7 @@
           String attempt = Long.toUnsignedString(random.nextLong(), Character.MAX_RADIX);
           long endMillis = clock.millis() + patienceMillis;
           TicketAttempt running =
-              new TicketAttempt(ticket, attempt, store, clock, loop, backoff, endMillis, result);
+              new TicketAttempt(ticket, basis, attempt, store, clock, loop, backoff, endMillis, result);
           running.read();
         });
     return result;
--- a/wagtailpin/src/main/java/org/wagtailpin/config/TicketAttempt.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/TicketAttempt.java
@@ -26,6 +26,7 @@
 final class TicketAttempt {
 
   private final Ticket ticket;
+  private final List<VersionedObject> basis;
   private final ContentHash content;
   private final String attempt;
   private final Store store;
@@ -44,6 +45,7 @@
 
   TicketAttempt(
       Ticket ticket,
+      List<VersionedObject> basis,
       String attempt,
       Store store,
       Clock clock,
@@ -52,6 +54,7 @@
       long endMillis,
       CompletableFuture<TicketResult> result) {
     this.ticket = ticket;
+    this.basis = basis;
     this.content = ticket.contentHash();
     this.attempt = attempt;
     this.store = store;
@@ -133,6 +136,11 @@
   }
 
   private void checkAndSwap(ConfigState state, long revision) {
+    Optional<VersionedObject> moved = movedOn(state.merged());
+    if (moved.isPresent()) {
+      refuse(new TicketResult.BasisChanged(ticket.number(), moved.get()));
+      return;
+    }
     List<TicketProblem> problems = checker.check(ticket, state.merged());
     if (!problems.isEmpty()) {
       refuse(new TicketResult.Refused(ticket.number(), problems));
@@ -151,6 +159,13 @@
         written -> afterWrite(written, state, revision));
   }
 
+  private Optional<VersionedObject> movedOn(MergedConfig merged) {
+    return basis.stream()
+        .filter(state -> merged.object(state.id()).map(VersionedObject::ticket).orElse(0L)
+            != state.ticket())
+        .findFirst();
+  }
+
   private void afterWrite(WriteResult written, ConfigState state, long revision) {
     if (written instanceof WriteResult.Written) {
       result.complete(new TicketResult.Accepted(ticket.number(), state.keptFrom(ticket)));
--- a/wagtailpin/src/main/java/org/wagtailpin/config/TicketResult.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/TicketResult.java
@@ -48,6 +48,14 @@
    */
   record Refused(long ticket, List<TicketProblem> problems) implements TicketResult {}
 
+  /**
+   * A state that the ticket was made from has changed; nothing was changed.
+   *
+   * @param ticket the ticket's number
+   * @param basis the state that it was made from
+   */
+  record BasisChanged(long ticket, VersionedObject basis) implements TicketResult {}
+
   /**
    * The state that the ticket would make does not fit the store; nothing was changed.
    *
--- a/wagtailpin/src/main/java/org/wagtailpin/operator/AdminListener.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/operator/AdminListener.java
@@ -8,19 +8,17 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.ReadTimeoutHandler;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.wagtailpin.transport.EventLoops;
 
 /**
  * Listener for operators, apart from the one for callers, on a thread of its own.
@@ -35,8 +33,7 @@
 
   private final InetSocketAddress bindAddress;
   private final Map<String, AdminPage> pages = new LinkedHashMap<>();
-  private final EventLoopGroup group =
-      new NioEventLoopGroup(1, new DefaultThreadFactory("admin", true));
+  private final EventLoopGroup group = EventLoops.create(1, "admin");
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private Channel listener;
 
@@ -60,7 +57,7 @@
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(group)
-            .channel(NioServerSocketChannel.class)
+            .channel(EventLoops.serverChannelType())
             .option(ChannelOption.SO_REUSEADDR, true)
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
