--- a/standins/src/main/java/org/wagtailpin/standins/store/FaultsJson.java
+++ b/standins/src/main/java/org/wagtailpin/standins/store/FaultsJson.java
@@ -46,6 +46,7 @@
         .delay(in.integer("delayMaxMillis", 0, MAX_MILLIS, 0))
         .lostRequests(in.number("lostRequestShare", 0, 1, 0))
         .lostAnswers(in.number("lostAnswerShare", 0, 1, 0))
+        .lostWriteAnswers(in.number("lostWriteAnswerShare", 0, 1, 0))
         .staleReads(
             in.number("staleShare", 0, 1, 0), in.integer("staleMaxMillis", 0, MAX_MILLIS, 0))
         .slowWatch(
--- a/tools/src/main/java/org/wagtailpin/tools/ApplyCommand.java
+++ b/tools/src/main/java/org/wagtailpin/tools/ApplyCommand.java
@@ -74,8 +74,7 @@
     if (result instanceof TicketResult.Refused refused) {
       ticket.complain(refused.problems(), console);
     }
-    String settle =
-        "bin/wagtailpin apply " + ticket.file() + " --store " + arguments.storeText();
+    String settle = "bin/wagtailpin apply " + ticket.file() + " --store " + arguments.storeText();
     int code = new ResultTeller(console).tell(result, settle);
     if (code != ExitCode.DONE || !arguments.waits()) {
       return code;
--- a/tools/src/main/java/org/wagtailpin/tools/CheckCommand.java
+++ b/tools/src/main/java/org/wagtailpin/tools/CheckCommand.java
@@ -73,14 +73,13 @@
       good = checkTogether(tickets, console);
     }
     if (good) {
-      console.say("%d files are well formed, %d of them tickets", arguments.files.size(),
-          tickets.size());
+      console.say(
+          "%d files are well formed, %d of them tickets", arguments.files.size(), tickets.size());
     }
     return good ? ExitCode.DONE : ExitCode.NOT_DONE;
   }
 
-  private boolean checkFile(
-      String file, byte[] text, List<TicketFile> tickets, Console console) {
+  private boolean checkFile(String file, byte[] text, List<TicketFile> tickets, Console console) {
     if (settingsChecker.isPresent() && !isTicket(file, text)) {
       List<JsonProblem> problems = settingsChecker.get().check(file, text);
       problems.forEach(problem -> console.complain("%s", problem));
--- a/tools/src/main/java/org/wagtailpin/tools/Console.java
+++ b/tools/src/main/java/org/wagtailpin/tools/Console.java
@@ -8,6 +8,7 @@
  * @param out for results
  * @param err for mistakes and faults
  */
+@SuppressWarnings("AnnotateFormatMethod") // its annotation is in no run-time library
 public record Console(PrintStream out, PrintStream err) {
 
   /**
--- a/tools/src/main/java/org/wagtailpin/tools/DrainCommand.java
+++ b/tools/src/main/java/org/wagtailpin/tools/DrainCommand.java
@@ -77,7 +77,9 @@
     TicketResult result = drain.get().accept(store, arguments.patienceMillis());
     boolean raced =
         result instanceof TicketResult.NumberTaken || result instanceof TicketResult.BasisChanged;
-    return raced ? Optional.empty() : Optional.of(finish(result, drain.get(), arguments, store, console));
+    return raced
+        ? Optional.empty()
+        : Optional.of(finish(result, drain.get(), arguments, store, console));
   }
 
   private static int finish(
@@ -94,8 +96,6 @@
     }
     EntryReports entries = new EntryReports(store.http(), arguments.entriesText());
     ForceWait wait = new ForceWait(entries, new SystemClock(), console);
-    return wait.await(drain.ticket(), arguments.waitMillis())
-        ? ExitCode.DONE
-        : ExitCode.NOT_DONE;
+    return wait.await(drain.ticket(), arguments.waitMillis()) ? ExitCode.DONE : ExitCode.NOT_DONE;
   }
 }
--- a/tools/src/main/java/org/wagtailpin/tools/EntryReports.java
+++ b/tools/src/main/java/org/wagtailpin/tools/EntryReports.java
@@ -47,8 +47,7 @@
       return new EntryAnswer.Silent(address, "status " + response.getStatusCode());
     }
     try {
-      ConfigReport report =
-          mapper.readValue(response.getResponseBodyAsBytes(), ConfigReport.class);
+      ConfigReport report = mapper.readValue(response.getResponseBodyAsBytes(), ConfigReport.class);
       return new EntryAnswer.Told(address, report);
     } catch (IOException e) {
       return new EntryAnswer.Silent(address, "an answer that is no report");
--- a/tools/src/main/java/org/wagtailpin/tools/StatusCommand.java
+++ b/tools/src/main/java/org/wagtailpin/tools/StatusCommand.java
@@ -42,8 +42,7 @@
     }
     try (StoreConnection store = new StoreConnection(address.get())) {
       Optional<String> accepted = accepted(store, console);
-      List<EntryAnswer> answers =
-          new EntryReports(store.http(), arguments.entriesText()).ask();
+      List<EntryAnswer> answers = new EntryReports(store.http(), arguments.entriesText()).ask();
       boolean all = true;
       for (EntryAnswer answer : answers) {
         all &= tell(answer, accepted, console);
@@ -66,8 +65,7 @@
     return Optional.of(digest);
   }
 
-  private static boolean tell(
-      EntryAnswer answer, Optional<String> accepted, Console console) {
+  private static boolean tell(EntryAnswer answer, Optional<String> accepted, Console console) {
     if (answer instanceof EntryAnswer.Silent silent) {
       console.say("%s: no answer: %s", silent.address(), silent.detail());
       return false;
--- a/wagtailpin/src/main/java/org/wagtailpin/config/TicketAcceptor.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/TicketAcceptor.java
@@ -71,7 +71,8 @@
           String attempt = Long.toUnsignedString(random.nextLong(), Character.MAX_RADIX);
           long endMillis = clock.millis() + patienceMillis;
           TicketAttempt running =
-              new TicketAttempt(ticket, basis, attempt, store, clock, loop, backoff, endMillis, result);
+              new TicketAttempt(
+                  ticket, basis, attempt, store, clock, loop, backoff, endMillis, result);
           running.read();
         });
     return result;
--- a/wagtailpin/src/main/java/org/wagtailpin/config/TicketAttempt.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/TicketAttempt.java
@@ -161,8 +161,9 @@
 
   private Optional<VersionedObject> movedOn(MergedConfig merged) {
     return basis.stream()
-        .filter(state -> merged.object(state.id()).map(VersionedObject::ticket).orElse(0L)
-            != state.ticket())
+        .filter(
+            state ->
+                merged.object(state.id()).map(VersionedObject::ticket).orElse(0L) != state.ticket())
         .findFirst();
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/config/TicketReader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/TicketReader.java
@@ -59,7 +59,7 @@
       long number = in.integer(TICKET, 1, Ticket.MAX_NUMBER);
       List<ConfigObject> objects = objects(in);
       List<ObjectId> removals = removals(in);
-      if (in.has(TICKET) && objects.isEmpty() && removals.isEmpty()) {
+      if (problems.isEmpty() && objects.isEmpty() && removals.isEmpty()) {
         in.note(in.has(REMOVALS) ? REMOVALS : OBJECTS, "at least one object or removal");
       }
       in.end();
--- a/wagtailpin/src/main/java/org/wagtailpin/store/memory/FaultyClient.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/memory/FaultyClient.java
@@ -149,12 +149,18 @@
   }
 
   private <R> void reply(CompletableFuture<R> answer, R result) {
-    if (isCutOff() || faulty.chance(faulty.faults().lostAnswerShare())) {
+    if (isCutOff() || isAnswerLost(result)) {
       return;
     }
     loop.schedule(faulty.travelMillis(), () -> answer.complete(result));
   }
 
+  private boolean isAnswerLost(Object result) {
+    StoreFaults faults = faulty.faults();
+    return faulty.chance(faults.lostAnswerShare())
+        || (result instanceof WriteResult && faulty.chance(faults.lostWriteAnswerShare()));
+  }
+
   private boolean isCutOff() {
     return faulty.faults().partitionedClients().contains(name);
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/store/memory/StoreFaults.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/memory/StoreFaults.java
@@ -9,6 +9,7 @@
  * @param delayMaxMillis the longest time that a request or an answer travels, in milliseconds
  * @param lostRequestShare share of calls that never reach the store, 0 to 1
  * @param lostAnswerShare share of calls that take effect but whose answer is lost, 0 to 1
+ * @param lostWriteAnswerShare share of writes that take effect but whose answer is lost, 0 to 1
  * @param staleShare share of reads answered with an earlier state, 0 to 1
  * @param staleMaxMillis the greatest age of such a state, in milliseconds
  * @param watchLagMillis how much later the changes of a watch are told, in milliseconds
@@ -20,6 +21,7 @@
     long delayMaxMillis,
     double lostRequestShare,
     double lostAnswerShare,
+    double lostWriteAnswerShare,
     double staleShare,
     long staleMaxMillis,
     long watchLagMillis,
@@ -47,6 +49,7 @@
     private long delayMaxMillis;
     private double lostRequestShare;
     private double lostAnswerShare;
+    private double lostWriteAnswerShare;
     private double staleShare;
     private long staleMaxMillis;
     private long watchLagMillis;
@@ -95,6 +98,16 @@
       return this;
     }
 
+    /**
+     * Loses answers to writes on their way.
+     *
+     * @param share share of answers to writes lost, 0 to 1
+     */
+    public Builder lostWriteAnswers(double share) {
+      lostWriteAnswerShare = share;
+      return this;
+    }
+
     /**
      * Answers reads with earlier states.
      *
@@ -136,6 +149,7 @@
           delayMaxMillis,
           lostRequestShare,
           lostAnswerShare,
+          lostWriteAnswerShare,
           staleShare,
           staleMaxMillis,
           watchLagMillis,
--- a/wagtailpin/src/test/java/org/wagtailpin/config/SharedStateFaultTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/config/SharedStateFaultTest.java
@@ -29,6 +29,7 @@
     SLOW,
     LOST_REQUEST,
     LOST_ANSWER,
+    LOST_WRITE_ANSWER,
     OLD_READ,
     SLOW_WATCH,
     PARTITION;
@@ -39,6 +40,7 @@
         case SLOW -> faults.delay(400);
         case LOST_REQUEST -> faults.lostRequests(0.4);
         case LOST_ANSWER -> faults.lostAnswers(0.5);
+        case LOST_WRITE_ANSWER -> faults.lostWriteAnswers(0.7);
         case OLD_READ -> faults.staleReads(0.5, 4000);
         case SLOW_WATCH -> faults.slowWatch(3000, 0.3);
         case PARTITION -> faults.partition(Set.of("operator-0", "entry-0", "entry-1"));
