--- a/benchmark/src/main/java/org/wagtailpin/benchmark/state/StateMeasurement.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/state/StateMeasurement.java
@@ -61,10 +61,8 @@
   private void measure(StateSize size, boolean history) {
     ConfigState state = stateOf(size, history);
     byte[] value = codec.write(state);
-    ConfigService service =
-        new ConfigService("service-0", false, List.of(), Optional.empty());
-    Ticket ticket =
-        new Ticket(state.merged().highestTicket() + 1, List.of(service), List.of());
+    ConfigService service = new ConfigService("service-0", false, List.of(), Optional.empty());
+    Ticket ticket = new Ticket(state.merged().highestTicket() + 1, List.of(service), List.of());
     TicketChecker checker = new TicketChecker();
     System.out.printf(
         "%7d %8d %7s %7d %11d %10d %8.2f %7.2f %8.2f %8.2f%n",
@@ -86,8 +84,10 @@
     long number = 0;
     if (history) {
       for (int i = 0; i < ConfigState.MAX_MARKS - 1; i++) {
-        ObjectId id = new ConfigService("gone-" + i % ConfigState.MAX_REMOVALS, false, List.of(),
-            Optional.empty()).id();
+        ObjectId id =
+            new ConfigService(
+                    "gone-" + i % ConfigState.MAX_REMOVALS, false, List.of(), Optional.empty())
+                .id();
         state.apply(new Ticket(++number, List.of(), List.of(id)), attempt(random));
       }
     }
--- a/benchmark/src/main/java/org/wagtailpin/benchmark/state/StateSize.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/state/StateSize.java
@@ -61,9 +61,7 @@
     }
     objects.add(
         new ConfigLimit(
-            name,
-            Optional.of(name),
-            Map.of(Tunable.RETRY_SHARE, 0.1, Tunable.MAX_ATTEMPTS, 3.0)));
+            name, Optional.of(name), Map.of(Tunable.RETRY_SHARE, 0.1, Tunable.MAX_ATTEMPTS, 3.0)));
     objects.add(new ConfigServerSet(name, name, serversOf(number)));
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/json/JsonTextParser.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/json/JsonTextParser.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonParseException;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
@@ -9,6 +10,7 @@
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import java.io.IOException;
+import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -86,14 +88,22 @@
       case START_OBJECT -> fields(file, parser, place);
       case START_ARRAY -> items(file, parser, place);
       case VALUE_STRING -> new JsonValue.Text(place, parser.getText());
-      case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT ->
-          new JsonValue.Decimal(place, parser.getDecimalValue());
+      case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> new JsonValue.Decimal(place, decimal(parser));
       case VALUE_TRUE -> new JsonValue.Flag(place, true);
       case VALUE_FALSE -> new JsonValue.Flag(place, false);
       default -> new JsonValue.Null(place);
     };
   }
 
+  // Jackson reads a number late, and tells one that no decimal can hold by an unchecked exception.
+  private static BigDecimal decimal(JsonParser parser) throws IOException {
+    try {
+      return parser.getDecimalValue();
+    } catch (NumberFormatException e) {
+      throw new JsonParseException(parser, "a number that is too large", e);
+    }
+  }
+
   private static JsonValue fields(String file, JsonParser parser, JsonPlace place)
       throws IOException {
     Map<String, JsonValue.Field> fields = new LinkedHashMap<>();
--- a/wagtailpin/src/test/java/org/wagtailpin/config/ConfigJsonTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/config/ConfigJsonTest.java
@@ -92,6 +92,15 @@
     assertThat(problems.get(0).expected()).isEqualTo("a whole number from 1 to 3600000");
   }
 
+  @Test
+  void anExponentThatNoNumberCanHoldIsAMistake() {
+    List<JsonProblem> problems =
+        problemsOf(ConfigKind.ROUTE, "{\"deadlineMillis\": 1e400500000000}");
+
+    assertThat(problems).hasSize(1);
+    assertThat(problems.get(0).found()).isEqualTo("a number that is too large");
+  }
+
   @Test
   void aKeyThatStandsTwiceIsAMistake() {
     assertThat(problemsOf(ConfigKind.SERVICE, "{\"name\": \"a\", \"name\": \"b\"}")).hasSize(1);
--- a/wagtailpin/src/test/java/org/wagtailpin/config/ReaderFuzzTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/config/ReaderFuzzTest.java
@@ -21,8 +21,26 @@
   private static final long SEED = 55;
   private static final int INPUTS = 20_000;
   private static final String[] TOKENS = {
-    "{", "}", "[", "]", ",", ":", "\"", "null", "true", "-1", "1e400", "0.5", "//", "/*", "\\u0000",
-    "\"kind\"", "\"ticket\": 1", "9999999999999999999", "\u00e4", "\n"
+    "{",
+    "}",
+    "[",
+    "]",
+    ",",
+    ":",
+    "\"",
+    "null",
+    "true",
+    "-1",
+    "1e400",
+    "0.5",
+    "//",
+    "/*",
+    "\\u0000",
+    "\"kind\"",
+    "\"ticket\": 1",
+    "9999999999999999999",
+    "\u00e4",
+    "\n"
   };
 
   private final UniformRandomProvider random = SharedStateFixture.random(SEED);
@@ -118,9 +136,7 @@
       byte[] mutant = input % 2 == 0 ? mutated(bytes) : compressed(mutated(text));
       ConfigStateReadResult result = new ConfigStateCodec().read(mutant);
       if (result instanceof ConfigStateReadResult.Unreadable unreadable) {
-        assertWithMessage("seed %s input %s", SEED, input)
-            .that(unreadable.detail())
-            .isNotEmpty();
+        assertWithMessage("seed %s input %s", SEED, input).that(unreadable.detail()).isNotEmpty();
       } else {
         wellFormed++;
       }
--- a/wagtailpin/src/test/java/org/wagtailpin/config/TicketCheckerTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/config/TicketCheckerTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.wagtailpin.config.ConfigExamples.at;
 import static org.wagtailpin.config.ConfigExamples.route;
-import static org.wagtailpin.config.ConfigExamples.server;
 import static org.wagtailpin.config.ConfigExamples.serverSet;
 import static org.wagtailpin.config.ConfigExamples.service;
 
@@ -26,8 +25,7 @@
   @Test
   void theExamplesOfAllKindsFitTogether() {
     ConfigServerSet set =
-        serverSet(
-            "orders", "orders", server("a", "10.0.0.1", 2, 9), server("b", "10.0.0.2", 2, 9));
+        serverSet("orders", "orders", server("a", "10.0.0.1", 2, 9), server("b", "10.0.0.2", 2, 9));
     assertThat(
             problems(
                 service("orders"),
@@ -60,7 +58,11 @@
                 "servers",
                 "server x, which serverSet/one has",
                 "one owner of it"));
-    assertThat(problems(service("a"), serverSet("s", "a", server("x"), server("y")))).hasSize(1);
+    assertThat(
+            problems(
+                service("a"),
+                serverSet("s", "a", ConfigExamples.server("x"), ConfigExamples.server("y"))))
+        .hasSize(1);
   }
 
   @Test
@@ -112,8 +114,7 @@
     wrong.merge(at(1, route("r", "x")));
     wrong.merge(at(2, serverSet("s", "y")));
     Ticket mendsOne = new Ticket(3, List.of(service("x")), List.of());
-    Ticket addsAnother =
-        new Ticket(4, List.of(ConfigExamples.limit("l", "z")), List.of());
+    Ticket addsAnother = new Ticket(4, List.of(ConfigExamples.limit("l", "z")), List.of());
 
     assertThat(new TicketChecker().check(mendsOne, wrong)).isEmpty();
     assertThat(new TicketChecker().check(addsAnother, wrong)).hasSize(1);
