--- a/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
@@ -21,8 +21,8 @@
   MAX_QUEUE_MILLIS("maxQueueMillis", "ms", 0, 600_000, 1000),
   /** Servers of the own region that a decision compares. */
   CANDIDATES("candidates", "servers", 1, 16, 3),
-  /** Age at which a load report has lost two thirds of its weight. */
-  REPORT_TRUST_MILLIS("reportTrustMillis", "ms", 1, 60_000, 40),
+  /** Age at which a load report has lost two thirds of its weight, in usual service times. */
+  REPORT_TRUST("reportTrust", "factor", 0.001, 1000, 1),
   /** One-way delay between failure domains of a region. */
   DOMAIN_TRIP_MILLIS("domainTripMillis", "ms", 0, 100, 1),
   /** How often queued calls are looked at again when nothing else happens. */
@@ -46,7 +46,7 @@
   /** One-way delay to another region of which no link object tells. */
   REGION_TRIP_MILLIS("regionTripMillis", "ms", 0, 1000, 8),
   /** Calls beyond its slots that a server is given at most, over all entries. */
-  SERVER_QUEUE("serverQueue", "calls", 0, 1000, 1),
+  SERVER_QUEUE("serverQueue", "calls", 0, 1000, 2),
   /** How long a server that refused gets no work; doubled for each further refusal in a row. */
   REFUSAL_PAUSE_MILLIS("refusalPauseMillis", "ms", 0, 60_000, 10),
   /** Time over which slow and failed answers of a server that gets no work are forgotten. */
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -77,14 +77,21 @@
       return Optional.empty();
     }
     double nearCost =
-        near.map(choice -> choice.costMillis() + waitHereMillis(service))
-            .orElse(Double.POSITIVE_INFINITY);
+        near.map(choice -> costWithWait(service, choice)).orElse(Double.POSITIVE_INFINITY);
     return picker
         .far(service, request.history())
         .filter(choice -> fits(service, choice, request))
         .filter(choice -> choice.costMillis() < nearCost);
   }
 
+  /** While calls are queued here, a near server costs the wait of the last of them as well. */
+  private double costWithWait(ServiceState service, Choice near) {
+    if (service.queue().isEmpty() || service.inFlight() == 0) {
+      return near.costMillis();
+    }
+    return near.costMillis() + waitHereMillis(service);
+  }
+
   private Optional<Dispatch> takeFar(ServiceState service, Choice far, Request request) {
     double bytes = service.view().settings().of(Tunable.REGION_CALL_BYTES);
     if (!links.takeBytes(far.server().server().region(), bytes)) {
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerCosts.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerCosts.java
@@ -24,6 +24,7 @@
    */
   Choice estimate(ServiceState service, ServerState server, double nowMillis) {
     RoutingSettings settings = service.view().settings();
+    double typical = times.typicalMillis(service.name());
     int slots = server.server().slots();
     double others =
         server
@@ -31,11 +32,10 @@
             .others(
                 service.usualOthers(slots),
                 server.health().trust(),
-                settings.of(Tunable.REPORT_TRUST_MILLIS),
+                settings.of(Tunable.REPORT_TRUST) * typical,
                 nowMillis);
     double load = server.load().inFlight() + Math.max(0, others);
     double overload = load + 1 - slots;
-    double typical = times.typicalMillis(service.name());
     double forget = settings.of(Tunable.FORGET_MILLIS);
     double slowness = server.health().slowness(nowMillis, forget);
     double waited = (Math.max(0, overload) + BUSY_SHARE * load) / slots;
