Forget slowness for good, keep freed slots within the link budget

Tests in controlled time found four faults: a server that had been slow or had failed kept a trace of it and got no more work; work handed to a freed slot of another region passed the link's byte budget (300 calls where 103 fit); one straggler made a server look slow; long work was never started on a server with one slot.

--- a/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
@@ -52,8 +52,12 @@
   /** Time over which slow and failed answers of a server that gets no work are forgotten. */
   FORGET_MILLIS("forgetMillis", "ms", 1, 600_000, 2000),
   /** What the work is taken to need before its deadline, in multiples of what its route needs. */
-  DEADLINE_MARGIN("deadlineMargin", "factor", 0, 100, 1.5),
-  /** Slots of a server that are kept free of long work while short work runs. */
+  DEADLINE_MARGIN("deadlineMargin", "factor", 0, 100, 2),
+  /** Slowness of a server, against the usual service time, up to which it counts as usual. */
+  TOLERATED_SLOWNESS("toleratedSlowness", "factor", 1, 100, 1.5),
+  /** Share of this entry's calls in flight to a service up to which long ones take any slot. */
+  LONG_WORK_SHARE("longWorkShare", "share", 0, 1, 0.5),
+  /** Slots of a server that are kept free of long work beyond its share. */
   SHORT_SLOTS("shortSlots", "slots", 0, 1000, 1);
 
   private final String label;
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptLearning.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptLearning.java
@@ -33,6 +33,7 @@
     String route = call.route().name();
     double expected = times.expectedMillis(service.name(), route);
     double serviceMillis = Math.max(0, report.latencyMillis() - 2 * server.tripMillis());
+    double forget = service.view().settings().of(Tunable.FORGET_MILLIS);
     AttemptOutcome outcome = report.outcome();
     if (outcome instanceof AttemptOutcome.Answered answered) {
       if (answered.status() >= FIRST_SERVER_ERROR) {
@@ -40,15 +41,15 @@
         return;
       }
       times.learn(service.name(), route, serviceMillis);
-      server.health().succeeded(serviceMillis, expected, now);
+      server.health().succeeded(serviceMillis, expected, now, forget);
       report.load().ifPresent(load -> checkClaim(server, load, serviceMillis, expected));
     } else if (outcome instanceof AttemptOutcome.NotRun) {
       refused(service, server);
     } else if (outcome instanceof AttemptOutcome.Unknown) {
-      server.health().gaveUp(serviceMillis, expected, now);
+      server.health().gaveUp(serviceMillis, expected, now, forget);
       failed(service, server, now);
     } else {
-      server.health().gaveUp(serviceMillis, expected, now);
+      server.health().gaveUp(serviceMillis, expected, now, forget);
     }
   }
 
@@ -75,9 +76,9 @@
   }
 
   private void failed(ServiceState service, ServerState server, double now) {
-    server.health().failed(now);
     RoutingSettings settings = service.view().settings();
     double forget = settings.of(Tunable.FORGET_MILLIS);
+    server.health().failed(now, forget);
     if (server.health().failureShare(now, forget) < settings.of(Tunable.EJECT_FAILURE_SHARE)) {
       return;
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -41,7 +41,7 @@
     Optional<Choice> near = picker.near(service, request.history());
     Optional<Choice> far = worthTheTrip(service, near, request);
     if (far.isPresent()) {
-      Optional<Dispatch> dispatch = takeFar(service, far.get(), request);
+      Optional<Dispatch> dispatch = begin(service, far.get(), request, PlacementRule.OTHER_REGION);
       if (dispatch.isPresent()) {
         return dispatch;
       }
@@ -62,6 +62,7 @@
   Optional<Dispatch> dispatchTo(ServiceState service, ServerState server, Request request) {
     return picker
         .only(service, server, request.history())
+        .filter(choice -> links.nearby(server.server().region()))
         .filter(choice -> fits(service, choice, request))
         .flatMap(choice -> begin(service, choice, request, PlacementRule.FREED_SLOT));
   }
@@ -92,14 +93,6 @@
     return near.costMillis() + waitHereMillis(service);
   }
 
-  private Optional<Dispatch> takeFar(ServiceState service, Choice far, Request request) {
-    double bytes = service.view().settings().of(Tunable.REGION_CALL_BYTES);
-    if (!links.takeBytes(far.server().server().region(), bytes)) {
-      return Optional.empty();
-    }
-    return begin(service, far, request, PlacementRule.OTHER_REGION);
-  }
-
   private Optional<Dispatch> take(ServiceState service, Choice choice, Request request) {
     if (fits(service, choice, request)) {
       return begin(service, choice, request, PlacementRule.FREE_SLOT);
@@ -114,7 +107,7 @@
   }
 
   private boolean fits(ServiceState service, Choice choice, Request request) {
-    if (!request.longWork() || service.inFlight() == 0) {
+    if (!request.longWork() || withinLongShare(service)) {
       return choice.overload() <= 0;
     }
     int slots = choice.server().server().slots();
@@ -122,6 +115,12 @@
     return choice.overload() <= -kept;
   }
 
+  private static boolean withinLongShare(ServiceState service) {
+    int longOnes = service.longInFlight();
+    double share = service.view().settings().of(Tunable.LONG_WORK_SHARE);
+    return longOnes == 0 || longOnes + 1 <= share * (service.inFlight() + 1);
+  }
+
   private boolean shorterThere(ServiceState service, Choice choice) {
     RoutingSettings settings = service.view().settings();
     if (choice.overload() > settings.of(Tunable.SERVER_QUEUE)) {
@@ -158,7 +157,12 @@
     if (!server.load().begin(Math.min(config.slots(), connections))) {
       return Optional.empty();
     }
-    service.began();
+    double bytes = service.view().settings().of(Tunable.REGION_CALL_BYTES);
+    if (!links.takeBytes(config.region(), bytes)) {
+      server.load().end();
+      return Optional.empty();
+    }
+    service.began(request.longWork());
     return Optional.of(
         new Dispatch(
             server,
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueuedCall.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueuedCall.java
@@ -52,6 +52,11 @@
     return queuedAtMillis;
   }
 
+  /** Returns how long it could wait when it was queued, in milliseconds. */
+  long patienceMillis() {
+    return latestStartMillis - queuedAtMillis;
+  }
+
   /** Ends the wait; tells whether this was the one to end it. */
   boolean take() {
     return waiting.compareAndSet(true, false);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -147,11 +147,10 @@
 
   private boolean grant(ServiceState service, QueuedCall queued, Dispatcher.Dispatch dispatch) {
     if (!queued.take()) {
-      dispatch.server().load().end();
-      service.ended();
+      giveBack(service, dispatch.server(), queued.longWork());
       return false;
     }
-    ServerGrant grant = new ServerGrant(service, dispatch.server(), queued.call(), this::ended);
+    ServerGrant grant = new ServerGrant(service, dispatch.server(), queued, this::ended);
     observer.granted(queued.call(), grant.server(), dispatch.reason());
     queued.listener().granted(grant);
     return true;
@@ -192,9 +191,10 @@
     if (service.queue().takeSweep()) {
       sweepQueue(service);
     }
-    serveFreedSlots(service);
-    serve(service, service.queue().order(false));
-    serve(service, service.queue().order(true));
+    boolean longFirst = longWaitedEnough(service);
+    serveFreedSlots(service, longFirst);
+    serve(service, service.queue().order(longFirst));
+    serve(service, service.queue().order(!longFirst));
   }
 
   private void sweepQueue(ServiceState service) {
@@ -204,20 +204,27 @@
     }
   }
 
-  private void serveFreedSlots(ServiceState service) {
+  /** Long work goes after short work until half of the time that it can wait is over. */
+  private boolean longWaitedEnough(ServiceState service) {
+    long now = clock.millis();
+    return service
+        .queue()
+        .order(true)
+        .peek(now, 0)
+        .map(call -> 2 * (now - call.queuedAtMillis()) > call.patienceMillis())
+        .orElse(false);
+  }
+
+  private void serveFreedSlots(ServiceState service, boolean longFirst) {
     Optional<ServerState> freed = service.queue().nextFreed();
     while (freed.isPresent()) {
-      serveFreed(service, freed.get());
+      if (!serveHead(service, service.queue().order(longFirst), freed)) {
+        serveHead(service, service.queue().order(!longFirst), freed);
+      }
       freed = service.queue().nextFreed();
     }
   }
 
-  private void serveFreed(ServiceState service, ServerState server) {
-    if (!serveHead(service, service.queue().order(false), Optional.of(server))) {
-      serveHead(service, service.queue().order(true), Optional.of(server));
-    }
-  }
-
   private void serve(ServiceState service, FairQueue<QueuedCall> order) {
     boolean served = true;
     while (served) {
@@ -246,12 +253,13 @@
   }
 
   private void ended(
-      ServiceState service, ServerState server, CallDescriptor call, AttemptReport report) {
+      ServiceState service, ServerState server, QueuedCall queued, AttemptReport report) {
+    CallDescriptor call = queued.call();
     if (mayStillRun(report.outcome())) {
       double rest = times.expectedMillis(service.name(), call.route().name());
-      tasks.schedule((long) Math.ceil(rest), () -> giveBack(service, server));
+      tasks.schedule((long) Math.ceil(rest), () -> giveBack(service, server, queued.longWork()));
     } else {
-      giveBack(service, server);
+      giveBack(service, server, queued.longWork());
     }
     learning.learn(service, server, call, report);
     if (!service.queue().isEmpty()) {
@@ -264,8 +272,8 @@
     return outcome instanceof AttemptOutcome.Unknown || outcome instanceof AttemptOutcome.Cancelled;
   }
 
-  private static void giveBack(ServiceState service, ServerState server) {
+  private static void giveBack(ServiceState service, ServerState server, boolean longWork) {
     server.load().end();
-    service.ended();
+    service.ended(longWork);
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RegionLinks.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RegionLinks.java
@@ -30,6 +30,15 @@
     snapshot = newSnapshot;
   }
 
+  /**
+   * Tells whether a server is in this entry's region.
+   *
+   * @param serverRegion the server's region
+   */
+  boolean nearby(String serverRegion) {
+    return region.equals(serverRegion);
+  }
+
   /**
    * Takes this entry's share of the byte budget, if there is enough of it. A pair of regions of
    * which no link object tells has no budget to keep.
@@ -38,6 +47,9 @@
    * @param bytes what is to be moved
    */
   boolean takeBytes(String otherRegion, double bytes) {
+    if (nearby(otherRegion)) {
+      return true;
+    }
     Optional<ConfigLink> link = snapshot.link(region, otherRegion);
     if (link.isEmpty()) {
       return true;
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerCosts.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerCosts.java
@@ -37,7 +37,8 @@
     double load = server.load().inFlight() + Math.max(0, others);
     double overload = load + 1 - slots;
     double forget = settings.of(Tunable.FORGET_MILLIS);
-    double slowness = server.health().slowness(nowMillis, forget);
+    double slowness =
+        server.health().slowness(nowMillis, forget, settings.of(Tunable.TOLERATED_SLOWNESS));
     double waited = (Math.max(0, overload) + BUSY_SHARE * load) / slots;
     double risk =
         server.health().failureShare(nowMillis, forget) * settings.of(Tunable.FAILURE_COST);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerGrant.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerGrant.java
@@ -8,17 +8,17 @@
 
   /** Told the end of an attempt. */
   interface End {
-    void ended(ServiceState service, ServerState server, CallDescriptor call, AttemptReport report);
+    void ended(ServiceState service, ServerState server, QueuedCall call, AttemptReport report);
   }
 
   private final ServiceState service;
   private final ServerState server;
   private final ConfigServer configServer;
-  private final CallDescriptor call;
+  private final QueuedCall call;
   private final End end;
   private final AtomicBoolean open = new AtomicBoolean(true);
 
-  ServerGrant(ServiceState service, ServerState server, CallDescriptor call, End end) {
+  ServerGrant(ServiceState service, ServerState server, QueuedCall call, End end) {
     this.service = service;
     this.server = server;
     this.configServer = server.server();
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerHealth.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerHealth.java
@@ -17,6 +17,7 @@
   private static final double MOST_SLOWNESS = 20;
   private static final double QUICK_ANSWER = 3;
   private static final double LEAST_EXPECTED_MILLIS = 0.1;
+  private static final double LEAST_FAILURE_SHARE = 0.02;
   private static final double FIRST_RAMP_SHARE = 0.1;
   private static final int MOST_PAUSE_DOUBLINGS = 8;
 
@@ -27,6 +28,7 @@
   private final AtomicInteger refusalsInRow = new AtomicInteger();
   private volatile long pausedUntil = Long.MIN_VALUE;
   private volatile long rampStart;
+  private volatile double lastRatio = 1;
   private volatile double lastAnswer = Double.NEGATIVE_INFINITY;
 
   /**
@@ -47,26 +49,40 @@
    * @param serviceMillis the time it took without the trips
    * @param expectedMillis what was expected of the route
    * @param nowMillis the time
+   * @param forgetMillis the time over which what is bad is forgotten
    */
-  void succeeded(double serviceMillis, double expectedMillis, double nowMillis) {
+  void succeeded(
+      double serviceMillis, double expectedMillis, double nowMillis, double forgetMillis) {
+    fade(nowMillis, forgetMillis);
     failures.add(0);
     refusalsInRow.set(0);
-    slow(ratio(serviceMillis, expectedMillis), nowMillis);
+    slow(ratio(serviceMillis, expectedMillis));
   }
 
-  private void slow(double ratio, double nowMillis) {
-    slowness.add(ratio);
+  /** Writes down what is left of the past, before something new is added to it. */
+  private void fade(double nowMillis, double forgetMillis) {
+    double left = remembered(nowMillis, forgetMillis);
+    failures.reset(failures.orElse(0) * left);
+    slowness.reset(1 + (slowness.orElse(1) - 1) * left);
+    lastRatio = 1 + (lastRatio - 1) * left;
     lastAnswer = nowMillis;
   }
 
+  /** A single long answer may be a straggler: only what two answers in a row show counts. */
+  private void slow(double ratio) {
+    slowness.add(Math.min(ratio, lastRatio));
+    lastRatio = ratio;
+  }
+
   private static double ratio(double serviceMillis, double expectedMillis) {
     return Math.min(MOST_SLOWNESS, serviceMillis / Math.max(LEAST_EXPECTED_MILLIS, expectedMillis));
   }
 
   /** Learns from an attempt that was given up: it would have taken at least as long. */
-  void gaveUp(double serviceMillis, double expectedMillis, double nowMillis) {
+  void gaveUp(double serviceMillis, double expectedMillis, double nowMillis, double forgetMillis) {
     if (serviceMillis > expectedMillis) {
-      slow(ratio(serviceMillis, expectedMillis), nowMillis);
+      fade(nowMillis, forgetMillis);
+      slow(ratio(serviceMillis, expectedMillis));
     }
   }
 
@@ -75,9 +91,9 @@
     trust.add(ratio(serviceMillis, expectedMillis) > QUICK_ANSWER ? 0 : 1);
   }
 
-  void failed(double nowMillis) {
+  void failed(double nowMillis, double forgetMillis) {
+    fade(nowMillis, forgetMillis);
     failures.add(1);
-    lastAnswer = nowMillis;
   }
 
   /** Keeps work away for a while that doubles with each refusal in a row. */
@@ -87,12 +103,15 @@
   }
 
   double failureShare(double nowMillis, double forgetMillis) {
-    return failures.orElse(0) * remembered(nowMillis, forgetMillis);
+    double share = failures.orElse(0) * remembered(nowMillis, forgetMillis);
+    return share < LEAST_FAILURE_SHARE ? 0 : share;
   }
 
-  double slowness(double nowMillis, double forgetMillis) {
+  /** Returns how many times longer than usual its answers take; 1 below what is tolerated. */
+  double slowness(double nowMillis, double forgetMillis, double tolerated) {
     double over = Math.max(0, slowness.orElse(1) - 1);
-    return 1 + over * remembered(nowMillis, forgetMillis);
+    double now = 1 + over * remembered(nowMillis, forgetMillis);
+    return now < tolerated ? 1 : now;
   }
 
   private double remembered(double nowMillis, double forgetMillis) {
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServiceState.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServiceState.java
@@ -12,6 +12,7 @@
   private volatile ServiceView view;
   private final MovingAverage othersPerSlot = new MovingAverage(OTHERS_GAIN);
   private final AtomicInteger inFlight = new AtomicInteger();
+  private final AtomicInteger longInFlight = new AtomicInteger();
   private final CallQueue queue = new CallQueue();
 
   ServiceState(String name, ServiceView view) {
@@ -40,12 +41,23 @@
     return inFlight.get();
   }
 
-  void began() {
+  /** Returns this entry's attempts in flight on routes of long work. */
+  int longInFlight() {
+    return longInFlight.get();
+  }
+
+  void began(boolean longWork) {
     inFlight.incrementAndGet();
+    if (longWork) {
+      longInFlight.incrementAndGet();
+    }
   }
 
-  void ended() {
+  void ended(boolean longWork) {
     inFlight.decrementAndGet();
+    if (longWork) {
+      longInFlight.decrementAndGet();
+    }
   }
 
   /** Learns how much work of other entries is usual for each slot. */
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
@@ -96,6 +96,10 @@
   }
 
   QueueingPlacement placement(long seed) {
+    return placement(seed, PlacementObserver.none());
+  }
+
+  QueueingPlacement placement(long seed, PlacementObserver observer) {
     return new QueueingPlacement(
         () -> snapshot,
         new Locality("north", "n1"),
@@ -105,7 +109,7 @@
         new SharedRandom(seed),
         loop::schedule,
         times,
-        PlacementObserver.none());
+        observer);
   }
 
   LimitShares shares() {
