--- /dev/null
+++ b/proof/src/test/java/org/wagtailpin/proof/model/ClaimTraceRunner.java
@@ -0,0 +1,151 @@
+package org.wagtailpin.proof.model;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.wagtailpin.claims.ClaimKey;
+import org.wagtailpin.claims.ClaimResult;
+import org.wagtailpin.claims.ClaimSettings;
+import org.wagtailpin.claims.ClaimSettlement;
+import org.wagtailpin.claims.ShardedClaims;
+import org.wagtailpin.clock.ManualClock;
+import org.wagtailpin.control.ManualControlLoop;
+import org.wagtailpin.entrypeer.PeerIdentity;
+import org.wagtailpin.entrypeer.memory.MemoryPeerNetwork;
+import org.wagtailpin.membership.Member;
+import org.wagtailpin.membership.MembershipView;
+import org.wagtailpin.store.WriteResult;
+import org.wagtailpin.store.memory.MemoryStore;
+
+/**
+ * Carries out a trace of the specification of claims with the real code.
+ *
+ * <p>Each owner of the trace is an entry that takes itself for the owner of every shard; each
+ * attempt is a claim at it. The writes take effect and are answered in the order of the trace.
+ */
+final class ClaimTraceRunner {
+
+  private static final long STEP_MILLIS = 200;
+  private static final long WAIT_MILLIS = 100_000;
+  private static final long FINGERPRINT = 1;
+  private static final long SEED = 5;
+  private static final ClaimKey KEY = new ClaimKey("orders", "traced");
+  private static final ClaimKey FIRST_KEY = new ClaimKey("orders", "first");
+  private static final ClaimSettings SETTINGS =
+      new ClaimSettings(1, 600_000, 10, WAIT_MILLIS, 100, 100_000, 100, 100_000);
+
+  private final Trace trace;
+  private final ManualClock clock = new ManualClock(0);
+  private final ManualControlLoop timeline = new ManualControlLoop(clock);
+  private final MemoryStore store = new MemoryStore(clock, timeline);
+  private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(SEED);
+  private final MemoryPeerNetwork network = new MemoryPeerNetwork(timeline, random);
+  private final Map<String, GatedStore> gates = new HashMap<>();
+  private final Map<String, ShardedClaims> owners = new HashMap<>();
+  private final Map<String, CompletableFuture<ClaimResult>> claims = new HashMap<>();
+
+  ClaimTraceRunner(Trace trace) {
+    this.trace = trace;
+    for (String owner : trace.atoms("Owner", 0)) {
+      startOwner(owner);
+    }
+    // Every owner has read the log up to the same revision before the trace begins.
+    owners.values().forEach(owner -> ask(owner, FIRST_KEY));
+    gates.values().forEach(GatedStore::close);
+  }
+
+  private void startOwner(String owner) {
+    Member self = new Member(owner, 1, "127.0.0.1", 1, "savo", "savo-a", false);
+    MembershipView view = new MembershipView(1, owner, List.of(self));
+    GatedStore gate = new GatedStore(store);
+    gates.put(owner, gate);
+    owners.put(
+        owner,
+        new ShardedClaims(
+            SETTINGS,
+            1,
+            gate,
+            network.connect(new PeerIdentity(owner, 1), timeline),
+            () -> view,
+            clock,
+            timeline,
+            random));
+  }
+
+  private CompletableFuture<ClaimResult> ask(ShardedClaims owner, ClaimKey key) {
+    CompletableFuture<ClaimResult> claim =
+        owner.claim(key, FINGERPRINT, clock.millis() + 2 * WAIT_MILLIS);
+    timeline.advance(STEP_MILLIS);
+    return claim;
+  }
+
+  /** Carries out each step and compares what is granted after it. */
+  void run() {
+    for (int state = 0; state + 1 < trace.length(); state++) {
+      carryOut(state);
+      timeline.advance(STEP_MILLIS);
+      compare(state + 1);
+    }
+  }
+
+  private void carryOut(int state) {
+    trace.gained("Sent", state).forEach(write -> send(write, state));
+    for (String write : trace.gained("Applied", state)) {
+      WriteResult result = gate(write, state).applyOldest();
+      assertThat(result).isInstanceOf(WriteResult.Written.class);
+    }
+    for (String owner : owners.keySet()) {
+      settle(owner, state);
+    }
+    for (String attempt : trace.gained("Dispatched", state)) {
+      assertThat(claims.get(attempt).join()).isInstanceOf(ClaimResult.Granted.class);
+    }
+    for (String attempt : trace.gained("ProvedNotRun", state)) {
+      ClaimResult.Granted granted = (ClaimResult.Granted) claims.get(attempt).join();
+      owners.get(owner(attempt, state)).settle(granted.token(), new ClaimSettlement.NotRun());
+    }
+  }
+
+  private void send(String write, int state) {
+    trace
+        .value("Write", "claimed", write, state)
+        .ifPresent(attempt -> claims.put(attempt, ask(owners.get(owner(attempt, state)), KEY)));
+    assertWithMessage("writes that are held for %s", write)
+        .that(gate(write, state).heldWrites())
+        .isEqualTo(1);
+  }
+
+  // The owner learns what became of its write: by the answer, which is a conflict if the head
+  // moved.
+  private void settle(String owner, int state) {
+    boolean unsettled = trace.value("Owner", "unsettled", owner, state).isPresent();
+    if (unsettled && trace.value("Owner", "unsettled", owner, state + 1).isEmpty()) {
+      gates.get(owner).answerOldest();
+    }
+  }
+
+  private GatedStore gate(String write, int state) {
+    return gates.get(trace.value("Write", "writer", write, state).orElseThrow());
+  }
+
+  private String owner(String attempt, int state) {
+    return trace.value("Attempt", "owner", attempt, state).orElseThrow();
+  }
+
+  private void compare(int state) {
+    for (String attempt : trace.atoms("Attempt", state)) {
+      CompletableFuture<ClaimResult> claim = claims.get(attempt);
+      boolean granted =
+          claim != null && claim.isDone() && claim.join() instanceof ClaimResult.Granted;
+      assertWithMessage("%s granted in state %s", attempt, state)
+          .that(granted)
+          .isEqualTo(trace.atoms("Granted", state).contains(attempt));
+    }
+  }
+}
--- /dev/null
+++ b/proof/src/test/java/org/wagtailpin/proof/model/GatedStore.java
@@ -0,0 +1,115 @@
+package org.wagtailpin.proof.model;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.wagtailpin.store.LeaseId;
+import org.wagtailpin.store.LeaseResult;
+import org.wagtailpin.store.ListResult;
+import org.wagtailpin.store.ReadResult;
+import org.wagtailpin.store.Store;
+import org.wagtailpin.store.WatchResult;
+import org.wagtailpin.store.WriteCondition;
+import org.wagtailpin.store.WriteResult;
+
+/** Store client of one process whose writes take effect, and are answered, when a test says so. */
+final class GatedStore implements Store {
+
+  private final class Held {
+    private final String key;
+    private final byte[] value;
+    private final WriteCondition condition;
+    private final Optional<LeaseId> lease;
+    private final CompletableFuture<WriteResult> answer = new CompletableFuture<>();
+    private Optional<WriteResult> result = Optional.empty();
+
+    Held(String key, byte[] value, WriteCondition condition, Optional<LeaseId> lease) {
+      this.key = key;
+      this.value = value;
+      this.condition = condition;
+      this.lease = lease;
+    }
+
+    WriteResult apply() {
+      if (result.isEmpty()) {
+        result = Optional.of(store.write(key, value, condition, lease).join());
+      }
+      return result.get();
+    }
+  }
+
+  private final Store store;
+  private final Deque<Held> held = new ArrayDeque<>();
+  private boolean closed;
+
+  GatedStore(Store store) {
+    this.store = store;
+  }
+
+  /** Holds all writes from now on. */
+  void close() {
+    closed = true;
+  }
+
+  int heldWrites() {
+    return held.size();
+  }
+
+  /** Lets the oldest held write take effect; its answer is still held. */
+  WriteResult applyOldest() {
+    return held.element().apply();
+  }
+
+  /** Answers the oldest held write, after it took effect if it has not yet. */
+  void answerOldest() {
+    Held oldest = held.remove();
+    oldest.answer.complete(oldest.apply());
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> write(
+      String key, byte[] value, WriteCondition condition, Optional<LeaseId> lease) {
+    if (!closed) {
+      return store.write(key, value, condition, lease);
+    }
+    Held write = new Held(key, value, condition, lease);
+    held.add(write);
+    return write.answer;
+  }
+
+  @Override
+  public CompletableFuture<ReadResult> read(String key) {
+    return store.read(key);
+  }
+
+  @Override
+  public CompletableFuture<ListResult> list(String prefix) {
+    return store.list(prefix);
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> delete(String key, WriteCondition condition) {
+    return store.delete(key, condition);
+  }
+
+  @Override
+  public CompletableFuture<LeaseResult> grantLease(long ttlMillis) {
+    return store.grantLease(ttlMillis);
+  }
+
+  @Override
+  public CompletableFuture<LeaseResult> renewLease(LeaseId lease) {
+    return store.renewLease(lease);
+  }
+
+  @Override
+  public CompletableFuture<LeaseResult> revokeLease(LeaseId lease) {
+    return store.revokeLease(lease);
+  }
+
+  @Override
+  public CompletableFuture<WatchResult> watch(String prefix, long afterRevision, long waitMillis) {
+    return store.watch(prefix, afterRevision, waitMillis);
+  }
+}
--- /dev/null
+++ b/proof/src/test/java/org/wagtailpin/proof/model/SpecificationTest.java
@@ -0,0 +1,81 @@
+package org.wagtailpin.proof.model;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.DynamicTest.dynamicTest;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestFactory;
+
+class SpecificationTest {
+
+  private static final List<Specification> ALL =
+      Stream.of("claims", "configuration", "shares").map(Specification::load).toList();
+
+  @TestFactory
+  Stream<DynamicTest> everyCheckHolds() {
+    return ALL.stream()
+        .flatMap(
+            specification ->
+                specification.commands(true).stream()
+                    .map(
+                        check ->
+                            dynamicTest(
+                                title(specification, check), () -> holds(specification, check))));
+  }
+
+  @TestFactory
+  Stream<DynamicTest> everyCheckFailsWithoutAGuardOfIt() {
+    return ALL.stream()
+        .flatMap(
+            specification ->
+                specification.guards().stream()
+                    .map(
+                        guard ->
+                            dynamicTest(
+                                title(specification.without(guard), guard.check()),
+                                () -> fails(specification.without(guard), guard.check()))));
+  }
+
+  @TestFactory
+  Stream<DynamicTest> everyRunFindsATrace() {
+    return ALL.stream()
+        .flatMap(
+            specification ->
+                specification.commands(false).stream()
+                    .map(
+                        run ->
+                            dynamicTest(
+                                title(specification, run), () -> fails(specification, run))));
+  }
+
+  @Test
+  void everyCheckHasAGuardThatIsTakenAway() {
+    for (Specification specification : ALL) {
+      Set<String> guarded = new HashSet<>();
+      specification.guards().forEach(guard -> guarded.add(guard.check()));
+      assertThat(guarded).containsExactlyElementsIn(specification.commands(true));
+    }
+  }
+
+  private static String title(Specification specification, String command) {
+    return specification.name() + ": " + command;
+  }
+
+  private static void holds(Specification specification, String check) {
+    assertWithMessage("a counterexample of %s", check)
+        .that(specification.execute(check).satisfiable())
+        .isFalse();
+  }
+
+  private static void fails(Specification specification, String command) {
+    assertWithMessage("an instance of %s", command)
+        .that(specification.execute(command).satisfiable())
+        .isTrue();
+  }
+}
--- /dev/null
+++ b/proof/src/test/java/org/wagtailpin/proof/model/Trace.java
@@ -0,0 +1,62 @@
+package org.wagtailpin.proof.model;
+
+import edu.mit.csail.sdg.ast.Sig;
+import edu.mit.csail.sdg.translator.A4Solution;
+import edu.mit.csail.sdg.translator.A4Tuple;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/** A trace that the model checker found, state by state. */
+final class Trace {
+
+  private final A4Solution solution;
+
+  Trace(A4Solution solution) {
+    this.solution = solution;
+  }
+
+  /** Returns the number of states. */
+  int length() {
+    return solution.getTraceLength();
+  }
+
+  /** Returns the atoms of a signature in a state. */
+  Set<String> atoms(String sig, int state) {
+    Set<String> atoms = new HashSet<>();
+    for (A4Tuple tuple : solution.eval(sig(sig), state)) {
+      atoms.add(tuple.atom(0));
+    }
+    return atoms;
+  }
+
+  /** Returns the atoms that a signature gains with the step from a state to the next. */
+  Set<String> gained(String sig, int state) {
+    Set<String> gained = new HashSet<>(atoms(sig, state + 1));
+    gained.removeAll(atoms(sig, state));
+    return gained;
+  }
+
+  /** Returns the value of a field of an atom in a state, if it has one. */
+  Optional<String> value(String sig, String field, String atom, int state) {
+    for (Sig.Field each : sig(sig).getFields()) {
+      if (each.label.equals(field)) {
+        for (A4Tuple tuple : solution.eval(each, state)) {
+          if (tuple.atom(0).equals(atom)) {
+            return Optional.of(tuple.atom(1));
+          }
+        }
+      }
+    }
+    return Optional.empty();
+  }
+
+  private Sig sig(String name) {
+    for (Sig sig : solution.getAllReachableSigs()) {
+      if (sig.label.equals("this/" + name)) {
+        return sig;
+      }
+    }
+    throw new IllegalArgumentException("no signature " + name);
+  }
+}
