--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
@@ -3,7 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.CodecException;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -205,7 +206,7 @@
   @Override
   public State onBodyPartReceived(HttpResponseBodyPart received) {
     // AsyncHttpClient tells no headers if there are none.
-    if (headIsDue() && onHeadersReceived(EmptyHttpHeaders.INSTANCE) == State.ABORT) {
+    if (headIsDue() && onHeadersReceived(new DefaultHttpHeaders()) == State.ABORT) {
       return State.ABORT;
     }
     if (received.length() > 0) {
@@ -239,7 +240,7 @@
   @Override
   public Void onCompleted() {
     if (headIsDue()) {
-      onHeadersReceived(EmptyHttpHeaders.INSTANCE);
+      onHeadersReceived(new DefaultHttpHeaders());
     }
     if (!broken) {
       HttpHeaders last = trailers;
@@ -263,7 +264,7 @@
   }
 
   private static void logIfOwn(Throwable cause) {
-    boolean expected = cause instanceof CancellationException || cause instanceof DecoderException;
+    boolean expected = cause instanceof CancellationException || cause instanceof CodecException;
     if (cause instanceof RuntimeException && !expected) {
       Logger.error(cause, "exchange with a backend server failed");
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/ConnectionGate.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/ConnectionGate.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AttributeKey;
@@ -115,6 +116,11 @@
     }
     if (message instanceof HttpResponse head
         && head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+        // RFC 9110 section 15.2.2: no upgrade was asked for.
+        drop(message);
+        return;
+      }
       interimAnswer = true;
     }
     if (interimAnswer) {
--- a/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
@@ -58,6 +58,7 @@
   private Optional<KeyedWork> keyed = Optional.empty();
   private Optional<PlacementHandle> waiting = Optional.empty();
   private Optional<Attempt> attempt = Optional.empty();
+  private Optional<Fault> lastFault = Optional.empty();
   private boolean mayHaveRun;
   private boolean answerBegan;
   private boolean callerGone;
@@ -221,10 +222,14 @@
   private void notPlaced(Fault fault) {
     waiting = Optional.empty();
     if (!ended) {
-      refuse(SERVICE_UNAVAILABLE, outcome(), fault);
+      refuse(failedStatus(), outcome(), lastFault.orElse(fault));
     }
   }
 
+  private int failedStatus() {
+    return mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE;
+  }
+
   void answerBegan(int status, HttpHeaders headers) {
     answerBegan = true;
     progressMillis = nowMillis();
@@ -285,6 +290,7 @@
 
   void attemptFailed(AttemptOutcome outcome) {
     attempt = Optional.empty();
+    lastFault = Optional.of(AttemptLabels.fault(outcome));
     if (answerBegan) {
       breakOff();
       return;
@@ -301,8 +307,7 @@
         return;
       }
     }
-    int status = mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE;
-    refuse(status, outcome(), AttemptLabels.fault(outcome));
+    refuse(failedStatus(), outcome(), AttemptLabels.fault(outcome));
   }
 
   private void retryIn(long delayMillis) {
--- a/wagtailpin/src/test/java/org/wagtailpin/call/HttpText.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/HttpText.java
@@ -96,6 +96,11 @@
     return new String(body, StandardCharsets.UTF_8);
   }
 
+  /** Joins lines as HTTP ends them. */
+  public static String lines(String... lines) {
+    return String.join("\r\n", lines);
+  }
+
   static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.ISO_8859_1);
   }
--- a/wagtailpin/src/test/java/org/wagtailpin/call/OutcomeTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/OutcomeTest.java
@@ -81,4 +81,115 @@
       assertThat(answer.header("wagtailpin-outcome")).isEqualTo("not-run");
     }
   }
+
+  private static boolean refuse(RawServer.Connection to) throws IOException {
+    to.send("HTTP/1.1 503 Busy\r\nWagtailpin-Refused: not-run\r\nContent-Length: 2\r\n\r\nno");
+    return true;
+  }
+
+  @Test
+  void aPostGoesToAnotherServerAfterAnExplicitRefusal() throws Exception {
+    try (RawServer first = new RawServer((request, to) -> refuse(to));
+        RawServer second = new RawServer((request, to) -> to.answer(request, "", "other"));
+        TestEntry entry =
+            new TestEntry.Builder().server(first.port()).server(second.port()).start()) {
+      assertThat(entry.call("POST", "", "order").text()).isEqualTo("other");
+      assertThat(first.requests()).hasSize(1);
+    }
+  }
+
+  @Test
+  void aPostRefusedByAllServersIsToldAsNotRun() throws Exception {
+    try (RawServer first = new RawServer((request, to) -> refuse(to));
+        TestEntry entry = new TestEntry.Builder().server(first.port()).start()) {
+      HttpText answer = entry.call("POST", "", "order");
+
+      assertThat(answer.status()).isEqualTo(503);
+      assertThat(answer.header("wagtailpin-outcome")).isEqualTo("not-run");
+    }
+  }
+
+  @Test
+  void aBare503IsPassedOnAndIsNoReasonToRepeatAPost() throws Exception {
+    try (RawServer first =
+            new RawServer(
+                (request, to) -> {
+                  to.send("HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy");
+                  return true;
+                });
+        RawServer second = new RawServer((request, to) -> to.answer(request, "", "other"));
+        TestEntry entry =
+            new TestEntry.Builder().server(first.port()).server(second.port()).start()) {
+      HttpText answer = entry.call("POST", "", "order");
+
+      assertThat(answer.status()).isEqualTo(503);
+      assertThat(answer.text()).isEqualTo("busy");
+      assertThat(answer.header("wagtailpin-outcome")).isEmpty();
+      assertThat(second.requests()).isEmpty();
+    }
+  }
+
+  @Test
+  void anUnknownFirstAttemptStaysUnknownWhenTheSecondWasNotRun() throws Exception {
+    try (RawServer first = new RawServer((request, to) -> to.reset());
+        TestEntry entry =
+            new TestEntry.Builder()
+                .server(first.port())
+                .server(portThatNobodyListensOn())
+                .start()) {
+      HttpText answer = entry.call("GET", "", "");
+
+      assertThat(answer.header("wagtailpin-outcome")).isEqualTo("unknown");
+    }
+  }
+
+  @Test
+  void aConnectionThatTheServerClosedWhileIdleIsNotUsedAgain() throws Exception {
+    try (RawServer server =
+            new RawServer(
+                (request, to) -> {
+                  to.answer(request, "", "once");
+                  return false;
+                });
+        TestEntry entry = new TestEntry.Builder().server(server.port()).start()) {
+      assertThat(entry.call("POST", "", "1").text()).isEqualTo("once");
+      Polling.until(() -> entry.backend().openConnections() == 0);
+
+      assertThat(entry.call("POST", "", "2").text()).isEqualTo("once");
+      assertThat(server.connections()).isEqualTo(2);
+    }
+  }
+
+  @Test
+  void whereAllConnectionsAreInUseTheRequestIsNotRunThere() throws Exception {
+    try (RawServer server = new RawServer((request, to) -> to.answer(request, "", "x"));
+        TestEntry entry =
+            new TestEntry.Builder().server(server.port()).connections(0).start()) {
+      HttpText answer = entry.call("POST", "", "order");
+
+      assertThat(answer.header("wagtailpin-outcome")).isEqualTo("not-run");
+      assertThat(answer.text()).contains("in use");
+      assertThat(server.connections()).isEqualTo(0);
+    }
+  }
+
+  @Test
+  void eachAttemptIsReportedAndLoggedOnce() throws Exception {
+    try (RawServer first = new RawServer((request, to) -> refuse(to));
+        RawServer second =
+            new RawServer(
+                (request, to) ->
+                    to.answer(request, "Wagtailpin-Load: inflight=3, queued=1\r\n", "other"));
+        TestEntry entry =
+            new TestEntry.Builder().server(first.port()).server(second.port()).start()) {
+      entry.call("POST", "", "order");
+
+      assertThat(entry.decisions().stream().map(Decision::outcome).toList())
+          .containsExactly("not-run", "answered")
+          .inOrder();
+      assertThat(entry.placement().reports()).hasSize(2);
+      assertThat(entry.placement().reports().get(1).load().get().inFlight()).isEqualTo(3);
+      assertThat(entry.metrics().calls("answered")).isEqualTo(1);
+    }
+  }
 }
--- a/wagtailpin/src/test/java/org/wagtailpin/call/RawCaller.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/RawCaller.java
@@ -7,7 +7,7 @@
 /** Caller on a raw socket. */
 public final class RawCaller implements AutoCloseable {
 
-  private static final int HANG_GUARD_MILLIS = 20_000;
+  private static final int HANG_GUARD_MILLIS = 8_000;
 
   private final Socket socket = new Socket();
 
