Hold back a server's answer while its caller is slow

Cause: AsyncHttpClient leaves automatic reading on, so the gate's hold had no effect and a slow caller let 64 MB pile up. Before: the server had sent all 64 MB while the caller read nothing (StreamingTest red). After: it is held back, and 63 tests of the traffic path pass.

--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClientConfig.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClientConfig.java
@@ -82,6 +82,8 @@
   }
 
   private static void addGate(Channel channel, Clock clock) {
+    // AsyncHttpClient asks for each read, and the gate decides whether it is carried out.
+    channel.config().setAutoRead(false);
     ConnectionGate gate = new ConnectionGate(clock);
     gate.attach(channel);
     channel.pipeline().addAfter(CODEC, "gate", gate);
