Add the demo, the remaining commands and the spread of configuration to entries

Cause: configuration was read by every entry from the store, the host list was not followed and there was one command line too few. Entries now watch only when elected and learn the rest by heartbeats; the host list takes servers out of placement; `entry`, `standin`, `load`, `experiment` and `demo` run from the launcher.

--- a/benchmark/src/main/java/org/wagtailpin/benchmark/fleet/FleetCost.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/fleet/FleetCost.java
@@ -42,7 +42,7 @@
     FleetCost cost = new FleetCost();
     List<FleetSample> samples = new ArrayList<>();
     System.out.println(
-        "entries  sent B/s  sent msg/s  control %core  network %core  heap KB"
+        "entries  sent B/s  sent msg/s  control (core %)  network (core %)  heap KB"
             + "  lease calls/s  other calls/s (fleet)");
     for (int size : SIZES) {
       FleetSample sample = cost.measure(size);
--- a/benchmark/src/main/java/org/wagtailpin/benchmark/load/LoadCommand.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/load/LoadCommand.java
@@ -58,6 +58,9 @@
   @Option(name = "--timeout", usage = "how long a call may take, ms")
   private int timeoutMillis = 10_000;
 
+  @Option(name = "--keyed", usage = "send an idempotency key with each call")
+  private boolean keyed;
+
   @Option(name = "--threads", usage = "event loops of the sender")
   private int threads = 2;
 
@@ -143,6 +146,7 @@
             bodyBytes,
             connections,
             timeoutMillis,
+            keyed,
             seed + number / 2);
     return new OpenLoopLoad(client, plan, target, "load-" + seed + "-" + number).run();
   }
--- a/benchmark/src/main/java/org/wagtailpin/benchmark/load/LoadPlan.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/load/LoadPlan.java
@@ -11,6 +11,7 @@
  * @param bodyBytes the size of a request's body, in bytes, at least 0
  * @param connections greatest number of connections, at least 1
  * @param timeoutMillis how long a call may take, in milliseconds, at least 1
+ * @param keyed whether each call carries an idempotency key of its own
  * @param seed the seed of the arrival times
  */
 public record LoadPlan(
@@ -22,4 +23,5 @@
     int bodyBytes,
     int connections,
     int timeoutMillis,
+    boolean keyed,
     long seed) {}
--- a/benchmark/src/main/java/org/wagtailpin/benchmark/load/OpenLoopLoad.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/load/OpenLoopLoad.java
@@ -109,6 +109,9 @@
         new RequestBuilder(plan.method(), true)
             .setUrl(target + plan.path())
             .setHeader("X-Work-Id", workId);
+    if (plan.keyed()) {
+      builder.setHeader("Idempotency-Key", workId);
+    }
     if (body.length > 0) {
       builder.setBody(body);
     }
--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.wagtailpin.claims.ClaimSettings;
@@ -19,9 +22,13 @@
 import org.wagtailpin.entrypeer.NettyPeerMessenger;
 import org.wagtailpin.entrypeer.NettyPeerSettings;
 import org.wagtailpin.entrypeer.PeerIdentity;
+import org.wagtailpin.hostlist.Host;
+import org.wagtailpin.hostlist.HostListPoller;
+import org.wagtailpin.hostlist.HostListSettings;
 import org.wagtailpin.hostlist.HostState;
-import org.wagtailpin.membership.ConfigStamp;
-import org.wagtailpin.membership.ConfigWatcher;
+import org.wagtailpin.hostlist.HostStates;
+import org.wagtailpin.hostlist.HttpHostList;
+import org.wagtailpin.membership.ConfigSpread;
 import org.wagtailpin.membership.Member;
 import org.wagtailpin.membership.Membership;
 import org.wagtailpin.membership.MembershipSettings;
@@ -45,6 +52,7 @@
   private final Membership membership;
   private final ShardedClaims claims;
   private final ControlLoop loop;
+  private final Optional<HostListPoller> hosts;
 
   ControlParts(EntrySettings settings, Clock clock, ControlLoop loop, long seed) {
     this.loop = loop;
@@ -65,14 +73,16 @@
             clock,
             random,
             NettyPeerSettings.defaults(settings.peers().address(), settings.peers().port()));
+    hosts = hostPoller(settings, clock, random);
     membership =
         new Membership(
             self(settings, incarnation),
             messenger,
             addresses,
             store,
-            address -> HostState.UNKNOWN,
-            configHearing(),
+            hostStates(),
+            this::watchConfig,
+            new ConfigSpread(merger, messenger),
             loop,
             clock,
             random,
@@ -107,18 +117,42 @@
         .toList();
   }
 
-  private ConfigWatcher configHearing() {
-    return new ConfigWatcher() {
-      @Override
-      public ConfigStamp stamp() {
-        return new ConfigStamp(merged.digest(), merged.highestTicket());
-      }
+  private Optional<HostListPoller> hostPoller(
+      EntrySettings settings, Clock clock, UniformRandomProvider random) {
+    return settings
+        .hostList()
+        .map(
+            address ->
+                new HostListPoller(
+                    new HttpHostList(storeClient.client(), address),
+                    loop,
+                    clock,
+                    random,
+                    HostListSettings.defaults()));
+  }
+
+  private HostStates hostStates() {
+    return hosts.isPresent() ? hosts.get() : address -> HostState.UNKNOWN;
+  }
 
-      @Override
-      public void heard(String entry, ConfigStamp stamp) {
-        // Each entry watches the store, so there is nothing to ask the other for.
-      }
-    };
+  // Called on the control loop with each decision, also when nothing changed.
+  private void watchConfig(boolean elected) {
+    if (elected) {
+      configWatcher.start();
+    } else if (configWatcher.hasRead()) {
+      configWatcher.stop();
+    }
+  }
+
+  /** Returns the hosts that the platform's list names as leaving or gone. */
+  public Set<String> departingAddresses() {
+    if (hosts.isEmpty()) {
+      return Set.of();
+    }
+    return hosts.get().newest().stream()
+        .map(Host::address)
+        .filter(hosts.get()::isLeaving)
+        .collect(Collectors.toUnmodifiableSet());
   }
 
   /** Returns what operators are told of the configuration in force; safe for all threads. */
@@ -132,6 +166,8 @@
       throw new IOException(failed.fault().toString());
     }
     loop.execute(membership::start);
+    hosts.ifPresent(poller -> loop.execute(poller::start));
+    // Every entry reads the configuration once; those elected go on watching.
     loop.execute(configWatcher::start);
   }
 
@@ -175,6 +211,7 @@
   public void close() {
     loop.execute(membership::stop);
     loop.execute(configWatcher::stop);
+    hosts.ifPresent(poller -> loop.execute(poller::stop));
     messenger.close();
     storeClient.close();
   }
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
@@ -99,6 +99,7 @@
    */
   public void start() throws IOException {
     control.start();
+    loop.execute(traffic::followHostList);
     admin.start();
     callers.start();
     if (internal.isPresent()) {
--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -7,9 +7,9 @@
 import org.wagtailpin.backend.BackendClient;
 import org.wagtailpin.backend.BackendSettings;
 import org.wagtailpin.call.CallEnvironment;
-import org.wagtailpin.call.CallMetrics;
 import org.wagtailpin.call.CallSettings;
 import org.wagtailpin.call.JsonDecisionLog;
+import org.wagtailpin.call.PrometheusCallMetrics;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.control.ControlLoop;
 import org.wagtailpin.limits.BudgetedRetryPolicy;
@@ -24,6 +24,10 @@
 /** The parts of an entry that serve calls on traffic threads. */
 public final class TrafficParts implements AutoCloseable {
 
+  private static final long DEPARTURES_PERIOD_MILLIS = 500;
+
+  private final ControlLoop loop;
+  private final ControlParts control;
   private final BackendClient backend;
   private final JsonDecisionLog decisions;
   private final DepartureList departures = new DepartureList();
@@ -37,6 +41,8 @@
       ControlParts control,
       PrometheusRegistry registry,
       long seed) {
+    this.loop = loop;
+    this.control = control;
     LimitShares shares = control.membership();
     SharedRandom random = new SharedRandom(seed);
     RouteTimes times = new RouteTimes(clock);
@@ -69,7 +75,13 @@
             backend,
             clock,
             decisions,
-            new SilentCallMetrics());
+            new PrometheusCallMetrics(registry));
+  }
+
+  /** Takes over from the host list which servers are leaving, now and from then on. */
+  void followHostList() {
+    departures.publish(control.departingAddresses());
+    loop.schedule(DEPARTURES_PERIOD_MILLIS, this::followHostList);
   }
 
   CallEnvironment environment() {
@@ -96,12 +108,4 @@
     backend.close();
     decisions.close();
   }
-
-  private static final class SilentCallMetrics implements CallMetrics {
-    @Override
-    public void callEnded(String service, String outcome, double latencyMillis) {}
-
-    @Override
-    public void attemptEnded(String service, String outcome) {}
-  }
 }
--- a/tools/src/main/java/org/wagtailpin/tools/Launcher.java
+++ b/tools/src/main/java/org/wagtailpin/tools/Launcher.java
@@ -3,6 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.wagtailpin.benchmark.experiment.ExperimentCommand;
+import org.wagtailpin.benchmark.load.LoadCommand;
+import org.wagtailpin.daemon.EntryCommand;
+import org.wagtailpin.tools.demo.DemoCommand;
 
 /** Runs the command that the first argument names. */
 public final class Launcher {
@@ -26,10 +30,31 @@
   /** Returns the commands of this build. */
   static List<Command> registry() {
     List<Command> commands = new ArrayList<>();
-    commands.add(new CheckCommand(Optional.empty()));
+    commands.add(
+        new PlainCommand(
+            "entry",
+            "Runs an entry until it is told to leave by SIGTERM.",
+            (args, out, err) -> new EntryCommand().run(args, out, err)));
+    commands.add(new CheckCommand(Optional.of(new EntrySettingsChecker())));
     commands.add(new ApplyCommand());
     commands.add(new StatusCommand());
     commands.add(new DrainCommand());
+    commands.add(new StandInCommand());
+    commands.add(
+        new PlainCommand(
+            "load",
+            "Sends open-loop load, or compares a server with an entry before it.",
+            (args, out, err) -> new LoadCommand().run(args, out, err)));
+    commands.add(
+        new PlainCommand(
+            "experiment",
+            "Compares placement policies on the same seeds.",
+            (args, out, err) -> new ExperimentCommand(out, err).run(List.of(args))));
+    commands.add(
+        new PlainCommand(
+            "demo",
+            "Runs a store, entries and servers in one process for about 20 s.",
+            (args, out, err) -> new DemoCommand().run(args, out, err)));
     return commands;
   }
 
--- /dev/null
+++ b/tools/src/main/java/org/wagtailpin/tools/PlainCommand.java
@@ -0,0 +1,48 @@
+package org.wagtailpin.tools;
+
+import java.io.PrintStream;
+import java.util.List;
+
+/** Command of another module, which reads its own arguments. */
+final class PlainCommand implements Command {
+
+  /** Runs a command. */
+  @FunctionalInterface
+  interface Body {
+
+    /**
+     * Runs the command.
+     *
+     * @param args the arguments after its name
+     * @param out where to print
+     * @param err where to print errors
+     * @return the exit code
+     */
+    int run(String[] args, PrintStream out, PrintStream err);
+  }
+
+  private final String name;
+  private final String summary;
+  private final Body body;
+
+  PlainCommand(String name, String summary, Body body) {
+    this.name = name;
+    this.summary = summary;
+    this.body = body;
+  }
+
+  @Override
+  public String name() {
+    return name;
+  }
+
+  @Override
+  public String summary() {
+    return summary;
+  }
+
+  @Override
+  public int run(List<String> arguments, Console console) {
+    return body.run(arguments.toArray(new String[0]), console.out(), console.err());
+  }
+}
--- /dev/null
+++ b/tools/src/main/java/org/wagtailpin/tools/StandInCommand.java
@@ -0,0 +1,44 @@
+package org.wagtailpin.tools;
+
+import java.util.List;
+import org.wagtailpin.standins.backend.BackendServerCommand;
+import org.wagtailpin.standins.hosts.HostListStandInCommand;
+import org.wagtailpin.standins.store.StoreStandInCommand;
+
+/** Command that runs a stand-in of an outside system: the store, the host list or a server. */
+final class StandInCommand implements Command {
+
+  private static final String USAGE = "usage: wagtailpin standin store|hosts|server [--help]";
+
+  @Override
+  public String name() {
+    return "standin";
+  }
+
+  @Override
+  public String summary() {
+    return "Runs a stand-in of the store, the host list or a backend server.";
+  }
+
+  @Override
+  public int run(List<String> arguments, Console console) {
+    if (arguments.isEmpty()) {
+      console.complain(USAGE);
+      return ExitCode.USAGE;
+    }
+    String[] rest = arguments.subList(1, arguments.size()).toArray(new String[0]);
+    return switch (arguments.get(0)) {
+      case "store" -> StoreStandInCommand.run(rest, console.out(), console.err());
+      case "hosts" -> HostListStandInCommand.run(rest, console.out(), console.err());
+      case "server" -> new BackendServerCommand().run(rest, console.out(), console.err());
+      case "--help" -> {
+        console.say(USAGE);
+        yield ExitCode.DONE;
+      }
+      default -> {
+        console.complain("found %s, expected store, hosts or server", arguments.get(0));
+        yield ExitCode.USAGE;
+      }
+    };
+  }
+}
--- /dev/null
+++ b/tools/src/main/java/org/wagtailpin/tools/demo/DemoCommand.java
@@ -0,0 +1,154 @@
+package org.wagtailpin.tools.demo;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.wagtailpin.benchmark.load.LoadResult;
+import org.wagtailpin.config.TicketResult;
+
+/**
+ * Command that shows the system at work in one process, and checks what it shows.
+ *
+ * <p>Exit codes: 0 if every call was answered whole or told its outcome and no order ran twice, 1
+ * if not, 2 for wrong usage.
+ */
+public final class DemoCommand {
+
+  private static final int DONE = 0;
+  private static final int NOT_DONE = 1;
+  private static final int USAGE = 2;
+  private static final double MICROS_PER_MILLI = 1000;
+
+  @Option(name = "--seconds", usage = "how long traffic is sent, s")
+  private int seconds = 20;
+
+  @Option(name = "--seed", usage = "seed of service times, arrivals and choices")
+  private long seed = 7;
+
+  @Option(name = "--help", help = true, usage = "print this text")
+  private boolean help;
+
+  /**
+   * Runs the command.
+   *
+   * @param args the arguments after the command's name
+   * @param out where progress and the table are printed
+   * @param err where errors and usage are printed
+   * @return the exit code
+   */
+  public int run(String[] args, PrintStream out, PrintStream err) {
+    CmdLineParser parser = new CmdLineParser(this);
+    try {
+      parser.parseArgument(args);
+    } catch (CmdLineException e) {
+      err.println("demo: " + e.getMessage());
+      parser.printUsage(err);
+      return USAGE;
+    }
+    if (help) {
+      parser.printUsage(out);
+      return DONE;
+    }
+    return show(out, err);
+  }
+
+  private int show(PrintStream out, PrintStream err) {
+    try (DemoSite site = new DemoSite(seed);
+        DemoTraffic traffic = new DemoTraffic(seed)) {
+      out.println("seed " + seed);
+      site.start();
+      TicketResult ticket = site.acceptServices();
+      out.println("ticket 1: " + ticket.getClass().getSimpleName());
+      if (!(ticket instanceof TicketResult.Accepted) || !site.awaitReady()) {
+        err.println("demo: the entries got no configuration");
+        return NOT_DONE;
+      }
+      out.println("entries serve on " + site.describe());
+      traffic.start(site, seconds);
+      boolean drained = watch(site, out);
+      return report(site, traffic, out) && drained ? DONE : NOT_DONE;
+    } catch (IOException | ExecutionException e) {
+      err.println("demo: " + e.getMessage());
+      return NOT_DONE;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return NOT_DONE;
+    }
+  }
+
+  private boolean watch(DemoSite site, PrintStream out) throws InterruptedException {
+    boolean drained = false;
+    long requestsAtDrain = 0;
+    for (int second = 1; second <= seconds; second++) {
+      TimeUnit.SECONDS.sleep(1);
+      if (second == seconds / 2) {
+        TicketResult ticket = site.drainServer();
+        drained = ticket instanceof TicketResult.Accepted;
+        out.println("server lesson-0 leaves, ticket 2: " + ticket.getClass().getSimpleName());
+      }
+      if (second == seconds / 2 + 2) {
+        requestsAtDrain = site.requestsOfDrained();
+      }
+      out.printf(
+          "%2d s: %d runs at servers, %d to lesson-0%n",
+          second, site.ledger().total(), site.requestsOfDrained());
+    }
+    long late = site.requestsOfDrained() - requestsAtDrain;
+    out.println("requests to lesson-0 later than 2 s after it left: " + late);
+    return drained && late == 0;
+  }
+
+  private boolean report(DemoSite site, DemoTraffic traffic, PrintStream out)
+      throws InterruptedException, ExecutionException {
+    List<LoadResult> lessons = traffic.lessons();
+    List<LoadResult> orders = traffic.orders();
+    Histogram direct = traffic.direct().latencies();
+    out.printf(
+        "%n%-8s %7s %7s %8s %8s %7s %9s %8s %8s%n",
+        "kind", "calls", "whole", "not run", "unknown", "failed", "repeated", "p50 ms", "p99 ms");
+    printRow(out, "lessons", lessons, site.ledger().repeated("lesson"));
+    printRow(out, "orders", orders, site.ledger().repeated("order"));
+    Histogram through = sum(lessons);
+    out.printf(
+        "lessons, added to a direct call: p50 %.2f ms, p99 %.2f ms%n",
+        added(through, direct, 50), added(through, direct, 99));
+    out.println("probes sent: " + site.probes());
+    long failed =
+        lessons.stream().mapToLong(LoadResult::failed).sum()
+            + orders.stream().mapToLong(LoadResult::failed).sum();
+    return failed == 0 && site.ledger().repeated("order") == 0;
+  }
+
+  private static double added(Histogram through, Histogram direct, double percentile) {
+    return (through.getValueAtPercentile(percentile) - direct.getValueAtPercentile(percentile))
+        / MICROS_PER_MILLI;
+  }
+
+  private static Histogram sum(List<LoadResult> results) {
+    Histogram sum = new Histogram(results.get(0).latencies());
+    results.forEach(result -> sum.add(result.latencies()));
+    return sum;
+  }
+
+  private static void printRow(
+      PrintStream out, String kind, List<LoadResult> results, long repeated) {
+    Histogram latencies = sum(results);
+    out.printf(
+        "%-8s %7d %7d %8d %8d %7d %9d %8.2f %8.2f%n",
+        kind,
+        results.stream().mapToLong(LoadResult::calls).sum(),
+        results.stream().mapToLong(LoadResult::whole).sum(),
+        results.stream().mapToLong(LoadResult::notRun).sum(),
+        results.stream().mapToLong(LoadResult::unknown).sum(),
+        results.stream().mapToLong(LoadResult::failed).sum(),
+        repeated,
+        latencies.getValueAtPercentile(50) / MICROS_PER_MILLI,
+        latencies.getValueAtPercentile(99) / MICROS_PER_MILLI);
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/config/StoreConfigWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/StoreConfigWatcher.java
@@ -36,6 +36,7 @@
   // Answers to calls of an earlier run are ignored.
   private long run;
   private boolean running;
+  private boolean hasRead;
   private long revision;
   private Optional<Fault> fault = Optional.empty();
 
@@ -71,6 +72,11 @@
     run++;
   }
 
+  /** Tells whether the shared state was read at least once, or is known not to exist. */
+  public boolean hasRead() {
+    return hasRead;
+  }
+
   /** Tells whether it watches. */
   public boolean isRunning() {
     return running;
@@ -89,10 +95,12 @@
     if (result instanceof ReadResult.Found found) {
       merge(found.entry());
       revision = found.storeRevision();
+      hasRead = true;
       watch();
     } else if (result instanceof ReadResult.Absent absent) {
       succeeded();
       revision = absent.storeRevision();
+      hasRead = true;
       watch();
     } else if (result instanceof ReadResult.Failed failed) {
       failed(failed.fault(), this::read);
