--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/backend/LoadReportHeaderTest.java
@@ -0,0 +1,31 @@
+package org.wagtailpin.backend;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.wagtailpin.routing.LoadReport;
+
+class LoadReportHeaderTest {
+
+  @Test
+  void theMembersComeInAnyOrder() {
+    assertThat(LoadReportHeader.parse("inflight=3, queued=2, leaving"))
+        .hasValue(new LoadReport(3, 2, true));
+    assertThat(LoadReportHeader.parse("leaving,queued=2,inflight=3"))
+        .hasValue(new LoadReport(3, 2, true));
+  }
+
+  @Test
+  void unknownMembersArePassedOver() {
+    assertThat(LoadReportHeader.parse("inflight=0, mood=good,, ="))
+        .hasValue(new LoadReport(0, 0, false));
+  }
+
+  @Test
+  void aHeaderWithoutAValidCountIsNone() {
+    for (String value : new String[] {"", "queued=2", "inflight=", "inflight=-1", "inflight=x"}) {
+      assertThat(LoadReportHeader.parse(value)).isEmpty();
+    }
+    assertThat(LoadReportHeader.parse("inflight=99999999999999")).isEmpty();
+  }
+}
--- a/wagtailpin/src/test/java/org/wagtailpin/call/RawCaller.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/RawCaller.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 
 /** Caller on a raw socket. */
 public final class RawCaller implements AutoCloseable {
@@ -39,7 +40,7 @@
   public boolean atEnd() throws IOException {
     try {
       return socket.getInputStream().read() < 0;
-    } catch (java.net.SocketException e) {
+    } catch (SocketException e) {
       return true;
     }
   }
--- a/wagtailpin/src/test/java/org/wagtailpin/call/StreamingTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/StreamingTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -13,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.zip.CRC32;
 import org.junit.jupiter.api.Test;
 
@@ -71,7 +73,7 @@
           try {
             return side.run();
           } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
+            throw new UncheckedIOException(e);
           }
         },
         task -> new Thread(task, "side").start());
@@ -150,7 +152,7 @@
     try {
       side.get(STUCK_SECONDS, TimeUnit.SECONDS);
       return true;
-    } catch (java.util.concurrent.TimeoutException e) {
+    } catch (TimeoutException e) {
       return false;
     }
   }
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/caller/DrainTest.java
@@ -0,0 +1,116 @@
+package org.wagtailpin.caller;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.Test;
+import org.wagtailpin.call.HttpText;
+import org.wagtailpin.call.Polling;
+import org.wagtailpin.call.RawCaller;
+import org.wagtailpin.call.RawServer;
+import org.wagtailpin.call.TestEntry;
+
+class DrainTest {
+
+  private static final long GRACE_MILLIS = 15_000;
+  private static final int CALLERS = 8;
+  private static final int RESTARTS = 3;
+
+  @Test
+  void theCallInFlightEndsAndAsksForTheConnectionsEnd() throws Exception {
+    CountDownLatch arrived = new CountDownLatch(1);
+    CountDownLatch mayAnswer = new CountDownLatch(1);
+    try (RawServer server =
+            new RawServer(
+                (request, to) -> {
+                  arrived.countDown();
+                  try {
+                    mayAnswer.await(GRACE_MILLIS, TimeUnit.MILLISECONDS);
+                  } catch (InterruptedException e) {
+                    throw new IOException(e);
+                  }
+                  return to.answer(request, "", "whole");
+                });
+        TestEntry entry = new TestEntry.Builder().server(server.port()).start();
+        RawCaller caller = entry.caller()) {
+      caller.send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+      arrived.await();
+      CompletableFuture<Integer> cut = entry.listener().drain(GRACE_MILLIS);
+      mayAnswer.countDown();
+      HttpText answer = caller.read();
+
+      assertThat(answer.text()).isEqualTo("whole");
+      assertThat(answer.header("connection")).isEqualTo("close");
+      caller.socket().shutdownOutput();
+      assertThat(cut.get()).isEqualTo(0);
+    }
+  }
+
+  /** Calls until told to stop, reconnecting to the entry that takes connections. */
+  private static int callUntil(AtomicBoolean stop, AtomicInteger whole, Supplier<TestEntry> current)
+      throws IOException {
+    int failed = 0;
+    while (!stop.get()) {
+      try (RawCaller caller = current.get().caller()) {
+        boolean open = true;
+        while (open && !stop.get()) {
+          HttpText answer = caller.call("POST", "/x", "", "1");
+          failed += answer.status() == 200 ? 0 : 1;
+          whole.incrementAndGet();
+          open = !answer.header("connection").equals("close");
+        }
+      }
+    }
+    return failed;
+  }
+
+  @Test
+  void restartsUnderLoadCutNoCall() throws Exception {
+    AtomicBoolean stop = new AtomicBoolean();
+    AtomicInteger whole = new AtomicInteger();
+    try (RawServer server = new RawServer((request, to) -> to.answer(request, "", "x"))) {
+      List<TestEntry> entries = new ArrayList<>();
+      var current = new AtomicReference<>(new TestEntry.Builder().server(server.port()).start());
+      List<CompletableFuture<Integer>> failures = new ArrayList<>();
+      for (int i = 0; i < CALLERS; i++) {
+        failures.add(
+            CompletableFuture.supplyAsync(
+                () -> {
+                  try {
+                    return callUntil(stop, whole, current::get);
+                  } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                  }
+                },
+                task -> new Thread(task, "caller").start()));
+      }
+      for (int i = 0; i < RESTARTS; i++) {
+        int before = whole.get();
+        Polling.until(() -> whole.get() > before + 200);
+        TestEntry old = current.get();
+        // The balancer's notice: new connections go to the next entry before the old one drains.
+        current.set(new TestEntry.Builder().server(server.port()).start());
+        int noticed = whole.get();
+        Polling.until(() -> whole.get() > noticed + 200);
+        assertThat(old.listener().drain(GRACE_MILLIS).get()).isEqualTo(0);
+        entries.add(old);
+      }
+      stop.set(true);
+      for (CompletableFuture<Integer> failed : failures) {
+        assertThat(failed.get()).isEqualTo(0);
+      }
+      entries.add(current.get());
+      entries.forEach(TestEntry::close);
+    }
+  }
+}
