Refuse a request whose deadline has passed before it is placed

Cause: a request with 0 ms left was placed and connected to a server before its timer withdrew it. It was told truthfully as not run, but cost a connection.

--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallAdmission.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallAdmission.java
@@ -49,6 +49,9 @@
     if (request.depth() > MAX_DEPTH) {
       return refused(508, Step.ADMIT, "the call is nested deeper than " + MAX_DEPTH);
     }
+    if (request.timeoutMillis().orElse(1L) < 1) {
+      return refused(504, Step.ADMIT, "the deadline has passed");
+    }
     Optional<ConfigRoute> route = snapshot.route(request.host(), request.path(), request.method());
     if (route.isEmpty()) {
       return refused(404, Step.MATCH_ROUTE, "no route matches the request");
