--- /dev/null
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
@@ -0,0 +1,211 @@
+package org.wagtailpin.daemon;
+
+import io.netty.channel.EventLoopGroup;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+import org.wagtailpin.caller.CallerLimits;
+import org.wagtailpin.caller.CallerListener;
+import org.wagtailpin.caller.CallerSettings;
+import org.wagtailpin.caller.ListenerKind;
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.clock.SystemClock;
+import org.wagtailpin.control.ThreadControlLoop;
+import org.wagtailpin.membership.LimitShares;
+import org.wagtailpin.operator.AdminListener;
+import org.wagtailpin.operator.AdminPage;
+import org.wagtailpin.operator.ConfigPage;
+import org.wagtailpin.operator.ConfigStatusPart;
+import org.wagtailpin.operator.HealthPage;
+import org.wagtailpin.operator.MetricsPage;
+import org.wagtailpin.operator.ReadyPage;
+import org.wagtailpin.operator.StatusPage;
+import org.wagtailpin.operator.StatusPart;
+import org.wagtailpin.transport.EventLoops;
+
+/**
+ * One entry: all its parts, wired together and started in order.
+ *
+ * <p>One control thread owns the shared state; traffic threads serve calls and read snapshots.
+ */
+public final class EntryNode implements AutoCloseable {
+
+  private static final long CLOSE_WAIT_MILLIS = 2_000;
+
+  private final EntrySettings settings;
+  private final Clock clock = new SystemClock();
+  private final ThreadControlLoop loop;
+  private final EventLoopGroup trafficLoops;
+  private final ControlParts control;
+  private final TrafficParts traffic;
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final AdminListener admin;
+  private final CallerListener callers;
+  private final Optional<CallerListener> internal;
+  private volatile boolean leaving;
+
+  /**
+   * Wires an entry that is not started.
+   *
+   * @param settings its settings
+   */
+  public EntryNode(EntrySettings settings) {
+    this.settings = settings;
+    this.loop = new ThreadControlLoop(settings.id() + "-control");
+    this.trafficLoops =
+        EventLoops.createAffine(settings.trafficThreads(), settings.id() + "-traffic");
+    long seed = settings.seed().orElseGet(System::nanoTime);
+    this.control = new ControlParts(settings, clock, loop, seed);
+    this.traffic = new TrafficParts(settings, clock, loop, trafficLoops, control, registry, seed);
+    this.callers = listener(ListenerKind.PUBLIC, settings.callers());
+    this.internal = settings.internal().map(address -> listener(ListenerKind.INTERNAL, address));
+    this.admin = adminListener();
+  }
+
+  private AdminListener adminListener() {
+    List<StatusPart> parts =
+        List.of(
+            new EntryStatusPart(this),
+            new ConfigStatusPart(control::configReport),
+            new MembershipStatusPart(control.membership()));
+    List<AdminPage> pages =
+        List.of(
+            new HealthPage(),
+            new ReadyPage(() -> hindrance()),
+            new MetricsPage(registry),
+            new ConfigPage(control::configReport),
+            new StatusPage(parts));
+    return new AdminListener(
+        new InetSocketAddress(settings.admin().address(), settings.admin().port()), pages);
+  }
+
+  private CallerListener listener(ListenerKind kind, ListenAddress address) {
+    CallerSettings callerSettings =
+        new CallerSettings(
+            kind, address.address(), address.port(), settings.id(), CallerLimits.defaults());
+    return new CallerListener(callerSettings, trafficLoops, traffic.environment());
+  }
+
+  /**
+   * Starts all parts; returns once the listeners listen. The entry is ready later, when it has a
+   * configuration.
+   *
+   * @throws IOException if an address can't be listened on
+   */
+  public void start() throws IOException {
+    control.start();
+    admin.start();
+    callers.start();
+    if (internal.isPresent()) {
+      internal.get().start();
+    }
+    Logger.info("entry {} started, callers on {}", settings.id(), callers.address());
+  }
+
+  /** Tells whether the entry has a configuration and is not leaving. */
+  public boolean ready() {
+    return hindrance().isEmpty();
+  }
+
+  private Optional<String> hindrance() {
+    if (leaving) {
+      return Optional.of("leaving");
+    }
+    return control.published().current().version() > 0
+        ? Optional.empty()
+        : Optional.of("no configuration from the store or from other entries");
+  }
+
+  /** Returns the settings. */
+  public EntrySettings settings() {
+    return settings;
+  }
+
+  /** Returns the address on which operators are served. */
+  public InetSocketAddress adminAddress() {
+    return admin.address();
+  }
+
+  /** Returns how many calls are in flight on all listeners. */
+  public int calls() {
+    return callers.calls() + internal.map(CallerListener::calls).orElse(0);
+  }
+
+  /** Tells whether the entry has begun to leave. */
+  public boolean leaving() {
+    return leaving;
+  }
+
+  /** Returns the address on which callers are served. */
+  public InetSocketAddress callerAddress() {
+    return callers.address();
+  }
+
+  /** Returns the address on which calls of backend servers are served, if there is one. */
+  public Optional<InetSocketAddress> internalAddress() {
+    return internal.map(CallerListener::address);
+  }
+
+  /** Returns the parts that the control thread owns. */
+  public ControlParts control() {
+    return control;
+  }
+
+  /** Returns the parts that serve calls. */
+  public TrafficParts traffic() {
+    return traffic;
+  }
+
+  /** Returns this entry's share of limits. */
+  public LimitShares shares() {
+    return control.membership();
+  }
+
+  /**
+   * Leaves gracefully: says that it is not ready, serves on for the notice time, finishes the calls
+   * in flight, gives up its shares and its lease, and closes.
+   *
+   * @return completed when all is closed, with the number of calls that were cut
+   */
+  public CompletableFuture<Integer> leave() {
+    leaving = true;
+    Logger.info("entry {} leaves", settings.id());
+    loop.execute(control.membership()::announceLeaving);
+    CompletableFuture<Integer> done = new CompletableFuture<>();
+    loop.schedule(settings.noticeMillis(), () -> drain(done));
+    return done;
+  }
+
+  private void drain(CompletableFuture<Integer> done) {
+    CompletableFuture<Integer> outer = callers.drain(settings.graceMillis());
+    CompletableFuture<Integer> inner =
+        internal
+            .map(listener -> listener.drain(settings.graceMillis()))
+            .orElseGet(() -> CompletableFuture.completedFuture(0));
+    outer
+        .thenCombine(inner, Integer::sum)
+        .thenCompose(cut -> control.leave().thenApply(left -> cut))
+        .whenCompleteAsync(
+            (cut, failure) -> {
+              close();
+              done.complete(cut == null ? 0 : cut);
+            });
+  }
+
+  /** Closes everything at once, as a crash would, without leave. */
+  @Override
+  public void close() {
+    admin.close();
+    control.close();
+    traffic.close();
+    trafficLoops
+        .shutdownGracefully(0, CLOSE_WAIT_MILLIS, TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly(CLOSE_WAIT_MILLIS);
+    loop.close();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wagtailpin/daemon/MembershipStatusPart.java
@@ -0,0 +1,25 @@
+package org.wagtailpin.daemon;
+
+import org.wagtailpin.membership.Membership;
+import org.wagtailpin.membership.MembershipStatus;
+import org.wagtailpin.operator.StatusPart;
+
+/** Part of the status page that tells which entries are live and which shares are held. */
+final class MembershipStatusPart implements StatusPart {
+
+  private final Membership membership;
+
+  MembershipStatusPart(Membership membership) {
+    this.membership = membership;
+  }
+
+  @Override
+  public String name() {
+    return "membership";
+  }
+
+  @Override
+  public MembershipStatus current() {
+    return membership.status();
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerChannelInitializer.java
@@ -0,0 +1,29 @@
+package org.wagtailpin.entrypeer;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import java.util.function.Supplier;
+
+/** Sets up the codec of a connection between entries. */
+final class PeerChannelInitializer extends ChannelInitializer<Channel> {
+
+  private final int maxFrameBytes;
+  private final PeerTraffic traffic;
+  private final Supplier<ChannelHandler> last;
+
+  PeerChannelInitializer(int maxFrameBytes, PeerTraffic traffic, Supplier<ChannelHandler> last) {
+    this.maxFrameBytes = maxFrameBytes;
+    this.traffic = traffic;
+    this.last = last;
+  }
+
+  @Override
+  protected void initChannel(Channel channel) {
+    channel
+        .pipeline()
+        .addLast(new PeerFrameDecoder(maxFrameBytes, traffic))
+        .addLast(new PeerFrameEncoder(traffic))
+        .addLast(last.get());
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/PeerTable.java
@@ -0,0 +1,139 @@
+package org.wagtailpin.membership;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import org.wagtailpin.entrypeer.LearntAddressBook;
+
+/** The entries that this one counts, by their identifiers. For use on the control loop. */
+final class PeerTable {
+
+  private static final int MAX_RELEASED = 1024;
+
+  private final String self;
+  private final LearntAddressBook addresses;
+  private final long promiseMillis;
+  private final long countedForMillis;
+  private final Map<String, PeerRecord> records = new TreeMap<>();
+  private final Map<String, Long> releasedIncarnations =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > MAX_RELEASED;
+        }
+      };
+
+  /**
+   * Creates an empty table.
+   *
+   * @param self this entry, which is in no record
+   * @param addresses takes the addresses of the entries
+   * @param settings how long an entry is counted after it is first named
+   */
+  PeerTable(String self, LearntAddressBook addresses, MembershipSettings settings) {
+    this.self = self;
+    this.addresses = addresses;
+    this.promiseMillis = settings.promiseMillis();
+    this.countedForMillis = settings.promiseMillis() + settings.promiseMarginMillis();
+  }
+
+  /** Returns how long an entry stays counted after a sign of life, in milliseconds. */
+  long countedForMillis() {
+    return countedForMillis;
+  }
+
+  Optional<PeerRecord> find(String entry) {
+    return Optional.ofNullable(records.get(entry));
+  }
+
+  /** Returns the record of another entry, and begins to count it if it is new. */
+  PeerRecord note(String entry, long nowMillis) {
+    if (entry.equals(self)) {
+      throw new IllegalArgumentException("no record is kept of this entry itself: " + entry);
+    }
+    return records.computeIfAbsent(
+        entry,
+        id ->
+            new PeerRecord(id, nowMillis, nowMillis + promiseMillis, nowMillis + countedForMillis));
+  }
+
+  void noteAll(Collection<String> entries, long nowMillis) {
+    for (String entry : entries) {
+      if (!entry.equals(self)) {
+        note(entry, nowMillis).named(nowMillis);
+      }
+    }
+  }
+
+  void learn(Member member, long nowMillis) {
+    note(member.id(), nowMillis).setDetails(member);
+    addresses.learn(member.id(), member.address(), member.peerPort());
+  }
+
+  void remove(String entry) {
+    records.remove(entry);
+    addresses.forget(entry);
+  }
+
+  /** Notes that an entry gave up all its shares for good. */
+  void release(String entry, long incarnation) {
+    releasedIncarnations.put(entry, incarnation);
+    if (find(entry).map(record -> record.isIncarnation(incarnation)).orElse(false)) {
+      remove(entry);
+    }
+  }
+
+  /** Tells whether an entry is known to have given up all its shares for good. */
+  boolean isReleased(String entry, long incarnation) {
+    Long released = releasedIncarnations.get(entry);
+    return released != null && released == incarnation;
+  }
+
+  Collection<PeerRecord> records() {
+    return List.copyOf(records.values());
+  }
+
+  List<PeerRecord> leasedRecords() {
+    return records.values().stream().filter(PeerRecord::inLeased).toList();
+  }
+
+  /** Returns the entries that the guaranteed part is split over, this one among them. */
+  Set<String> guaranteedSet() {
+    return withSelf(record -> true);
+  }
+
+  /** Returns the entries that the leased part is split over, this one among them. */
+  Set<String> leasedSet() {
+    return withSelf(PeerRecord::inLeased);
+  }
+
+  /**
+   * Returns the entries to name to others for the guaranteed part. Those that this entry knows by
+   * hearsay only hold no part that it would have to know of, and naming them would keep them alive.
+   */
+  Set<String> guaranteedToName() {
+    return withSelf(PeerTable::isFirstHand);
+  }
+
+  /** Returns the entries to name to others for the leased part. */
+  Set<String> leasedToName() {
+    return withSelf(record -> record.inLeased() && isFirstHand(record));
+  }
+
+  private static boolean isFirstHand(PeerRecord record) {
+    return record.registered() != Registered.UNKNOWN;
+  }
+
+  private Set<String> withSelf(Predicate<PeerRecord> condition) {
+    Set<String> set = new TreeSet<>();
+    records.values().stream().filter(condition).forEach(record -> set.add(record.id()));
+    set.add(self);
+    return set;
+  }
+}
