--- a/wagtailpin/src/test/java/org/wagtailpin/config/SharedStateFaultTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/config/SharedStateFaultTest.java
@@ -43,7 +43,7 @@
         case LOST_WRITE_ANSWER -> faults.lostWriteAnswers(0.7);
         case OLD_READ -> faults.staleReads(0.5, 4000);
         case SLOW_WATCH -> faults.slowWatch(3000, 0.3);
-        case PARTITION -> faults.partition(Set.of("operator-0", "entry-0", "entry-1"));
+        default -> faults.partition(Set.of("operator-0", "entry-0", "entry-1"));
       }
     }
   }
