--- /dev/null
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntrySettings.java
@@ -0,0 +1,48 @@
+package org.wagtailpin.daemon;
+
+import java.net.URI;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The settings of one entry.
+ *
+ * @param id the identifier, which the entry keeps over restarts, 1 to 64 characters
+ * @param region the region that the entry stands in
+ * @param failureDomain the failure domain that it stands in
+ * @param callers where callers connect
+ * @param internal where backend servers connect that call further, empty for nowhere
+ * @param admin where operators connect
+ * @param peers where other entries connect
+ * @param seeds addresses of other entries, asked when the store does not answer at the start
+ * @param store the address of the store
+ * @param hostList the address of the host list, empty if there is none
+ * @param trafficThreads threads that serve calls, 1 to 64
+ * @param noticeMillis how long calls are still accepted after the entry has said that it is not
+ *     ready, in milliseconds
+ * @param graceMillis how long calls in flight may go on after that, in milliseconds
+ * @param decisionLogCapacity decisions that wait to be logged before more are dropped
+ * @param seed the seed of the random choices, empty for one that differs at each start
+ */
+public record EntrySettings(
+    String id,
+    String region,
+    String failureDomain,
+    ListenAddress callers,
+    Optional<ListenAddress> internal,
+    ListenAddress admin,
+    ListenAddress peers,
+    List<ListenAddress> seeds,
+    URI store,
+    Optional<URI> hostList,
+    int trafficThreads,
+    long noticeMillis,
+    long graceMillis,
+    int decisionLogCapacity,
+    Optional<Long> seed) {
+
+  /** Copies the list. */
+  public EntrySettings {
+    seeds = List.copyOf(seeds);
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerChannelInitializer.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PeerChannelInitializer.java
@@ -3,18 +3,18 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
-import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import java.util.function.Supplier;
 
 /** Sets up the codec of a connection between entries. */
 final class PeerChannelInitializer extends ChannelInitializer<Channel> {
 
   private final int maxFrameBytes;
+  private final PeerTraffic traffic;
   private final Supplier<ChannelHandler> last;
 
-  PeerChannelInitializer(int maxFrameBytes, Supplier<ChannelHandler> last) {
+  PeerChannelInitializer(int maxFrameBytes, PeerTraffic traffic, Supplier<ChannelHandler> last) {
     this.maxFrameBytes = maxFrameBytes;
+    this.traffic = traffic;
     this.last = last;
   }
 
@@ -22,9 +22,8 @@
   protected void initChannel(Channel channel) {
     channel
         .pipeline()
-        .addLast(new PeerFrameDecoder(maxFrameBytes))
-        .addLast(new ProtobufVarint32LengthFieldPrepender())
-        .addLast(new ProtobufEncoder())
+        .addLast(new PeerFrameDecoder(maxFrameBytes, traffic))
+        .addLast(new PeerFrameEncoder(traffic))
         .addLast(last.get());
   }
 }
--- a/wagtailpin/src/test/java/org/wagtailpin/membership/SimulatedEntry.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/membership/SimulatedEntry.java
@@ -10,7 +10,7 @@
   private final OffsetClock clock;
   private final CuttableStore store;
   private final Membership membership;
-  private boolean storeCut;
+  private StoreWay storeWay = StoreWay.OPEN;
   private boolean left;
 
   SimulatedEntry(
@@ -23,7 +23,10 @@
     this.loop = loop;
     this.clock = clock;
     this.store =
-        new CuttableStore(fleet.store(), fleet.random(), () -> storeCut || fleet.storeDown());
+        new CuttableStore(
+            fleet.store(),
+            fleet.random(),
+            () -> fleet.storeDown() ? StoreWay.LOSES_ANSWERS : storeWay);
     this.membership =
         fleet.newMembership(
             member,
@@ -59,7 +62,11 @@
   }
 
   void cutStore(boolean cut) {
-    storeCut = cut;
+    storeWay = cut ? StoreWay.CUT : StoreWay.OPEN;
+  }
+
+  void loseStoreAnswers() {
+    storeWay = StoreWay.LOSES_ANSWERS;
   }
 
   void leave() {
--- a/wagtailpin/src/test/java/org/wagtailpin/membership/SimulatedFleet.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/membership/SimulatedFleet.java
@@ -1,9 +1,12 @@
 package org.wagtailpin.membership;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.wagtailpin.clock.ManualClock;
@@ -32,6 +35,9 @@
 
   static final int[] LIMITS = {1, 2, 6, 15, 220, 240};
 
+  private static final String[] LIMIT_NAMES =
+      Arrays.stream(LIMITS).mapToObj(limit -> "limit-" + limit).toArray(String[]::new);
+
   private static final int DOMAINS = 6;
   private static final int REGIONS = 3;
   private static final int PEER_PORT = 7000;
@@ -109,6 +115,7 @@
         new LearntAddressBook(),
         entryStore,
         address -> hosts.getOrDefault(address, HostState.UNKNOWN),
+        elected -> {},
         new FixedConfig(),
         entryLoop,
         entryClock,
@@ -187,7 +194,10 @@
   }
 
   int sumOfShares(int limit) {
-    String name = limitName(limit);
+    return sumOfShares("limit-" + limit, limit);
+  }
+
+  private int sumOfShares(String name, int limit) {
     return running.stream().mapToInt(entry -> entry.membership().wholeShare(name, limit)).sum();
   }
 
@@ -195,13 +205,32 @@
     return running.stream().mapToDouble(entry -> entry.membership().share(limit)).sum();
   }
 
-  private static String limitName(int limit) {
-    return "limit-" + limit;
+  /** Describes what each entry holds and which others it counts that do not run. */
+  String describe() {
+    StringBuilder text = new StringBuilder();
+    Set<String> ids = new TreeSet<>();
+    running.forEach(entry -> ids.add(entry.id()));
+    for (SimulatedEntry entry : running) {
+      MembershipStatus status = entry.membership().status();
+      text.append('\n').append(entry.id());
+      text.append(status.registered() ? " registered" : " unregistered");
+      text.append(status.holdsGuaranteed() ? " guaranteed" : "");
+      text.append(status.holdsLeased() ? " leased" : "");
+      text.append(status.watchesStore() ? " watches" : "");
+      text.append(", others not running:");
+      for (PeerStatus peer : status.peers()) {
+        if (!ids.contains(peer.id())) {
+          text.append(' ').append(peer.id()).append(peer.counted() ? " counted" : "");
+        }
+      }
+    }
+    return text.toString();
   }
 
   private void check() {
-    for (int limit : LIMITS) {
-      int sum = sumOfShares(limit);
+    for (int i = 0; i < LIMITS.length; i++) {
+      int limit = LIMITS[i];
+      int sum = sumOfShares(LIMIT_NAMES[i], limit);
       if (sum > limit) {
         excesses.add("at " + clock.millis() + " ms: " + sum + " of " + limit);
       }
