--- a/benchmark/src/main/java/org/wagtailpin/benchmark/fleet/FleetCost.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/fleet/FleetCost.java
@@ -42,7 +42,7 @@
     FleetCost cost = new FleetCost();
     List<FleetSample> samples = new ArrayList<>();
     System.out.println(
-        "entries  sent B/s  sent msg/s  control %core  network %core  heap KB"
+        "entries  sent B/s  sent msg/s  control pct  network pct  heap KB"
             + "  lease calls/s  other calls/s (fleet)");
     for (int size : SIZES) {
       FleetSample sample = cost.measure(size);
@@ -60,8 +60,8 @@
     }
     printFit("sent B/s", samples, FleetSample::sentBytesPerSecond);
     printFit("sent msg/s", samples, FleetSample::sentMessagesPerSecond);
-    printFit("control %core", samples, FleetSample::controlPercentOfCore);
-    printFit("network %core", samples, FleetSample::networkPercentOfCore);
+    printFit("control pct", samples, FleetSample::controlPercentOfCore);
+    printFit("network pct", samples, FleetSample::networkPercentOfCore);
     printFit("heap B", samples, FleetSample::heapBytes);
   }
 
--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -20,8 +20,8 @@
 import org.wagtailpin.entrypeer.NettyPeerSettings;
 import org.wagtailpin.entrypeer.PeerIdentity;
 import org.wagtailpin.hostlist.HostState;
-import org.wagtailpin.membership.ConfigStamp;
-import org.wagtailpin.membership.ConfigWatcher;
+import org.wagtailpin.membership.ConfigSpread;
+import org.wagtailpin.membership.ConfigWatchDuty;
 import org.wagtailpin.membership.Member;
 import org.wagtailpin.membership.Membership;
 import org.wagtailpin.membership.MembershipSettings;
@@ -72,7 +72,8 @@
             addresses,
             store,
             address -> HostState.UNKNOWN,
-            configHearing(),
+            new ConfigWatchDuty(merger, configWatcher),
+            new ConfigSpread(merger, messenger),
             loop,
             clock,
             random,
@@ -107,20 +108,6 @@
         .toList();
   }
 
-  private ConfigWatcher configHearing() {
-    return new ConfigWatcher() {
-      @Override
-      public ConfigStamp stamp() {
-        return new ConfigStamp(merged.digest(), merged.highestTicket());
-      }
-
-      @Override
-      public void heard(String entry, ConfigStamp stamp) {
-        // Each entry watches the store, so there is nothing to ask the other for.
-      }
-    };
-  }
-
   /** Returns what operators are told of the configuration in force; safe for all threads. */
   public ConfigReport configReport() {
     return merger.report();
--- a/wagtailpin/src/test/java/org/wagtailpin/membership/ConfigSpreadTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/membership/ConfigSpreadTest.java
@@ -13,7 +13,6 @@
 import org.wagtailpin.config.ConfigCallerGroup;
 import org.wagtailpin.config.ConfigKind;
 import org.wagtailpin.config.ConfigMerger;
-import org.wagtailpin.config.ConfigOrigin;
 import org.wagtailpin.config.MergedConfig;
 import org.wagtailpin.config.ObjectId;
 import org.wagtailpin.config.PublishedConfig;
@@ -147,8 +146,8 @@
     Node late = start(40, List.of(nodes.get(2).id()));
     loop.advance(IN_FORCE_MILLIS);
     assertThat(late.merger().merged().live()).hasSize(1);
-    assertThat(late.merger().origin().source()).isEqualTo(ConfigOrigin.Source.PEER);
-    assertThat(late.merger().origin().peerName()).isEqualTo(nodes.get(2).id());
+    assertThat(late.merger().report().source()).isEqualTo("peer");
+    assertThat(late.merger().report().peer()).isEqualTo(nodes.get(2).id());
   }
 
   @Test
