--- /dev/null
+++ b/proof/src/test/java/org/wagtailpin/proof/scenario/EntryProcess.java
@@ -0,0 +1,130 @@
+package org.wagtailpin.proof.scenario;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.rng.simple.RandomSource;
+import org.wagtailpin.claims.ClaimSettings;
+import org.wagtailpin.claims.ShardedClaims;
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.config.ConfigMerger;
+import org.wagtailpin.config.MergedConfig;
+import org.wagtailpin.config.ObjectId;
+import org.wagtailpin.config.PublishedConfig;
+import org.wagtailpin.config.StoreConfigWatcher;
+import org.wagtailpin.config.VersionedObject;
+import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.entrypeer.LearntAddressBook;
+import org.wagtailpin.entrypeer.PeerIdentity;
+import org.wagtailpin.entrypeer.PeerMessenger;
+import org.wagtailpin.entrypeer.memory.MemoryPeerNetwork;
+import org.wagtailpin.hostlist.HostStates;
+import org.wagtailpin.membership.ConfigStamp;
+import org.wagtailpin.membership.ConfigWatcher;
+import org.wagtailpin.membership.Member;
+import org.wagtailpin.membership.Membership;
+import org.wagtailpin.membership.MembershipSettings;
+import org.wagtailpin.store.Store;
+
+/** One start of an entry: its membership, claims and configuration, in controlled time. */
+final class EntryProcess {
+
+  private final Member member;
+  private final ProcessLoop loop;
+  private final Membership membership;
+  private final ShardedClaims claims;
+  private final MergedConfig config = new MergedConfig();
+  private final Map<ObjectId, Long> highest = new HashMap<>();
+  private boolean tookBack;
+
+  EntryProcess(
+      Member member,
+      List<String> seeds,
+      Store store,
+      MemoryPeerNetwork network,
+      HostStates hosts,
+      Clock clock,
+      ControlLoop timeline,
+      long seed) {
+    this.member = member;
+    this.loop = new ProcessLoop(timeline);
+    PeerMessenger messenger =
+        network.connect(new PeerIdentity(member.id(), member.incarnation()), loop);
+    this.membership =
+        new Membership(
+            member,
+            messenger,
+            new LearntAddressBook(),
+            store,
+            hosts,
+            ownStamp(),
+            loop,
+            clock,
+            RandomSource.XO_RO_SHI_RO_128_PP.create(seed),
+            MembershipSettings.defaults(),
+            seeds);
+    this.claims =
+        new ShardedClaims(
+            ClaimSettings.defaults(),
+            member.incarnation(),
+            store,
+            messenger,
+            membership,
+            clock,
+            loop,
+            RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 1));
+    ConfigMerger merger = new ConfigMerger(clock, config, new PublishedConfig());
+    merger.addListener(this::noteReversals);
+    StoreConfigWatcher watcher =
+        new StoreConfigWatcher(
+            store, loop, merger, RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 2));
+    loop.execute(membership::start);
+    loop.execute(watcher::start);
+  }
+
+  private ConfigWatcher ownStamp() {
+    return new ConfigWatcher() {
+      @Override
+      public ConfigStamp stamp() {
+        return new ConfigStamp(config.digest(), config.highestTicket());
+      }
+
+      @Override
+      public void heard(String entry, ConfigStamp stamp) {
+        // Each entry of these scenarios watches the store itself.
+      }
+    };
+  }
+
+  private void noteReversals(MergedConfig now) {
+    for (VersionedObject object : now.objects()) {
+      Long before = highest.put(object.id(), object.ticket());
+      tookBack |= before != null && before > object.ticket();
+    }
+  }
+
+  Member member() {
+    return member;
+  }
+
+  ProcessLoop loop() {
+    return loop;
+  }
+
+  Membership membership() {
+    return membership;
+  }
+
+  ShardedClaims claims() {
+    return claims;
+  }
+
+  MergedConfig config() {
+    return config;
+  }
+
+  /** Tells whether an object ever went back to a lower ticket. */
+  boolean tookBack() {
+    return tookBack;
+  }
+}
--- /dev/null
+++ b/proof/src/test/java/org/wagtailpin/proof/scenario/FleetSteps.java
@@ -0,0 +1,266 @@
+package org.wagtailpin.proof.scenario;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.wagtailpin.entrypeer.memory.NetworkFaults;
+import org.wagtailpin.store.memory.StoreFaults;
+
+/** The step vocabulary of the scenarios; {@code features/README.md} lists it. */
+public final class FleetSteps {
+
+  private static final long SETTLE_MILLIS = 20_000;
+  private static final long SECOND_MILLIS = 1_000;
+
+  private ScenarioFleet fleet;
+  private final Set<String> withoutStore = new HashSet<>();
+  private boolean storeDown;
+  private long storeDelayMillis = 2;
+  private double lostAnswers;
+  private double oldReads;
+
+  @Given("{int} entries with seed {long}")
+  public void entries(int count, long seed) {
+    System.out.println("scenario with seed " + seed);
+    fleet = new ScenarioFleet(seed);
+    for (int i = 1; i <= count; i++) {
+      fleet.start(Integer.toString(i));
+    }
+    fleet.pass(SETTLE_MILLIS);
+  }
+
+  @When("the store is down")
+  public void storeIsDown() {
+    storeDown = true;
+    applyStoreFaults();
+  }
+
+  @When("the store is up again")
+  public void storeIsUp() {
+    storeDown = false;
+    applyStoreFaults();
+  }
+
+  @When("the store takes up to {int} ms each way")
+  public void storeIsSlow(int millis) {
+    storeDelayMillis = millis;
+    applyStoreFaults();
+  }
+
+  @When("the store loses {int} of 100 answers")
+  public void storeLosesAnswers(int percent) {
+    lostAnswers = percent / 100.0;
+    applyStoreFaults();
+  }
+
+  @When("the store gives old answers to {int} of 100 reads")
+  public void storeGivesOldAnswers(int percent) {
+    oldReads = percent / 100.0;
+    applyStoreFaults();
+  }
+
+  @When("entry {word} is cut off from the store")
+  public void cutOffFromStore(String entry) {
+    withoutStore.add(entry);
+    applyStoreFaults();
+  }
+
+  @When("entry {word} is cut off from the other entries")
+  public void cutOffFromPeers(String entry) {
+    Set<String> others = new HashSet<>(fleet.names());
+    others.remove(entry);
+    fleet.network().cut(Set.of(entry), others);
+  }
+
+  @When("{int} of 100 messages between entries are lost and as many doubled")
+  public void messagesAreLost(int percent) {
+    fleet.network().setFaults(new NetworkFaults(1, 100, percent / 100.0, percent / 100.0));
+  }
+
+  @When("all faults end")
+  public void faultsEnd() {
+    storeDown = false;
+    storeDelayMillis = 2;
+    lostAnswers = 0;
+    oldReads = 0;
+    withoutStore.clear();
+    applyStoreFaults();
+    fleet.network().mend();
+    fleet.network().setFaults(NetworkFaults.none());
+    fleet.entries().forEach(entry -> entry.loop().goOn());
+    fleet.server().behave(OrderServer.Behaviour.ANSWERS);
+    fleet.pass(SETTLE_MILLIS);
+  }
+
+  private void applyStoreFaults() {
+    fleet.changeStoreFaults(
+        StoreFaults.builder()
+            .down(storeDown)
+            .delay(storeDelayMillis)
+            .lostAnswers(lostAnswers)
+            .staleReads(oldReads, 10 * SECOND_MILLIS)
+            .partition(withoutStore)
+            .build());
+  }
+
+  @When("entry {word} is paused")
+  public void pause(String entry) {
+    fleet.entry(entry).loop().pause();
+  }
+
+  @When("entry {word} goes on")
+  public void goOn(String entry) {
+    fleet.entry(entry).loop().goOn();
+  }
+
+  @When("entry {word} crashes")
+  public void crash(String entry) {
+    fleet.crash(entry);
+  }
+
+  @When("entry {word} is replaced")
+  public void replace(String entry) {
+    fleet.crash(entry);
+    fleet.start(entry);
+  }
+
+  @When("all entries are replaced one by one within a minute")
+  public void replaceAll() {
+    List<String> names = List.copyOf(fleet.names());
+    for (String name : names) {
+      replace(name);
+      fleet.pass(60 * SECOND_MILLIS / names.size());
+    }
+  }
+
+  @When("{int} second(s) pass(es)")
+  public void pass(int seconds) {
+    fleet.pass(seconds * SECOND_MILLIS);
+  }
+
+  @When("the order server refuses work")
+  public void serverRefuses() {
+    fleet.server().behave(OrderServer.Behaviour.REFUSES);
+  }
+
+  @When("the order server answers")
+  public void serverAnswers() {
+    fleet.server().behave(OrderServer.Behaviour.ANSWERS);
+  }
+
+  @When("the answers of the order server are lost")
+  public void serverLosesAnswers() {
+    fleet.server().behave(OrderServer.Behaviour.LOSES_ANSWERS);
+  }
+
+  @When("the order server takes {int} seconds for an order")
+  public void serverIsSlow(int seconds) {
+    fleet.server().setWorkMillis(seconds * SECOND_MILLIS);
+  }
+
+  @When("a caller sends order {string} to entry {word}")
+  public void sendOrder(String order, String entry) {
+    fleet.send(order, entry);
+  }
+
+  @When("{int} orders are sent {int} times each to random entries over {int} seconds")
+  public void sendOrders(int orders, int times, int seconds) {
+    List<String> names = List.copyOf(fleet.names());
+    int sends = orders * times;
+    for (int i = 0; i < sends; i++) {
+      String order = "order-" + fleet.random().nextInt(orders);
+      fleet.send(order, names.get(fleet.random().nextInt(names.size())));
+      fleet.pass(seconds * SECOND_MILLIS / sends);
+    }
+  }
+
+  @When("an operator sends ticket {long} for service {string}")
+  public void sendTicket(long number, String service) {
+    fleet.sendTicket(number, service);
+  }
+
+  @Then("ticket {long} ends as {word}")
+  public void ticketEnds(long number, String outcome) {
+    assertThat(fleet.ticketOutcome(number)).isEqualTo(outcome);
+  }
+
+  @Then("every accepted ticket is in force at every entry")
+  public void ticketsInForce() {
+    Set<Long> accepted = fleet.acceptedTickets();
+    assertThat(accepted).isNotEmpty();
+    long highest = accepted.stream().mapToLong(Long::longValue).max().orElseThrow();
+    for (EntryProcess entry : fleet.entries()) {
+      assertWithMessage("entry %s", entry.member().id())
+          .that(entry.config().highestTicket())
+          .isAtLeast(highest);
+    }
+    Set<Long> digests = new HashSet<>();
+    fleet.entries().forEach(entry -> digests.add(entry.config().digest()));
+    assertThat(digests).hasSize(1);
+  }
+
+  @Then("no entry ever went back to an older ticket")
+  public void nothingWentBack() {
+    assertThat(fleet.tookBack()).isFalse();
+  }
+
+  @Then("the caller of call {int} was told {string}")
+  public void callerWasTold(int call, String told) {
+    assertThat(fleet.calls().get(call - 1).told()).hasValue(told);
+  }
+
+  @Then("order {string} ran {int} time(s)")
+  public void orderRan(String order, int times) {
+    assertThat(fleet.server().runs(order)).isEqualTo(times);
+  }
+
+  @Then("no order ran twice")
+  public void noOrderRanTwice() {
+    assertThat(fleet.server().mostRuns()).isAtMost(1);
+  }
+
+  @Then("some orders ran")
+  public void someOrdersRan() {
+    assertThat(fleet.server().mostRuns()).isAtLeast(1);
+  }
+
+  @Then("every {string} was true")
+  public void everyNotRunWasTrue(String notRun) {
+    assertThat(notRun).isEqualTo(OrderCall.NOT_RUN);
+    for (OrderCall call : fleet.calls()) {
+      if (call.told().filter(notRun::equals).isPresent()) {
+        assertWithMessage(call.order()).that(call.dispatched()).isFalse();
+      }
+    }
+  }
+
+  @Then("every caller that got an answer got that of its own order")
+  public void answersAreOwn() {
+    for (OrderCall call : fleet.calls()) {
+      call.body().ifPresent(body -> assertThat(body).startsWith(call.order() + ","));
+    }
+  }
+
+  @Then("every caller was told something")
+  public void everyCallerWasTold() {
+    for (OrderCall call : fleet.calls()) {
+      assertWithMessage(call.order()).that(call.told()).isPresent();
+    }
+  }
+
+  @Then("the entries together never exceeded a limit")
+  public void limitHeld() {
+    assertThat(fleet.limitExceeded()).isFalse();
+  }
+
+  @Then("the entries together use the whole limit")
+  public void limitUsed() {
+    assertThat(fleet.limitInUse()).isEqualTo(fleet.limit());
+  }
+}
--- /dev/null
+++ b/proof/src/test/java/org/wagtailpin/proof/scenario/OrderCall.java
@@ -0,0 +1,65 @@
+package org.wagtailpin.proof.scenario;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.util.Optional;
+import org.wagtailpin.claims.ClaimResult;
+import org.wagtailpin.claims.ClaimSettlement;
+
+/** One arrival of an order at an entry, and what its caller was told. */
+final class OrderCall {
+
+  static final String ANSWER = "the answer";
+  static final String NOT_RUN = "not run";
+  static final String DISPATCHED_BEFORE = "already dispatched";
+  static final String UNKNOWN = "outcome unknown";
+
+  private final String order;
+  private Optional<String> told = Optional.empty();
+  private Optional<String> body = Optional.empty();
+  private boolean dispatched;
+
+  OrderCall(String order) {
+    this.order = order;
+  }
+
+  String order() {
+    return order;
+  }
+
+  /** Returns what the caller was told, or empty while it waits. */
+  Optional<String> told() {
+    return told;
+  }
+
+  Optional<String> body() {
+    return body;
+  }
+
+  /** Tells whether the server ran the order for this very call. */
+  boolean dispatched() {
+    return dispatched;
+  }
+
+  void refused(ClaimResult result) {
+    if (result instanceof ClaimResult.Replayed replayed) {
+      told = Optional.of(ANSWER);
+      body = Optional.of(new String(replayed.answer().body(), UTF_8));
+    } else {
+      told = Optional.of(result instanceof ClaimResult.Unavailable ? NOT_RUN : DISPATCHED_BEFORE);
+    }
+  }
+
+  void ran(ClaimSettlement settlement) {
+    dispatched = !(settlement instanceof ClaimSettlement.NotRun);
+  }
+
+  void settled(ClaimSettlement settlement) {
+    if (settlement instanceof ClaimSettlement.Answered answered) {
+      told = Optional.of(ANSWER);
+      body = Optional.of(new String(answered.answer().body(), UTF_8));
+    } else {
+      told = Optional.of(settlement instanceof ClaimSettlement.NotRun ? NOT_RUN : UNKNOWN);
+    }
+  }
+}
--- /dev/null
+++ b/proof/src/test/java/org/wagtailpin/proof/scenario/OrderServer.java
@@ -0,0 +1,57 @@
+package org.wagtailpin.proof.scenario;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.wagtailpin.claims.ClaimSettlement;
+import org.wagtailpin.claims.HeldAnswer;
+
+/** Backend server that counts how often it ran each order. */
+final class OrderServer {
+
+  /** What it does with work. */
+  enum Behaviour {
+    ANSWERS,
+    REFUSES,
+    LOSES_ANSWERS
+  }
+
+  private final Map<String, Integer> runs = new HashMap<>();
+  private Behaviour behaviour = Behaviour.ANSWERS;
+  private long workMillis = 20;
+
+  void behave(Behaviour next) {
+    behaviour = next;
+  }
+
+  void setWorkMillis(long millis) {
+    workMillis = millis;
+  }
+
+  long workMillis() {
+    return workMillis;
+  }
+
+  /** Runs an order, or not, and gives what the entry learns of it. */
+  ClaimSettlement take(String order) {
+    if (behaviour == Behaviour.REFUSES) {
+      return new ClaimSettlement.NotRun();
+    }
+    int run = runs.merge(order, 1, Integer::sum);
+    if (behaviour == Behaviour.LOSES_ANSWERS) {
+      return new ClaimSettlement.Unknown();
+    }
+    byte[] body = (order + ", run " + run).getBytes(UTF_8);
+    return new ClaimSettlement.Answered(new HeldAnswer(201, List.of(), body));
+  }
+
+  int runs(String order) {
+    return runs.getOrDefault(order, 0);
+  }
+
+  int mostRuns() {
+    return runs.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+  }
+}
--- /dev/null
+++ b/proof/src/test/java/org/wagtailpin/proof/scenario/ProcessLoop.java
@@ -0,0 +1,54 @@
+package org.wagtailpin.proof.scenario;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.control.Scheduled;
+
+/** The control loop of one process on the shared timeline, which can be paused and killed. */
+final class ProcessLoop implements ControlLoop {
+
+  private final ControlLoop timeline;
+  private final List<Runnable> late = new ArrayList<>();
+  private boolean paused;
+  private boolean killed;
+
+  ProcessLoop(ControlLoop timeline) {
+    this.timeline = timeline;
+  }
+
+  @Override
+  public void execute(Runnable task) {
+    schedule(0, task);
+  }
+
+  @Override
+  public Scheduled schedule(long delayMillis, Runnable task) {
+    return timeline.schedule(delayMillis, () -> run(task));
+  }
+
+  private void run(Runnable task) {
+    if (killed) {
+      return;
+    }
+    if (paused) {
+      late.add(task);
+    } else {
+      task.run();
+    }
+  }
+
+  void pause() {
+    paused = true;
+  }
+
+  void goOn() {
+    paused = false;
+    late.forEach(timeline::execute);
+    late.clear();
+  }
+
+  void kill() {
+    killed = true;
+  }
+}
