--- /dev/null
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryCommand.java
@@ -0,0 +1,84 @@
+package org.wagtailpin.daemon;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.util.concurrent.CountDownLatch;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/**
+ * Command that runs an entry until SIGTERM, and then lets it leave gracefully.
+ *
+ * <p>Exit codes: 0 when it left, 1 when it could not start, 2 for wrong usage or settings.
+ */
+public final class EntryCommand {
+
+  private static final int DONE = 0;
+  private static final int NOT_DONE = 1;
+  private static final int USAGE = 2;
+
+  @Option(name = "--settings", required = true, usage = "file of settings")
+  private File settingsFile;
+
+  @Option(name = "--help", help = true, usage = "print this text")
+  private boolean help;
+
+  /**
+   * Runs the command.
+   *
+   * @param args the arguments after the command's name
+   * @param out where usage is printed on demand
+   * @param err where errors are printed
+   * @return the exit code, once the entry has left
+   */
+  public int run(String[] args, PrintStream out, PrintStream err) {
+    CmdLineParser parser = new CmdLineParser(this);
+    try {
+      parser.parseArgument(args);
+    } catch (CmdLineException e) {
+      err.println("entry: " + e.getMessage());
+      parser.printUsage(err);
+      return USAGE;
+    }
+    if (help) {
+      parser.printUsage(out);
+      return DONE;
+    }
+    return serve(err);
+  }
+
+  private int serve(PrintStream err) {
+    try {
+      byte[] text = Files.readAllBytes(settingsFile.toPath());
+      SettingsReadResult result = new SettingsReader().read(settingsFile.getPath(), text);
+      if (result instanceof SettingsReadResult.Malformed malformed) {
+        malformed.problems().forEach(err::println);
+        return USAGE;
+      }
+      runUntilLeft(new EntryNode(((SettingsReadResult.Read) result).settings()));
+      return DONE;
+    } catch (IOException e) {
+      err.println("entry: " + e.getMessage());
+      return NOT_DONE;
+    }
+  }
+
+  private static void runUntilLeft(EntryNode node) throws IOException {
+    CountDownLatch left = new CountDownLatch(1);
+    node.start();
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(node, left), "leave"));
+    try {
+      left.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void leave(EntryNode node, CountDownLatch left) {
+    node.leave().join();
+    left.countDown();
+  }
+}
