--- /dev/null
+++ b/proof/src/test/java/org/wagtailpin/proof/scenario/RunningSteps.java
@@ -0,0 +1,111 @@
+package org.wagtailpin.proof.scenario;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cucumber.java.After;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.wagtailpin.store.memory.StoreFaults;
+
+/** The steps of the scenarios over whole entries on sockets, in the machine's own time. */
+public final class RunningSteps {
+
+  private static final long WAIT_SECONDS = 30;
+
+  private final List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+  private Optional<RunningFleet> fleet = Optional.empty();
+  private Optional<CompletableFuture<Integer>> leave = Optional.empty();
+
+  private RunningFleet running() {
+    return fleet.orElseThrow();
+  }
+
+  @Given("{int} running entries with seed {long} and a server that takes {int} ms")
+  public void runningEntries(int count, long seed, int serviceMillis) throws IOException {
+    System.out.println("scenario with seed " + seed);
+    fleet = Optional.of(new RunningFleet(count, serviceMillis, seed));
+    running().acceptOrderService();
+  }
+
+  @After
+  public void closeFleet() {
+    fleet.ifPresent(RunningFleet::close);
+  }
+
+  @When("order {string} is posted to running entry {int}")
+  public void postOrder(String order, int entry) {
+    answers.add(running().post(entry, order));
+  }
+
+  @When("the catalogue is asked for at running entry {int}")
+  public void getCatalogue(int entry) {
+    answers.add(running().get(entry));
+  }
+
+  @When("the server has begun {int} order(s)")
+  public void serverHasBegun(int orders) {
+    RunningFleet.await("orders at the server", () -> running().ledger().total() >= orders);
+  }
+
+  @When("all answers are there")
+  public void awaitAnswers() {
+    for (CompletableFuture<HttpResponse<String>> answer : answers) {
+      answer.orTimeout(WAIT_SECONDS, TimeUnit.SECONDS).join();
+    }
+  }
+
+  @When("the running store is down")
+  public void storeIsDown() {
+    running().store().changeFaults(StoreFaults.builder().down(true).build());
+  }
+
+  @When("the running server reads requests and drops them")
+  public void serverDrops() {
+    running().server().faults(running().server().faults().withReadAndDrop(true));
+  }
+
+  @When("the running server drains")
+  public void serverDrains() {
+    running().server().faults(running().server().faults().withDraining(true));
+  }
+
+  @When("running entry {int} leaves")
+  public void entryLeaves(int entry) {
+    leave = Optional.of(running().entry(entry).leave());
+  }
+
+  @Then("it cut no call in flight")
+  public void noCallWasCut() {
+    int cut = leave.orElseThrow().orTimeout(WAIT_SECONDS, TimeUnit.SECONDS).join();
+    assertThat(cut).isEqualTo(0);
+  }
+
+  @Then("answer {int} has status {int}")
+  public void answerHasStatus(int number, int status) {
+    assertThat(answers.get(number - 1).join().statusCode()).isEqualTo(status);
+  }
+
+  @Then("answer {int} says {string}")
+  public void answerSays(int number, String outcome) {
+    assertThat(answers.get(number - 1).join().headers().firstValue("wagtailpin-outcome"))
+        .hasValue(outcome);
+  }
+
+  @Then("answer {int} is the same as answer {int}")
+  public void answersAreEqual(int one, int other) {
+    assertThat(answers.get(one - 1).join().body()).isEqualTo(answers.get(other - 1).join().body());
+  }
+
+  @Then("the server ran order {string} {int} time(s)")
+  public void serverRan(String order, int times) {
+    assertThat(running().ledger().runsOf(order)).isEqualTo(times);
+  }
+}
