--- a/proof/src/test/java/org/wagtailpin/proof/scenario/EntryProcess.java
+++ b/proof/src/test/java/org/wagtailpin/proof/scenario/EntryProcess.java
@@ -19,8 +19,8 @@
 import org.wagtailpin.entrypeer.PeerMessenger;
 import org.wagtailpin.entrypeer.memory.MemoryPeerNetwork;
 import org.wagtailpin.hostlist.HostStates;
-import org.wagtailpin.membership.ConfigStamp;
-import org.wagtailpin.membership.ConfigWatcher;
+import org.wagtailpin.membership.ConfigSpread;
+import org.wagtailpin.membership.ConfigWatchDuty;
 import org.wagtailpin.membership.Member;
 import org.wagtailpin.membership.Membership;
 import org.wagtailpin.membership.MembershipSettings;
@@ -50,6 +50,11 @@
     this.loop = new ProcessLoop(timeline);
     PeerMessenger messenger =
         network.connect(new PeerIdentity(member.id(), member.incarnation()), loop);
+    ConfigMerger merger = new ConfigMerger(clock, config, new PublishedConfig());
+    merger.addListener(this::noteReversals);
+    StoreConfigWatcher watcher =
+        new StoreConfigWatcher(
+            store, loop, merger, RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 2));
     this.membership =
         new Membership(
             member,
@@ -57,7 +62,8 @@
             new LearntAddressBook(),
             store,
             hosts,
-            ownStamp(),
+            new ConfigWatchDuty(merger, watcher),
+            new ConfigSpread(merger, messenger),
             loop,
             clock,
             RandomSource.XO_RO_SHI_RO_128_PP.create(seed),
@@ -73,27 +79,7 @@
             clock,
             loop,
             RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 1));
-    ConfigMerger merger = new ConfigMerger(clock, config, new PublishedConfig());
-    merger.addListener(this::noteReversals);
-    StoreConfigWatcher watcher =
-        new StoreConfigWatcher(
-            store, loop, merger, RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 2));
     loop.execute(membership::start);
-    loop.execute(watcher::start);
-  }
-
-  private ConfigWatcher ownStamp() {
-    return new ConfigWatcher() {
-      @Override
-      public ConfigStamp stamp() {
-        return new ConfigStamp(config.digest(), config.highestTicket());
-      }
-
-      @Override
-      public void heard(String entry, ConfigStamp stamp) {
-        // Each entry of these scenarios watches the store itself.
-      }
-    };
   }
 
   private void noteReversals(MergedConfig now) {
--- a/proof/src/test/java/org/wagtailpin/proof/scenario/RunningFleet.java
+++ b/proof/src/test/java/org/wagtailpin/proof/scenario/RunningFleet.java
@@ -135,14 +135,7 @@
   void acceptOrderService() {
     ConfigServer configured =
         new ConfigServer(
-            "orders-1",
-            LOOPBACK,
-            server.address().getPort(),
-            "savo",
-            "savo-a",
-            SLOTS,
-            240,
-            false);
+            "orders-1", LOOPBACK, server.address().getPort(), "savo", "savo-a", SLOTS, 240, false);
     RefusalForm refusal = new RefusalForm(503, "Wagtailpin-Refused", "not-run");
     List<ConfigObject> objects =
         List.of(
@@ -170,7 +163,14 @@
 
   private static ConfigRoute route(String name, String path, KeyRule rule) {
     return new ConfigRoute(
-        name, Optional.empty(), path, Set.of(), "orders", Optional.empty(), DEADLINE_MILLIS, rule,
+        name,
+        Optional.empty(),
+        path,
+        Set.of(),
+        "orders",
+        Optional.empty(),
+        DEADLINE_MILLIS,
+        rule,
         false);
   }
 
@@ -193,8 +193,7 @@
 
   private HttpRequest.Builder request(int entry, String path) {
     InetSocketAddress address = entries.get(entry - 1).callerAddress();
-    return HttpRequest.newBuilder(
-            URI.create("http://" + LOOPBACK + ":" + address.getPort() + path))
+    return HttpRequest.newBuilder(URI.create("http://" + LOOPBACK + ":" + address.getPort() + path))
         .timeout(Duration.ofSeconds(WAIT_SECONDS));
   }
 
--- a/proof/src/test/resources/features/configuration.feature
+++ b/proof/src/test/resources/features/configuration.feature
@@ -34,6 +34,17 @@
     And 15 seconds pass
     Then ticket 10 ends as refused
 
+  Scenario: The store goes down after the acceptance
+    Given 8 entries with seed 305
+    When an operator sends ticket 10 for service "lessons"
+    And 1 second passes
+    And the store is down
+    And entry 8 is replaced
+    And 18 seconds pass
+    Then ticket 10 ends as accepted
+    And every accepted ticket is in force at every entry
+    And no entry ever went back to an older ticket
+
   Scenario Outline: Racing operators under <fault>
     Given 5 entries with seed <seed>
     When <fault>
