Let an entry be closed twice

The scenario of an entry that leaves failed with RejectedExecutionException: leave() closes the entry, and closing it again shut a listener down whose event loop had ended.

--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.tinylog.Logger;
 import org.wagtailpin.caller.CallerLimits;
 import org.wagtailpin.caller.CallerListener;
@@ -47,6 +48,7 @@
   private final AdminListener admin;
   private final CallerListener callers;
   private final Optional<CallerListener> internal;
+  private final AtomicBoolean closed = new AtomicBoolean();
   private volatile boolean leaving;
 
   /**
@@ -198,9 +200,12 @@
             });
   }
 
-  /** Closes everything at once, as a crash would, without leave. */
+  /** Closes everything at once, as a crash would, without leave; does nothing the second time. */
   @Override
   public void close() {
+    if (closed.getAndSet(true)) {
+      return;
+    }
     admin.close();
     control.close();
     traffic.close();
