--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallAdmission.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallAdmission.java
@@ -1,5 +1,6 @@
 package org.wagtailpin.call;
 
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigRoute;
@@ -18,6 +19,9 @@
   /** The greatest number of calls that lead to one. */
   int MAX_DEPTH = 9;
 
+  /** Answer to a call that is nested too deep, RFC 5842 section 7.2. */
+  HttpResponseStatus LOOP_DETECTED = new HttpResponseStatus(508, "Loop Detected");
+
   /** The greatest length of an idempotency key, in characters. */
   int MAX_KEY_LENGTH = 255;
 
@@ -47,18 +51,22 @@
    */
   static CallAdmission of(ConfigSnapshot snapshot, IncomingRequest request, Clock clock) {
     if (request.depth() > MAX_DEPTH) {
-      return refused(508, Step.ADMIT, "the call is nested deeper than " + MAX_DEPTH);
+      return refused(LOOP_DETECTED, Step.ADMIT, "the call is nested deeper than " + MAX_DEPTH);
     }
     if (request.timeoutMillis().orElse(1L) < 1) {
-      return refused(504, Step.ADMIT, "the deadline has passed");
+      return refused(HttpResponseStatus.GATEWAY_TIMEOUT, Step.ADMIT, "the deadline has passed");
     }
     Optional<ConfigRoute> route = snapshot.route(request.host(), request.path(), request.method());
     if (route.isEmpty()) {
-      return refused(404, Step.MATCH_ROUTE, "no route matches the request");
+      return refused(
+          HttpResponseStatus.NOT_FOUND, Step.MATCH_ROUTE, "no route matches the request");
     }
     Optional<ConfigService> service = snapshot.service(route.get().service());
     if (service.isEmpty()) {
-      return refused(503, Step.MATCH_ROUTE, "service " + route.get().service() + " is unknown");
+      return refused(
+          HttpResponseStatus.SERVICE_UNAVAILABLE,
+          Step.MATCH_ROUTE,
+          "service " + route.get().service() + " is unknown");
     }
     return withKey(route.get(), service.get(), request, clock);
   }
@@ -68,14 +76,17 @@
     Optional<String> key =
         Optional.ofNullable(request.headers().get(WagtailpinHeaders.IDEMPOTENCY_KEY));
     if (route.keyRule() == KeyRule.REQUIRED && key.isEmpty()) {
-      return refused(400, Step.CLAIM_KEY, "the route requires an Idempotency-Key");
+      return refused(
+          HttpResponseStatus.BAD_REQUEST, Step.CLAIM_KEY, "the route requires an Idempotency-Key");
     }
     if (route.keyRule() == KeyRule.IGNORED) {
       key = Optional.empty();
     }
     if (key.isPresent() && (key.get().isEmpty() || key.get().length() > MAX_KEY_LENGTH)) {
       return refused(
-          400, Step.CLAIM_KEY, "an Idempotency-Key has 1 to " + MAX_KEY_LENGTH + " characters");
+          HttpResponseStatus.BAD_REQUEST,
+          Step.CLAIM_KEY,
+          "an Idempotency-Key has 1 to " + MAX_KEY_LENGTH + " characters");
     }
     long waitMillis =
         Math.min(route.deadlineMillis(), request.timeoutMillis().orElse(Long.MAX_VALUE));
@@ -90,8 +101,8 @@
     return new Admitted(descriptor, service, key);
   }
 
-  private static Refused refused(int status, Step step, String detail) {
+  private static Refused refused(HttpResponseStatus status, Step step, String detail) {
     Fault fault = new Fault(step, Peer.SELF, "", detail);
-    return new Refused(new Problem(status, Outcome.NOT_RUN, fault));
+    return new Refused(new Problem(status.code(), Outcome.NOT_RUN, fault));
   }
 }
