--- /dev/null
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -0,0 +1,208 @@
+package org.wagtailpin.daemon;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.wagtailpin.claims.ClaimSettings;
+import org.wagtailpin.claims.ShardedClaims;
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.config.ConfigMerger;
+import org.wagtailpin.config.ConfigReport;
+import org.wagtailpin.config.MergedConfig;
+import org.wagtailpin.config.PublishedConfig;
+import org.wagtailpin.config.StoreConfigWatcher;
+import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.entrypeer.LearntAddressBook;
+import org.wagtailpin.entrypeer.ListenResult;
+import org.wagtailpin.entrypeer.NettyPeerMessenger;
+import org.wagtailpin.entrypeer.NettyPeerSettings;
+import org.wagtailpin.entrypeer.PeerIdentity;
+import org.wagtailpin.hostlist.Host;
+import org.wagtailpin.hostlist.HostListPoller;
+import org.wagtailpin.hostlist.HostListSettings;
+import org.wagtailpin.hostlist.HostState;
+import org.wagtailpin.hostlist.HostStates;
+import org.wagtailpin.hostlist.HttpHostList;
+import org.wagtailpin.membership.ConfigSpread;
+import org.wagtailpin.membership.ConfigWatchDuty;
+import org.wagtailpin.membership.Member;
+import org.wagtailpin.membership.Membership;
+import org.wagtailpin.membership.MembershipSettings;
+import org.wagtailpin.store.HttpStore;
+import org.wagtailpin.store.Store;
+import org.wagtailpin.store.StoreHttpClient;
+import org.wagtailpin.store.StoreTimeouts;
+
+/** The parts of an entry that its control thread owns: configuration, membership and claims. */
+public final class ControlParts implements AutoCloseable {
+
+  private static final long FLUSH_WAIT_MILLIS = 2_000;
+
+  private final StoreHttpClient storeClient;
+  private final Store store;
+  private final MergedConfig merged = new MergedConfig();
+  private final PublishedConfig published = new PublishedConfig();
+  private final ConfigMerger merger;
+  private final StoreConfigWatcher configWatcher;
+  private final NettyPeerMessenger messenger;
+  private final Membership membership;
+  private final ShardedClaims claims;
+  private final ControlLoop loop;
+  private final Optional<HostListPoller> hosts;
+
+  ControlParts(EntrySettings settings, Clock clock, ControlLoop loop, long seed) {
+    this.loop = loop;
+    UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    long incarnation = clock.wallMillis();
+    storeClient = new StoreHttpClient(StoreTimeouts.defaults());
+    store =
+        new HttpStore(
+            storeClient.client(), settings.store(), settings.id(), StoreTimeouts.defaults());
+    merger = new ConfigMerger(clock, merged, published);
+    configWatcher = new StoreConfigWatcher(store, loop, merger, random);
+    LearntAddressBook addresses = new LearntAddressBook();
+    messenger =
+        new NettyPeerMessenger(
+            new PeerIdentity(settings.id(), incarnation),
+            addresses,
+            loop,
+            clock,
+            random,
+            NettyPeerSettings.defaults(settings.peers().address(), settings.peers().port()));
+    hosts = hostPoller(settings, clock, random);
+    membership =
+        new Membership(
+            self(settings, incarnation),
+            messenger,
+            addresses,
+            store,
+            hostStates(),
+            new ConfigWatchDuty(merger, configWatcher),
+            new ConfigSpread(merger, messenger),
+            loop,
+            clock,
+            random,
+            MembershipSettings.defaults(),
+            seeds(settings));
+    claims =
+        new ShardedClaims(
+            ClaimSettings.defaults(),
+            incarnation,
+            store,
+            messenger,
+            membership,
+            clock,
+            loop,
+            random);
+  }
+
+  private static Member self(EntrySettings settings, long incarnation) {
+    return new Member(
+        settings.id(),
+        incarnation,
+        settings.peers().address(),
+        settings.peers().port(),
+        settings.region(),
+        settings.failureDomain(),
+        false);
+  }
+
+  private static List<String> seeds(EntrySettings settings) {
+    return settings.seeds().stream()
+        .map(seed -> LearntAddressBook.nameOfAddress(seed.address(), seed.port()))
+        .toList();
+  }
+
+  private Optional<HostListPoller> hostPoller(
+      EntrySettings settings, Clock clock, UniformRandomProvider random) {
+    return settings
+        .hostList()
+        .map(
+            address ->
+                new HostListPoller(
+                    new HttpHostList(storeClient.client(), address),
+                    loop,
+                    clock,
+                    random,
+                    HostListSettings.defaults()));
+  }
+
+  private HostStates hostStates() {
+    return hosts.isPresent() ? hosts.get() : address -> HostState.UNKNOWN;
+  }
+
+  /** Returns the hosts that the platform's list names as leaving or gone. */
+  public Set<String> departingAddresses() {
+    if (hosts.isEmpty()) {
+      return Set.of();
+    }
+    return hosts.get().newest().stream()
+        .map(Host::address)
+        .filter(hosts.get()::isLeaving)
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
+  /** Returns what operators are told of the configuration in force; safe for all threads. */
+  public ConfigReport configReport() {
+    return merger.report();
+  }
+
+  void start() throws IOException {
+    ListenResult listening = messenger.start();
+    if (listening instanceof ListenResult.Failed failed) {
+      throw new IOException(failed.fault().toString());
+    }
+    loop.execute(membership::start);
+    hosts.ifPresent(poller -> loop.execute(poller::start));
+  }
+
+  CompletableFuture<Void> leave() {
+    CompletableFuture<Void> left = new CompletableFuture<>();
+    loop.execute(
+        () ->
+            claims
+                .flush(FLUSH_WAIT_MILLIS)
+                .thenCompose(flushed -> membership.leave())
+                .whenComplete((done, failure) -> left.complete(null)));
+    return left;
+  }
+
+  /** Returns the configuration in force. */
+  public PublishedConfig published() {
+    return published;
+  }
+
+  /** Returns what puts configuration in force, and where it came from. */
+  public ConfigMerger merger() {
+    return merger;
+  }
+
+  /** Returns the membership of the fleet. */
+  public Membership membership() {
+    return membership;
+  }
+
+  /** Returns the claims on idempotency keys. */
+  public ShardedClaims claims() {
+    return claims;
+  }
+
+  /** Returns the store. */
+  public Store store() {
+    return store;
+  }
+
+  @Override
+  public void close() {
+    loop.execute(membership::stop);
+    loop.execute(configWatcher::stop);
+    hosts.ifPresent(poller -> loop.execute(poller::stop));
+    messenger.close();
+    storeClient.close();
+  }
+}
