--- a/daemon/src/test/java/org/wagtailpin/daemon/Fleet.java
+++ b/daemon/src/test/java/org/wagtailpin/daemon/Fleet.java
@@ -42,7 +42,8 @@
   private final EventLoopGroup serverLoops = EventLoops.create(2, "servers");
   private final ThreadControlLoop operatorLoop = new ThreadControlLoop("operator");
   private final StoreHttpClient operatorClient = new StoreHttpClient(StoreTimeouts.defaults());
-  private final StoreStandIn store = new StoreStandIn(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), SEED);
+  private final StoreStandIn store =
+      new StoreStandIn(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), SEED);
   private final WorkLedger ledger = new WorkLedger();
   private final List<BackendServerStandIn> servers = new ArrayList<>();
   private final List<EntryNode> entries = new ArrayList<>();
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigMerger.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigMerger.java
@@ -8,8 +8,8 @@
 /**
  * Puts states from the store and from peers in force.
  *
- * <p>All methods but {@link #report} run on the control thread. Each call merges its states
- * together, so that traffic threads see them at once or not at all.
+ * <p>All methods but {@link #origin} and {@link #report} run on the control thread. Each call
+ * merges its states together, so that traffic threads see them at once or not at all.
  */
 public final class ConfigMerger {
 
@@ -17,6 +17,7 @@
   private final MergedConfig merged;
   private final PublishedConfig published;
   private final List<ConfigListener> listeners = new ArrayList<>();
+  private volatile ConfigOrigin origin = ConfigOrigin.none();
   private volatile ConfigReport report;
 
   /**
@@ -30,7 +31,7 @@
     this.clock = clock;
     this.merged = merged;
     this.published = published;
-    this.report = ConfigReport.of(merged, ConfigOrigin.none());
+    this.report = ConfigReport.of(merged, origin);
   }
 
   /**
@@ -69,7 +70,8 @@
       return false;
     }
     published.publish(merged);
-    report = ConfigReport.of(merged, new ConfigOrigin(source, peerName, clock.wallMillis()));
+    origin = new ConfigOrigin(source, peerName, clock.wallMillis());
+    report = ConfigReport.of(merged, origin);
     listeners.forEach(listener -> listener.configChanged(merged));
     return true;
   }
@@ -79,6 +81,11 @@
     return merged;
   }
 
+  /** Returns where the newest state came from; for any thread. */
+  public ConfigOrigin origin() {
+    return origin;
+  }
+
   /** Returns what is in force and where it came from; for any thread. */
   public ConfigReport report() {
     return report;
