--- a/wagtailpin/src/test/java/org/wagtailpin/membership/MembershipTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/membership/MembershipTest.java
@@ -138,4 +138,39 @@
     assertThat(fleet.running()).hasSize(5);
     assertFullUse(fleet);
   }
+
+  private static long storeCallsInMinute(SimulatedFleet fleet) {
+    long before = storeCalls(fleet);
+    fleet.run(LONG_MILLIS);
+    return storeCalls(fleet) - before;
+  }
+
+  private static long storeCalls(SimulatedFleet fleet) {
+    return fleet.running().stream().mapToLong(SimulatedEntry::storeCalls).sum();
+  }
+
+  @Test
+  void storeCallsGrowByLeasesOnly() {
+    long calls = storeCallsInMinute(fleetOf(6));
+    long callsOfLarger = storeCallsInMinute(fleetOf(18));
+    MembershipSettings settings = MembershipSettings.defaults();
+    // The jitter makes a renewal come a tenth sooner at most.
+    long renewals = LONG_MILLIS * 3 * 10 / (settings.leaseTtlMillis() * 9) + 1;
+    assertThat(callsOfLarger - calls).isAtMost(12 * renewals);
+  }
+
+  @Test
+  void oneEntryOfEachDomainWatchesStoreAndIsReplaced() {
+    SimulatedFleet fleet = fleetOf(18);
+    assertThat(watchers(fleet)).isEqualTo(6);
+    fleet.crash(fleet.running().get(0));
+    fleet.run(JOIN_MILLIS);
+    assertThat(watchers(fleet)).isEqualTo(6);
+  }
+
+  private static long watchers(SimulatedFleet fleet) {
+    return fleet.running().stream()
+        .filter(entry -> entry.membership().status().watchesStore())
+        .count();
+  }
 }
