--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -29,6 +29,7 @@
 import org.wagtailpin.hostlist.HostStates;
 import org.wagtailpin.hostlist.HttpHostList;
 import org.wagtailpin.membership.ConfigSpread;
+import org.wagtailpin.membership.ConfigWatchDuty;
 import org.wagtailpin.membership.Member;
 import org.wagtailpin.membership.Membership;
 import org.wagtailpin.membership.MembershipSettings;
@@ -81,7 +82,7 @@
             addresses,
             store,
             hostStates(),
-            this::watchConfig,
+            new ConfigWatchDuty(merger, configWatcher),
             new ConfigSpread(merger, messenger),
             loop,
             clock,
@@ -135,15 +136,6 @@
     return hosts.isPresent() ? hosts.get() : address -> HostState.UNKNOWN;
   }
 
-  // Called on the control loop with each decision, also when nothing changed.
-  private void watchConfig(boolean elected) {
-    if (elected) {
-      configWatcher.start();
-    } else if (configWatcher.hasRead()) {
-      configWatcher.stop();
-    }
-  }
-
   /** Returns the hosts that the platform's list names as leaving or gone. */
   public Set<String> departingAddresses() {
     if (hosts.isEmpty()) {
@@ -167,8 +159,6 @@
     }
     loop.execute(membership::start);
     hosts.ifPresent(poller -> loop.execute(poller::start));
-    // Every entry reads the configuration once; those elected go on watching.
-    loop.execute(configWatcher::start);
   }
 
   CompletableFuture<Void> leave() {
