--- a/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/VersionRun.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/VersionRun.java
@@ -14,6 +14,7 @@
 import org.wagtailpin.config.ConfigSnapshot;
 import org.wagtailpin.config.ConfigSource;
 import org.wagtailpin.limits.BudgetedRetryPolicy;
+import org.wagtailpin.limits.RetryBudgets;
 import org.wagtailpin.limits.RouteTimes;
 import org.wagtailpin.routing.Locality;
 import org.wagtailpin.routing.SharedRandom;
@@ -97,7 +98,8 @@
             times,
             result.rules());
     BudgetedRetryPolicy retries =
-        new BudgetedRetryPolicy(config, clock, times, new SharedRandom(seed + number));
+        new BudgetedRetryPolicy(
+            config, clock, times, new RetryBudgets(), new SharedRandom(seed + number));
     EntryClient entry =
         new EntryClient(
             site, loop, version.placement(site), retries, file, result.phases(), ledger);
--- /dev/null
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/jmh/BenchmarkCommand.java
@@ -0,0 +1,37 @@
+package org.wagtailpin.benchmark.jmh;
+
+import org.openjdk.jmh.profile.GCProfiler;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import org.openjdk.jmh.runner.options.TimeValue;
+
+/** Command that runs the microbenchmarks in this process, with their allocation. */
+public final class BenchmarkCommand {
+
+  private static final int WARM_UPS = 3;
+  private static final int MEASUREMENTS = 3;
+
+  private BenchmarkCommand() {}
+
+  /**
+   * Runs the benchmarks.
+   *
+   * @param args the regular expression of the benchmarks to run, all if there is none
+   * @throws RunnerException if a benchmark fails
+   */
+  public static void main(String[] args) throws RunnerException {
+    String include = args.length == 0 ? "org.wagtailpin.benchmark.*" : args[0];
+    new Runner(
+            new OptionsBuilder()
+                .include(include)
+                .forks(0)
+                .warmupIterations(WARM_UPS)
+                .warmupTime(TimeValue.seconds(1))
+                .measurementIterations(MEASUREMENTS)
+                .measurementTime(TimeValue.seconds(1))
+                .addProfiler(GCProfiler.class)
+                .build())
+        .run();
+  }
+}
--- /dev/null
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/jmh/PlacementBenchmark.java
@@ -0,0 +1,145 @@
+package org.wagtailpin.benchmark.jmh;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.wagtailpin.clock.SystemClock;
+import org.wagtailpin.config.ConfigObject;
+import org.wagtailpin.config.ConfigRoute;
+import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.config.ConfigServerSet;
+import org.wagtailpin.config.ConfigService;
+import org.wagtailpin.config.ConfigSnapshot;
+import org.wagtailpin.config.KeyRule;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.limits.RouteTimes;
+import org.wagtailpin.membership.LimitShares;
+import org.wagtailpin.routing.AttemptHistory;
+import org.wagtailpin.routing.AttemptOutcome;
+import org.wagtailpin.routing.AttemptReport;
+import org.wagtailpin.routing.CallDescriptor;
+import org.wagtailpin.routing.DepartureList;
+import org.wagtailpin.routing.Grant;
+import org.wagtailpin.routing.LoadReport;
+import org.wagtailpin.routing.Locality;
+import org.wagtailpin.routing.PlacementListener;
+import org.wagtailpin.routing.PlacementObserver;
+import org.wagtailpin.routing.QueueingPlacement;
+import org.wagtailpin.routing.SharedRandom;
+
+/** The cost of one decision and of taking in its answer, by the number of servers. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+public class PlacementBenchmark {
+
+  private static final int SERVICES = 64;
+  private static final int SLOTS = 6;
+  private static final int CONNECTIONS = 240;
+  private static final long DEADLINE_MILLIS = 100_000;
+  private static final long SEED = 5;
+
+  /** How many servers there are, over all services. */
+  @Param({"128", "850", "3400"})
+  public int servers;
+
+  private final SystemClock clock = new SystemClock();
+  private final List<ConfigRoute> routes = new ArrayList<>();
+  private QueueingPlacement placement;
+  private AttemptReport report;
+  private int next;
+
+  /** Builds the configuration and a placement that has seen reports of all servers. */
+  @Setup
+  public void build() {
+    List<ConfigObject> objects = new ArrayList<>();
+    for (int i = 0; i < SERVICES; i++) {
+      addService(objects, "service" + i, i);
+    }
+    ConfigSnapshot snapshot = new ConfigSnapshot(1, objects);
+    placement =
+        new QueueingPlacement(
+            () -> snapshot,
+            new Locality("north", "n0"),
+            wholeLimits(),
+            new DepartureList(),
+            clock,
+            new SharedRandom(SEED),
+            (delay, task) -> () -> {},
+            new RouteTimes(clock),
+            PlacementObserver.none());
+    report =
+        new AttemptReport(
+            new AttemptOutcome.Answered(200), 20, Optional.of(new LoadReport(2, 0, false)));
+  }
+
+  private void addService(List<ConfigObject> objects, String name, int number) {
+    List<ConfigServer> set = new ArrayList<>();
+    for (int i = number; i < servers; i += SERVICES) {
+      String region = (i / SERVICES) % 2 == 0 ? "north" : "south";
+      set.add(
+          new ConfigServer(
+              "s" + i, "10.0.0.1", i, region, region + i % 3, SLOTS, CONNECTIONS, false));
+    }
+    ConfigRoute route =
+        new ConfigRoute(
+            "route" + number,
+            Optional.empty(),
+            "/" + name,
+            Set.of(),
+            name,
+            Optional.empty(),
+            DEADLINE_MILLIS,
+            KeyRule.IGNORED,
+            false);
+    routes.add(route);
+    objects.add(new ConfigService(name, false, List.of(), Optional.empty()));
+    objects.add(new ConfigServerSet(name, name, set));
+    objects.add(route);
+  }
+
+  private static LimitShares wholeLimits() {
+    return new LimitShares() {
+      @Override
+      public int wholeShare(String limitName, int limit) {
+        return limit;
+      }
+
+      @Override
+      public double share(double limit) {
+        return limit;
+      }
+    };
+  }
+
+  /** Decides on one call and takes in its answer. */
+  @Benchmark
+  public Object decision() {
+    ConfigRoute route = routes.get(next++ % SERVICES);
+    CallDescriptor call =
+        new CallDescriptor("r", route, true, "group", 0, clock.millis() + DEADLINE_MILLIS);
+    return placement.request(call, AttemptHistory.none(), new Finishing());
+  }
+
+  private final class Finishing implements PlacementListener {
+    @Override
+    public void granted(Grant grant) {
+      grant.finished(report);
+    }
+
+    @Override
+    public void refused(Fault fault) {
+      throw new IllegalStateException(fault.toString());
+    }
+  }
+}
--- /dev/null
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/jmh/package-info.java
@@ -0,0 +1,2 @@
+/** Microbenchmarks of the decisions on the traffic path. */
+package org.wagtailpin.benchmark.jmh;
--- a/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
@@ -15,6 +15,8 @@
   RETRY_BURST("retryBurst", "attempts", 0, 1000, 10),
   /** Longest wait before the first retry; doubled for each further one. */
   RETRY_BACKOFF_MILLIS("retryBackoffMillis", "ms", 0, 60_000, 5),
+  /** When a hedge is started, in multiples of the time of 95% of the route's attempts. */
+  HEDGE_DELAY("hedgeDelay", "factor", 0.1, 1000, 1),
   /** Most attempts of one call, the first among them. */
   MAX_ATTEMPTS("maxAttempts", "attempts", 1, 10, 3),
   /** Longest time a call is queued for a server. */
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/BudgetedRetryPolicy.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/BudgetedRetryPolicy.java
@@ -1,6 +1,5 @@
 package org.wagtailpin.limits;
 
-import java.util.concurrent.ConcurrentHashMap;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigSnapshot;
@@ -24,21 +23,27 @@
   private final Clock clock;
   private final RouteTimes times;
   private final UniformRandomProvider random;
-  private final ConcurrentHashMap<String, RetryBudget> budgets = new ConcurrentHashMap<>();
+  private final RetryBudgets budgets;
 
   /**
-   * Creates a policy with empty budgets.
+   * Creates a policy.
    *
    * @param config the configuration in force
    * @param clock the clock of the deadlines
    * @param times the learnt service times
+   * @param budgets the budgets, shared with the hedge policy
    * @param random the source of the jitter, safe for all threads
    */
   public BudgetedRetryPolicy(
-      ConfigSource config, Clock clock, RouteTimes times, UniformRandomProvider random) {
+      ConfigSource config,
+      Clock clock,
+      RouteTimes times,
+      RetryBudgets budgets,
+      UniformRandomProvider random) {
     this.config = config;
     this.clock = clock;
     this.times = times;
+    this.budgets = budgets;
     this.random = random;
   }
 
@@ -95,7 +100,7 @@
   }
 
   private RetryBudget budget(String service) {
-    return budgets.computeIfAbsent(service, name -> new RetryBudget());
+    return budgets.of(service);
   }
 
   private static RetryDecision refusal(String rule) {
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/ProbeBudget.java
@@ -0,0 +1,66 @@
+package org.wagtailpin.limits;
+
+import java.util.concurrent.ConcurrentHashMap;
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.membership.LimitShares;
+
+/**
+ * This entry's share of the load probes that one ticket allows to all entries: for each server, for
+ * each pair of regions and for the whole entry. A probe is sent only if all three allow it. Safe
+ * for all threads and without locks.
+ */
+public final class ProbeBudget {
+
+  private static final double BURST_MILLIS = 1000;
+
+  /**
+   * The rates allowed over all entries.
+   *
+   * @param perServer probes to one server, a second, at least 0
+   * @param perLink probes over one pair of regions, a second, at least 0
+   * @param perEntry probes of one entry, a second, at least 0
+   */
+  public record Rates(double perServer, double perLink, double perEntry) {}
+
+  private final LimitShares shares;
+  private final TokenBucket entry;
+  private final Clock clock;
+  private final ConcurrentHashMap<String, TokenBucket> servers = new ConcurrentHashMap<>();
+  private final ConcurrentHashMap<String, TokenBucket> links = new ConcurrentHashMap<>();
+
+  /**
+   * Creates an empty budget.
+   *
+   * @param clock the clock
+   * @param shares this entry's share of limits
+   */
+  public ProbeBudget(Clock clock, LimitShares shares) {
+    this.clock = clock;
+    this.shares = shares;
+    this.entry = new TokenBucket(clock, BURST_MILLIS);
+  }
+
+  /**
+   * Takes leave for one probe. Leave that one of the budgets gave before another refused is lost,
+   * so that the sum errs on the side of fewer probes.
+   *
+   * @param server the name of the server
+   * @param region the region of the server, for the link to it
+   * @param near whether the server stands in this entry's region, where no link is used
+   * @param rates the rates in force
+   * @return whether the probe may be sent
+   */
+  public boolean take(String server, String region, boolean near, Rates rates) {
+    if (!entry.take(1, rates.perEntry())) {
+      return false;
+    }
+    if (!near && !bucket(links, region).take(1, shares.share(rates.perLink()))) {
+      return false;
+    }
+    return bucket(servers, server).take(1, shares.share(rates.perServer()));
+  }
+
+  private TokenBucket bucket(ConcurrentHashMap<String, TokenBucket> buckets, String name) {
+    return buckets.computeIfAbsent(name, key -> new TokenBucket(clock, BURST_MILLIS));
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/RouteTimes.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/RouteTimes.java
@@ -14,6 +14,8 @@
   /** Expected of a service that has not answered yet, in milliseconds. */
   private static final double UNKNOWN_MILLIS = 20;
 
+  private static final double MEDIAN = 0.5;
+  private static final double TAIL = 0.95;
   private static final double ROUTE_GAIN = 0.05;
   private static final double SERVICE_GAIN = 0.02;
 
@@ -22,6 +24,7 @@
 
   private final Clock clock;
   private final ConcurrentHashMap<String, TypicalTime> routes = new ConcurrentHashMap<>();
+  private final ConcurrentHashMap<String, TypicalTime> tails = new ConcurrentHashMap<>();
   private final ConcurrentHashMap<String, TypicalTime> services = new ConcurrentHashMap<>();
 
   /**
@@ -42,8 +45,11 @@
    */
   public void learn(String service, String route, double millis) {
     long now = clock.millis();
-    routes.computeIfAbsent(route, name -> new TypicalTime(ROUTE_GAIN)).add(millis, now);
-    services.computeIfAbsent(service, name -> new TypicalTime(SERVICE_GAIN)).add(millis, now);
+    routes.computeIfAbsent(route, name -> new TypicalTime(ROUTE_GAIN, MEDIAN)).add(millis, now);
+    tails.computeIfAbsent(route, name -> new TypicalTime(ROUTE_GAIN, TAIL)).add(millis, now);
+    services
+        .computeIfAbsent(service, name -> new TypicalTime(SERVICE_GAIN, MEDIAN))
+        .add(millis, now);
   }
 
   /**
@@ -61,6 +67,17 @@
     return typical.millis(UNKNOWN_MILLIS) * Math.exp(-idle / KEEP_MILLIS);
   }
 
+  /**
+   * Returns the time that 95% of the attempts on a route do not exceed, in milliseconds.
+   *
+   * @param service the service
+   * @param route the route
+   */
+  public double tailMillis(String service, String route) {
+    TypicalTime tail = tails.get(route);
+    return tail == null ? typicalMillis(service) : tail.millis(UNKNOWN_MILLIS);
+  }
+
   /**
    * Returns the median time of the answers of a service, in milliseconds.
    *
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/TypicalTime.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/TypicalTime.java
@@ -3,22 +3,35 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * A running median: moved up by samples above it and down by samples below it, so that a few very
- * long ones hardly shift it. Safe for all threads and without locks.
+ * A running quantile of times: moved up by samples above it and down by samples below it, in steps
+ * that balance at the quantile, so that a few very long samples hardly shift it. Safe for all
+ * threads and without locks.
  */
 final class TypicalTime {
 
-  private final double gain;
+  /** Steps are shares of the quantile, so it must not come to rest at 0. */
+  private static final double LEAST_MILLIS = 0.05;
+
+  private final double stepUp;
+  private final double stepDown;
   private final AtomicLong bits = new AtomicLong(Double.doubleToRawLongBits(Double.NaN));
   private volatile long lastMillis;
 
-  TypicalTime(double gain) {
-    this.gain = gain;
+  /**
+   * Creates a quantile without samples.
+   *
+   * @param gain how far a sample moves the median, as a share of it
+   * @param quantile the quantile, above 0 and below 1, 0.5 for the median
+   */
+  TypicalTime(double gain, double quantile) {
+    this.stepUp = 2 * gain * quantile;
+    this.stepDown = 2 * gain * (1 - quantile);
   }
 
   void add(double sample, long nowMillis) {
     lastMillis = nowMillis;
-    bits.updateAndGet(before -> Double.doubleToRawLongBits(next(before, sample)));
+    double moving = Math.max(LEAST_MILLIS, sample);
+    bits.updateAndGet(before -> Double.doubleToRawLongBits(next(before, moving)));
   }
 
   private double next(long before, double sample) {
@@ -26,7 +39,7 @@
     if (Double.isNaN(median)) {
       return sample;
     }
-    return sample > median ? median * (1 + gain) : median / (1 + gain);
+    return sample > median ? median * (1 + stepUp) : median / (1 + stepDown);
   }
 
   double millis(double fallback) {
--- a/wagtailpin/src/test/java/org/wagtailpin/limits/BudgetedRetryPolicyTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/limits/BudgetedRetryPolicyTest.java
@@ -38,8 +38,12 @@
                   "retries",
                   Optional.empty(),
                   Map.of(Tunable.RETRY_SHARE, 0.1, Tunable.RETRY_BURST, 10.0))));
+  private final RouteTimes times = new RouteTimes(clock);
+  private final RetryBudgets budgets = new RetryBudgets();
+  private final BudgetedHedgePolicy hedges =
+      new BudgetedHedgePolicy(() -> snapshot, clock, times, budgets);
   private final BudgetedRetryPolicy policy =
-      new BudgetedRetryPolicy(() -> snapshot, clock, new RouteTimes(clock), new SharedRandom(3));
+      new BudgetedRetryPolicy(() -> snapshot, clock, times, budgets, new SharedRandom(3));
 
   private CallDescriptor call(boolean repeatable, int depth, long deadlineMillis) {
     ConfigRoute route =
@@ -120,4 +124,32 @@
 
     assertThat(decide(call(true, 0, 1000), new AttemptOutcome.Answered(500)).retry()).isFalse();
   }
+
+  @Test
+  void hedgesWaitForThePercentileThatTheRouteHasShown() {
+    for (int i = 0; i < 4000; i++) {
+      times.learn("service", "route", i % 100);
+    }
+
+    assertThat(hedges.delayMillis(call(true, 0, 1000)).getAsLong()).isAtLeast(80);
+    assertThat(hedges.delayMillis(call(true, 0, 1000)).getAsLong()).isAtMost(120);
+  }
+
+  @Test
+  void workThatMayNotBeRepeatedIsNeverHedged() {
+    assertThat(hedges.delayMillis(call(false, 0, 1000)).isPresent()).isFalse();
+  }
+
+  @Test
+  void aCallWhoseHedgeCannotMeetTheDeadlineGetsNone() {
+    assertThat(hedges.delayMillis(call(true, 0, 25)).isPresent()).isFalse();
+  }
+
+  @Test
+  void hedgesAndRetriesSpendOneBudget() {
+    earn(1);
+
+    assertThat(hedges.spend(call(true, 0, 1000))).isTrue();
+    assertThat(decide(call(true, 0, 1000), UNKNOWN).rule()).isEqualTo("budget-spent");
+  }
 }
