--- a/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/ResultTable.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/ResultTable.java
@@ -60,7 +60,8 @@
   private static String line(ResultRow row) {
     return String.format(
         Locale.ROOT,
-        "%-10s %-16s %8d %7.1f %7.1f %7.1f %7.1f %8.1f %8.1f %8.1f %6.1f%% %8.0f %6.1f%% %5.1f%% %5.1f%%"
+        "%-10s %-16s %8d %7.1f %7.1f %7.1f %7.1f %8.1f %8.1f %8.1f"
+            + " %6.1f%% %8.0f %6.1f%% %5.1f%% %5.1f%%"
             + " %4d %6.1f %5.2f%% %8.2f  %s%n",
         row.phase(),
         row.version(),
