Let the load client neither wait for a connection nor share a bound over addresses

Cause: the demo stood still: the client's bound of 100 connections counts idle ones of all addresses, and a sender waited 10 s for one of another address. After: the bound holds for each address and a sender never waits.

--- a/benchmark/src/main/java/org/wagtailpin/benchmark/load/LoadClients.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/load/LoadClients.java
@@ -24,9 +24,11 @@
         new DefaultAsyncHttpClientConfig.Builder()
             .setEventLoopGroup(group)
             .setUseNativeTransport(false)
-            .setMaxConnections(connections)
+            // A bound over all addresses would let idle connections to one starve another.
+            .setMaxConnections(-1)
             .setMaxConnectionsPerHost(connections)
-            .setAcquireFreeChannelTimeout(timeoutMillis)
+            // Waiting for a connection would stop the sender, and the loop would not be open.
+            .setAcquireFreeChannelTimeout(0)
             .setRequestTimeout(Duration.ofMillis(timeoutMillis))
             .setReadTimeout(Duration.ofMillis(timeoutMillis))
             .setMaxRequestRetry(0)
--- a/tools/src/main/java/org/wagtailpin/tools/demo/DemoTraffic.java
+++ b/tools/src/main/java/org/wagtailpin/tools/demo/DemoTraffic.java
@@ -19,7 +19,7 @@
 /** The calls of the demonstration: lessons and orders to each entry, and lessons past them. */
 final class DemoTraffic implements AutoCloseable {
 
-  private static final int CONNECTIONS = 100;
+  private static final int CONNECTIONS = 400;
   private static final int TIMEOUT_MILLIS = 10_000;
   private static final double LESSON_RATE = 150;
   private static final double ORDER_RATE = 30;
