--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -72,7 +72,8 @@
             addresses,
             loop,
             clock,
-            random,
+            // The messenger draws on its own thread, so it has a source of its own.
+            RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 1),
             NettyPeerSettings.defaults(settings.peers().address(), settings.peers().port()));
     hosts = hostPoller(settings, clock, random);
     membership =
--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -13,6 +13,7 @@
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.control.ControlLoop;
 import org.wagtailpin.limits.BudgetedRetryPolicy;
+import org.wagtailpin.limits.RetryBudgets;
 import org.wagtailpin.limits.RouteTimes;
 import org.wagtailpin.membership.LimitShares;
 import org.wagtailpin.routing.DepartureList;
@@ -70,7 +71,7 @@
             CallSettings.defaults(),
             control.published(),
             placement,
-            new BudgetedRetryPolicy(control.published(), clock, times, random),
+            new BudgetedRetryPolicy(control.published(), clock, times, new RetryBudgets(), random),
             control.claims(),
             backend,
             clock,
--- a/tools/src/main/java/org/wagtailpin/tools/PlainCommand.java
+++ b/tools/src/main/java/org/wagtailpin/tools/PlainCommand.java
@@ -21,6 +21,8 @@
     int run(String[] args, PrintStream out, PrintStream err);
   }
 
+  private static final String HELP = "--help";
+
   private final String name;
   private final String summary;
   private final Body body;
@@ -43,6 +45,10 @@
 
   @Override
   public int run(List<String> arguments, Console console) {
+    if (arguments.contains(HELP)) {
+      console.say("usage: wagtailpin %s", name);
+      console.say("%s", summary);
+    }
     return body.run(arguments.toArray(new String[0]), console.out(), console.err());
   }
 }
