--- a/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/ExperimentCommand.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/ExperimentCommand.java
@@ -42,6 +42,9 @@
   private final PrintStream out;
   private final PrintStream err;
 
+  @Option(name = "--help", help = true, usage = "print this text")
+  private boolean help;
+
   /**
    * Creates the command.
    *
@@ -74,6 +77,10 @@
     CmdLineParser parser = new CmdLineParser(this);
     try {
       parser.parseArgument(args);
+      if (help) {
+        parser.printUsage(out);
+        return DONE;
+      }
       experiment();
       return DONE;
     } catch (CmdLineException e) {
