Switch HTTP/2 off in the store client and the load tool

Cause: a thread dump of `load` showed the sender asleep in AsyncHttpClient's waitForHttp2Connection: with HTTP/2 on, its default, a call beyond the bound of connections sleeps in the thread that makes it. In an entry that thread would be the control thread.

Ruled out: the stand-in (idle) and the machine (load 3 of 10 cores). Before: 1000 calls/s sent straight to a server had a p50 of 24,002 ms.

--- a/benchmark/src/main/java/org/wagtailpin/benchmark/load/LoadClients.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/load/LoadClients.java
@@ -31,6 +31,8 @@
             .setAcquireFreeChannelTimeout(0)
             .setRequestTimeout(Duration.ofMillis(timeoutMillis))
             .setReadTimeout(Duration.ofMillis(timeoutMillis))
+            // Without HTTP/2 a client at its bound fails at once and does not sleep in the sender.
+            .setHttp2Enabled(false)
             .setMaxRequestRetry(0)
             .setFollowRedirect(false)
             .setCookieStore(null)
--- a/wagtailpin/src/main/java/org/wagtailpin/store/StoreHttpClient.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/StoreHttpClient.java
@@ -37,6 +37,10 @@
   public StoreHttpClient(StoreTimeouts timeouts) {
     AsyncHttpClientConfig config =
         new DefaultAsyncHttpClientConfig.Builder()
+            // With HTTP/2 a call beyond the bound of connections sleeps in the thread that makes
+            // it.
+            .setHttp2Enabled(false)
+            .setHttp2CleartextEnabled(false)
             .setMaxRequestRetry(0)
             .setFollowRedirect(false)
             .setCookieStore(null)
