--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.List;
 import java.util.function.Consumer;
 import org.tinylog.Logger;
 import org.wagtailpin.backend.BackendClient;
@@ -12,12 +13,15 @@
 import org.wagtailpin.call.PrometheusCallMetrics;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.daemon.log.JsonConsoleWriter;
 import org.wagtailpin.limits.BudgetedRetryPolicy;
 import org.wagtailpin.limits.RetryBudgets;
 import org.wagtailpin.limits.RouteTimes;
 import org.wagtailpin.membership.LimitShares;
 import org.wagtailpin.routing.DepartureList;
 import org.wagtailpin.routing.Locality;
+import org.wagtailpin.routing.LoggedPlacementObserver;
+import org.wagtailpin.routing.PlacementObservers;
 import org.wagtailpin.routing.PrometheusPlacementObserver;
 import org.wagtailpin.routing.QueueingPlacement;
 import org.wagtailpin.routing.SharedRandom;
@@ -47,7 +51,7 @@
     LimitShares shares = control.membership();
     SharedRandom random = new SharedRandom(seed);
     RouteTimes times = new RouteTimes(clock);
-    Consumer<String> lines = line -> Logger.tag("decision").info("{}", line);
+    Consumer<String> lines = line -> Logger.tag(JsonConsoleWriter.RAW_TAG).info("{}", line);
     decisions = new JsonDecisionLog(settings.decisionLogCapacity(), clock, lines);
     backend =
         new BackendClient(
@@ -65,7 +69,10 @@
             random,
             loop::schedule,
             times,
-            new PrometheusPlacementObserver(registry));
+            new PlacementObservers(
+                List.of(
+                    new PrometheusPlacementObserver(registry),
+                    new LoggedPlacementObserver(clock, decisions))));
     environment =
         new CallEnvironment(
             CallSettings.defaults(),
--- a/daemon/src/main/java/org/wagtailpin/daemon/log/JsonConsoleWriter.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/log/JsonConsoleWriter.java
@@ -17,6 +17,9 @@
 /** Log writer that prints each entry to standard error as a JSON object on a line of its own. */
 public final class JsonConsoleWriter implements Writer {
 
+  /** Tag of entries whose message is a JSON object already and is printed as it is. */
+  public static final String RAW_TAG = "raw-json";
+
   private final JsonFactory factory = new JsonFactory();
   private final PrintStream stream;
 
@@ -38,6 +41,7 @@
     return EnumSet.of(
         LogEntryValue.DATE,
         LogEntryValue.LEVEL,
+        LogEntryValue.TAG,
         LogEntryValue.THREAD,
         LogEntryValue.CLASS,
         LogEntryValue.MESSAGE,
@@ -46,6 +50,10 @@
 
   @Override
   public void write(LogEntry entry) throws IOException {
+    if (RAW_TAG.equals(entry.getTag())) {
+      stream.println(entry.getMessage());
+      return;
+    }
     StringWriter line = new StringWriter();
     try (JsonGenerator json = factory.createGenerator(line)) {
       json.writeStartObject();
--- /dev/null
+++ b/daemon/src/test/java/org/wagtailpin/daemon/EntryReplacementTest.java
@@ -0,0 +1,109 @@
+package org.wagtailpin.daemon;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Test;
+
+/** Entries that leave one after another while callers count their answers. */
+class EntryReplacementTest {
+
+  private static final int CALLERS = 8;
+  private static final int RESTARTS = 3;
+  private static final int CALLS_BETWEEN = 200;
+
+  private final AtomicReference<EntryNode> behindBalancer = new AtomicReference<>();
+  private final AtomicBoolean stop = new AtomicBoolean();
+  private final AtomicLong whole = new AtomicLong();
+  private final Queue<String> failures = new ConcurrentLinkedQueue<>();
+
+  @Test
+  void noCallFailsWhileEntriesAreReplacedOneAfterAnother() throws Exception {
+    ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
+    try (Fleet fleet = new Fleet()) {
+      fleet.addServer(6, 5);
+      fleet.addServer(6, 5);
+      behindBalancer.set(fleet.addEntry());
+      fleet.acceptService(1);
+      Fleet.awaitTrue("entry ready", () -> behindBalancer.get().ready());
+      List<Future<?>> running = new ArrayList<>();
+      for (int caller = 0; caller < CALLERS; caller++) {
+        int number = caller;
+        running.add(callers.submit(() -> call(number)));
+      }
+
+      for (int restart = 0; restart < RESTARTS; restart++) {
+        replace(fleet);
+      }
+      stop.set(true);
+      for (Future<?> caller : running) {
+        caller.get();
+      }
+
+      assertThat(failures).isEmpty();
+      assertThat(whole.get()).isAtLeast((long) RESTARTS * CALLS_BETWEEN);
+      assertThat(fleet.ledger().repeated()).isEqualTo(0);
+    } finally {
+      callers.shutdownNow();
+    }
+  }
+
+  private void replace(Fleet fleet) throws Exception {
+    long before = whole.get();
+    Fleet.awaitTrue("calls answered", () -> whole.get() >= before + CALLS_BETWEEN);
+    EntryNode leaving = behindBalancer.get();
+    EntryNode next = fleet.addEntry();
+    Fleet.awaitTrue("replacement ready", next::ready);
+    var left = leaving.leave();
+    // The balancer sends new calls elsewhere once the entry says that it is not ready.
+    behindBalancer.set(next);
+    assertThat(left.join()).isEqualTo(0);
+  }
+
+  private void call(int caller) {
+    HttpClient http = HttpClient.newHttpClient();
+    for (long number = 0; !stop.get(); number++) {
+      String work = "order-" + caller + "-" + number;
+      URI uri =
+          URI.create(
+              "http://127.0.0.1:" + behindBalancer.get().callerAddress().getPort() + "/orders");
+      HttpRequest request =
+          HttpRequest.newBuilder(uri)
+              .header("X-Work-Id", work)
+              .POST(HttpRequest.BodyPublishers.ofString("x"))
+              .build();
+      count(http, request, work);
+    }
+  }
+
+  private void count(HttpClient http, HttpRequest request, String work) {
+    try {
+      HttpResponse<String> answer = http.send(request, HttpResponse.BodyHandlers.ofString());
+      boolean own = answer.statusCode() == 200 && answer.body().contains("\"" + work + "\"");
+      if (own) {
+        whole.incrementAndGet();
+      } else {
+        failures.add(work + ": " + answer.statusCode() + " " + answer.body());
+      }
+    } catch (IOException e) {
+      failures.add(work + ": " + e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      stop.set(true);
+    }
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/call/JsonDecisionLog.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/JsonDecisionLog.java
@@ -11,22 +11,22 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.wagtailpin.clock.Clock;
+import org.wagtailpin.routing.DecisionLines;
 
 /**
  * Log of routing decisions as JSON lines, written by a thread of its own.
  *
  * <p>Traffic threads put decisions into a bounded queue; what finds it full is dropped and counted.
  */
-public final class JsonDecisionLog implements DecisionLog, AutoCloseable {
+public final class JsonDecisionLog implements DecisionLog, DecisionLines, AutoCloseable {
 
   private static final JsonFactory JSON = new JsonFactory();
   private static final long IDLE_PAUSE_NANOS = 2_000_000;
   private static final long CLOSE_WAIT_MILLIS = 5_000;
 
-  private record Entry(long wallMillis, Decision decision) {}
-
-  private final Queue<Entry> queue = new ConcurrentLinkedQueue<>();
+  private final Queue<Supplier<String>> queue = new ConcurrentLinkedQueue<>();
   private final AtomicInteger queued = new AtomicInteger();
   private final AtomicLong dropped = new AtomicLong();
   private final int capacity;
@@ -53,12 +53,18 @@
 
   @Override
   public void decided(Decision decision) {
+    long wallMillis = clock.wallMillis();
+    offer(() -> line(wallMillis, decision));
+  }
+
+  @Override
+  public void offer(Supplier<String> line) {
     if (queued.incrementAndGet() > capacity) {
       queued.decrementAndGet();
       dropped.incrementAndGet();
       return;
     }
-    queue.add(new Entry(clock.wallMillis(), decision));
+    queue.add(line);
   }
 
   /** Returns how many decisions were dropped. */
@@ -76,28 +82,28 @@
   }
 
   private void writeQueued() {
-    Entry entry = queue.poll();
-    while (entry != null) {
+    Supplier<String> line = queue.poll();
+    while (line != null) {
       queued.decrementAndGet();
-      lines.accept(line(entry));
-      entry = queue.poll();
+      lines.accept(line.get());
+      line = queue.poll();
     }
   }
 
-  private static String line(Entry entry) {
+  private static String line(long wallMillis, Decision decision) {
     StringWriter text = new StringWriter();
     try (JsonGenerator json = JSON.createGenerator(text)) {
-      writeLine(json, entry);
+      writeLine(json, wallMillis, decision);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
     return text.toString();
   }
 
-  private static void writeLine(JsonGenerator json, Entry entry) throws IOException {
-    Decision decision = entry.decision();
+  private static void writeLine(JsonGenerator json, long wallMillis, Decision decision)
+      throws IOException {
     json.writeStartObject();
-    json.writeNumberField("time", entry.wallMillis());
+    json.writeNumberField("time", wallMillis);
     json.writeStringField("event", "attempt");
     json.writeStringField("request", decision.requestId());
     json.writeStringField("service", decision.service());
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
@@ -18,7 +18,8 @@
  * The services and servers of the configuration in force, with what is known about them.
  *
  * <p>Rebuilt by the first thread that sees a new configuration; others go on with the table they
- * have. What is known about a server is kept as long as its name, address and port stay.
+ * have, but for a service that it lacks, for which they await the new one. What is known about a
+ * server is kept as long as its name, address and port stay.
  */
 final class RoutingTable {
 
@@ -49,7 +50,15 @@
 
   Optional<ServiceState> service(String name) {
     refresh();
-    return Optional.ofNullable(tables.services().get(name));
+    Tables newest = tables;
+    // A route of the newest configuration can lead to a service that only the table being built
+    // has. The wait is as short as a rebuilding, and only the first calls of a service meet it.
+    while (!newest.services().containsKey(name) && config.current() != newest.snapshot()) {
+      Thread.onSpinWait();
+      refresh();
+      newest = tables;
+    }
+    return Optional.ofNullable(newest.services().get(name));
   }
 
   double weight(String callerGroup) {
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/RoutingTableTest.java
@@ -0,0 +1,101 @@
+package org.wagtailpin.routing;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CyclicBarrier;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Test;
+import org.wagtailpin.clock.ManualClock;
+import org.wagtailpin.config.ConfigObject;
+import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.config.ConfigServerSet;
+import org.wagtailpin.config.ConfigService;
+import org.wagtailpin.config.ConfigSnapshot;
+import org.wagtailpin.membership.LimitShares;
+
+class RoutingTableTest {
+
+  private static final int THREADS = 4;
+  private static final int ROUNDS = 200;
+  private static final int SERVICES = 64;
+
+  private final AtomicReference<ConfigSnapshot> current =
+      new AtomicReference<>(ConfigSnapshot.empty());
+
+  /** Found by EntryReplacementTest: a caller of a new service was refused with `no-server`. */
+  @Test
+  void aNewServiceIsKnownToEveryThreadThatSeesItsConfiguration() throws Exception {
+    ExecutorService threads = Executors.newFixedThreadPool(THREADS);
+    try {
+      for (int round = 0; round < ROUNDS; round++) {
+        current.set(ConfigSnapshot.empty());
+        ManualClock clock = new ManualClock(0);
+        RoutingTable table =
+            new RoutingTable(current::get, new Locality("north", "north-a"), clock, links(clock));
+        assertWithMessage("round " + round).that(missing(table, threads)).isEqualTo(0);
+      }
+    } finally {
+      threads.shutdownNow();
+    }
+  }
+
+  private static RegionLinks links(ManualClock clock) {
+    LimitShares all =
+        new LimitShares() {
+          @Override
+          public int wholeShare(String limitName, int limit) {
+            return limit;
+          }
+
+          @Override
+          public double share(double limit) {
+            return limit;
+          }
+        };
+    return new RegionLinks("north", all, clock, ConfigSnapshot.empty());
+  }
+
+  private int missing(RoutingTable table, ExecutorService threads) throws Exception {
+    CyclicBarrier start = new CyclicBarrier(THREADS, () -> current.set(snapshot()));
+    List<Future<Boolean>> found = new ArrayList<>();
+    for (int thread = 0; thread < THREADS; thread++) {
+      found.add(
+          threads.submit(
+              () -> {
+                start.await();
+                return table.service("service-0").isPresent();
+              }));
+    }
+    int missing = 0;
+    for (Future<Boolean> each : found) {
+      missing += each.get() ? 0 : 1;
+    }
+    return missing;
+  }
+
+  private static ConfigSnapshot snapshot() {
+    List<ConfigObject> objects = new ArrayList<>();
+    for (int number = 0; number < SERVICES; number++) {
+      String name = "service-" + number;
+      objects.add(new ConfigService(name, false, List.of(), Optional.empty()));
+      objects.add(new ConfigServerSet(name, name, servers(name)));
+    }
+    return new ConfigSnapshot(1, objects);
+  }
+
+  private static List<ConfigServer> servers(String service) {
+    List<ConfigServer> servers = new ArrayList<>();
+    for (int number = 0; number < 12; number++) {
+      servers.add(
+          new ConfigServer(
+              service + "-" + number, "127.0.0.1", 1, "north", "north-a", 6, 240, false));
+    }
+    return servers;
+  }
+}
