Serve queued calls on traffic threads, not on the control thread

A long queue at the crest would have delayed heartbeats and lease renewals, and with them the shares.

Before: queue ticks on the control thread. The effect on latency was not measured.

--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -3,6 +3,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.List;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.tinylog.Logger;
 import org.wagtailpin.backend.BackendClient;
@@ -13,6 +15,7 @@
 import org.wagtailpin.call.PrometheusCallMetrics;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.control.Scheduled;
 import org.wagtailpin.daemon.log.JsonConsoleWriter;
 import org.wagtailpin.limits.BudgetedRetryPolicy;
 import org.wagtailpin.limits.RetryBudgets;
@@ -67,7 +70,7 @@
             departures,
             clock,
             random,
-            loop::schedule,
+            (delayMillis, task) -> later(trafficLoops, delayMillis, task),
             times,
             new PlacementObservers(
                 List.of(
@@ -86,6 +89,12 @@
             new PrometheusCallMetrics(registry));
   }
 
+  // Queued calls are served by traffic threads, so that a long queue does not delay heartbeats.
+  private static Scheduled later(EventLoopGroup loops, long delayMillis, Runnable task) {
+    Future<?> scheduled = loops.next().schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+    return () -> scheduled.cancel(false);
+  }
+
   /** Takes over from the host list which servers are leaving, now and from then on. */
   void followHostList() {
     departures.publish(control.departingAddresses());
