--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -11,6 +11,7 @@
 import org.wagtailpin.claims.ClaimSettings;
 import org.wagtailpin.claims.ShardedClaims;
 import org.wagtailpin.clock.Clock;
+import org.wagtailpin.config.ConfigLimit;
 import org.wagtailpin.config.ConfigMerger;
 import org.wagtailpin.config.ConfigReport;
 import org.wagtailpin.config.MergedConfig;
@@ -30,10 +31,12 @@
 import org.wagtailpin.hostlist.HttpHostList;
 import org.wagtailpin.membership.ConfigSpread;
 import org.wagtailpin.membership.ConfigWatchDuty;
+import org.wagtailpin.membership.EqualShares;
+import org.wagtailpin.membership.LimitShares;
 import org.wagtailpin.membership.Member;
 import org.wagtailpin.membership.Membership;
-import org.wagtailpin.membership.MembershipSettings;
-import org.wagtailpin.store.HttpStore;
+import org.wagtailpin.membership.WatchDuty;
+import org.wagtailpin.registry.RegistryWatcher;
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreHttpClient;
 import org.wagtailpin.store.StoreTimeouts;
@@ -46,25 +49,34 @@
   private final StoreHttpClient storeClient;
   private final Store store;
   private final MergedConfig merged = new MergedConfig();
-  private final PublishedConfig published = new PublishedConfig();
+  private final PublishedConfig published;
   private final ConfigMerger merger;
   private final StoreConfigWatcher configWatcher;
+  private final Optional<RegistryWatcher> registry;
   private final NettyPeerMessenger messenger;
   private final Membership membership;
   private final ShardedClaims claims;
   private final ControlLoop loop;
   private final Optional<HostListPoller> hosts;
 
-  ControlParts(EntrySettings settings, Clock clock, ControlLoop loop, long seed) {
+  ControlParts(
+      EntrySettings settings,
+      EntryPlatform platform,
+      Clock clock,
+      ControlLoop loop,
+      long seed) {
     this.loop = loop;
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     long incarnation = clock.wallMillis();
     storeClient = new StoreHttpClient(StoreTimeouts.defaults());
-    store =
-        new HttpStore(
-            storeClient.client(), settings.store(), settings.id(), StoreTimeouts.defaults());
+    store = platform.store(storeClient.client(), settings);
+    published = new PublishedConfig(List.of(defaults(settings)));
     merger = new ConfigMerger(clock, merged, published);
     configWatcher = new StoreConfigWatcher(store, loop, merger, random);
+    registry =
+        platform
+            .registry(settings)
+            .map(format -> new RegistryWatcher(store, loop, clock, merger, random, format));
     LearntAddressBook addresses = new LearntAddressBook();
     messenger =
         new NettyPeerMessenger(
@@ -83,12 +95,12 @@
             addresses,
             store,
             hostStates(),
-            new ConfigWatchDuty(merger, configWatcher),
+            watchDuty(),
             new ConfigSpread(merger, messenger),
             loop,
             clock,
             random,
-            MembershipSettings.defaults(),
+            platform.membership(),
             seeds(settings));
     claims =
         new ShardedClaims(
@@ -102,6 +114,15 @@
             random);
   }
 
+  private static ConfigLimit defaults(EntrySettings settings) {
+    return new ConfigLimit("settings", Optional.empty(), settings.constants());
+  }
+
+  // With a registry each entry follows the store itself, whoever is elected.
+  private WatchDuty watchDuty() {
+    return registry.isPresent() ? elected -> {} : new ConfigWatchDuty(merger, configWatcher);
+  }
+
   private static Member self(EntrySettings settings, long incarnation) {
     return new Member(
         settings.id(),
@@ -159,6 +180,7 @@
       throw new IOException(failed.fault().toString());
     }
     loop.execute(membership::start);
+    registry.ifPresent(watcher -> loop.execute(watcher::start));
     hosts.ifPresent(poller -> loop.execute(poller::start));
   }
 
@@ -188,6 +210,11 @@
     return membership;
   }
 
+  /** Returns this entry's share of limits. */
+  public LimitShares shares() {
+    return registry.isPresent() ? new EqualShares(membership) : membership;
+  }
+
   /** Returns the claims on idempotency keys. */
   public ShardedClaims claims() {
     return claims;
@@ -202,6 +229,7 @@
   public void close() {
     loop.execute(membership::stop);
     loop.execute(configWatcher::stop);
+    registry.ifPresent(watcher -> loop.execute(watcher::stop));
     hosts.ifPresent(poller -> loop.execute(poller::stop));
     messenger.close();
     storeClient.close();
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryCommand.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryCommand.java
@@ -20,12 +20,28 @@
   private static final int NOT_DONE = 1;
   private static final int USAGE = 2;
 
+  private final EntryPlatform platform;
+
   @Option(name = "--settings", required = true, usage = "file of settings")
   private File settingsFile;
 
   @Option(name = "--help", help = true, usage = "print this text")
   private boolean help;
 
+  /** Creates the command for the project's own protocols. */
+  public EntryCommand() {
+    this(new OwnPlatform());
+  }
+
+  /**
+   * Creates the command.
+   *
+   * @param platform what the entry runs on
+   */
+  public EntryCommand(EntryPlatform platform) {
+    this.platform = platform;
+  }
+
   /**
    * Runs the command.
    *
@@ -58,7 +74,7 @@
         malformed.problems().forEach(err::println);
         return USAGE;
       }
-      runUntilLeft(new EntryNode(((SettingsReadResult.Read) result).settings()));
+      runUntilLeft(new EntryNode(((SettingsReadResult.Read) result).settings(), platform));
       return DONE;
     } catch (IOException e) {
       err.println("entry: " + e.getMessage());
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
@@ -39,6 +39,7 @@
   private static final long CLOSE_WAIT_MILLIS = 2_000;
 
   private final EntrySettings settings;
+  private final EntryPlatform platform;
   private final Clock clock = new SystemClock();
   private final ThreadControlLoop loop;
   private final EventLoopGroup trafficLoops;
@@ -52,18 +53,30 @@
   private volatile boolean leaving;
 
   /**
-   * Wires an entry that is not started.
+   * Wires an entry that is not started, with the project's own protocols.
    *
    * @param settings its settings
    */
   public EntryNode(EntrySettings settings) {
+    this(settings, new OwnPlatform());
+  }
+
+  /**
+   * Wires an entry that is not started.
+   *
+   * @param settings its settings
+   * @param platform what it runs on
+   */
+  public EntryNode(EntrySettings settings, EntryPlatform platform) {
     this.settings = settings;
+    this.platform = platform;
     this.loop = new ThreadControlLoop(settings.id() + "-control");
     this.trafficLoops =
         EventLoops.createAffine(settings.trafficThreads(), settings.id() + "-traffic");
     long seed = settings.seed().orElseGet(System::nanoTime);
-    this.control = new ControlParts(settings, clock, loop, seed);
-    this.traffic = new TrafficParts(settings, clock, loop, trafficLoops, control, registry, seed);
+    this.control = new ControlParts(settings, platform, clock, loop, seed);
+    this.traffic = new TrafficParts(
+            settings, platform, clock, loop, trafficLoops, control, registry, seed);
     this.callers = listener(ListenerKind.PUBLIC, settings.callers());
     this.internal = settings.internal().map(address -> listener(ListenerKind.INTERNAL, address));
     this.admin = adminListener();
@@ -78,7 +91,7 @@
     List<AdminPage> pages =
         List.of(
             new HealthPage(),
-            new ReadyPage(() -> hindrance()),
+            new ReadyPage(platform.readyPath(), this::hindrance),
             new MetricsPage(registry),
             new ConfigPage(control::configReport),
             new StatusPage(parts));
@@ -119,7 +132,7 @@
     if (leaving) {
       return Optional.of("leaving");
     }
-    return control.published().current().version() > 0
+    return !control.published().current().routes().isEmpty()
         ? Optional.empty()
         : Optional.of("no configuration from the store or from other entries");
   }
@@ -166,7 +179,7 @@
 
   /** Returns this entry's share of limits. */
   public LimitShares shares() {
-    return control.membership();
+    return control.shares();
   }
 
   /**
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntrySettings.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntrySettings.java
@@ -2,7 +2,9 @@
 
 import java.net.URI;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import org.wagtailpin.config.Tunable;
 
 /**
  * The settings of one entry.
@@ -22,6 +24,8 @@
  *     ready, in milliseconds
  * @param graceMillis how long calls in flight may go on after that, in milliseconds
  * @param decisionLogCapacity decisions that wait to be logged before more are dropped
+ * @param failureDomains the region of each failure domain, for servers that name only the latter
+ * @param constants values of named constants where the configuration states none
  * @param seed the seed of the random choices, empty for one that differs at each start
  */
 public record EntrySettings(
@@ -39,10 +43,51 @@
     long noticeMillis,
     long graceMillis,
     int decisionLogCapacity,
+    Map<String, String> failureDomains,
+    Map<Tunable, Double> constants,
     Optional<Long> seed) {
 
-  /** Copies the list. */
+  /** Copies the collections. */
   public EntrySettings {
     seeds = List.copyOf(seeds);
+    failureDomains = Map.copyOf(failureDomains);
+    constants = Map.copyOf(constants);
+  }
+
+  /** Creates settings without failure domains and constants. */
+  public EntrySettings(
+      String id,
+      String region,
+      String failureDomain,
+      ListenAddress callers,
+      Optional<ListenAddress> internal,
+      ListenAddress admin,
+      ListenAddress peers,
+      List<ListenAddress> seeds,
+      URI store,
+      Optional<URI> hostList,
+      int trafficThreads,
+      long noticeMillis,
+      long graceMillis,
+      int decisionLogCapacity,
+      Optional<Long> seed) {
+    this(
+        id,
+        region,
+        failureDomain,
+        callers,
+        internal,
+        admin,
+        peers,
+        seeds,
+        store,
+        hostList,
+        trafficThreads,
+        noticeMillis,
+        graceMillis,
+        decisionLogCapacity,
+        Map.of(),
+        Map.of(),
+        seed);
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/wagtailpin/daemon/OwnPlatform.java
@@ -0,0 +1,39 @@
+package org.wagtailpin.daemon;
+
+import java.util.Optional;
+import org.asynchttpclient.AsyncHttpClient;
+import org.wagtailpin.membership.MembershipSettings;
+import org.wagtailpin.registry.RegistryFormat;
+import org.wagtailpin.store.HttpStore;
+import org.wagtailpin.store.Store;
+import org.wagtailpin.store.StoreTimeouts;
+import org.wagtailpin.transport.HttpDialect;
+
+/** The project's own protocol of the store, header names and tickets. */
+public final class OwnPlatform implements EntryPlatform {
+
+  @Override
+  public Store store(AsyncHttpClient client, EntrySettings settings) {
+    return new HttpStore(client, settings.store(), settings.id(), StoreTimeouts.defaults());
+  }
+
+  @Override
+  public HttpDialect dialect() {
+    return HttpDialect.own();
+  }
+
+  @Override
+  public Optional<RegistryFormat> registry(EntrySettings settings) {
+    return Optional.empty();
+  }
+
+  @Override
+  public MembershipSettings membership() {
+    return MembershipSettings.defaults();
+  }
+
+  @Override
+  public String readyPath() {
+    return "/readyz";
+  }
+}
--- a/daemon/src/main/java/org/wagtailpin/daemon/SettingsReader.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/SettingsReader.java
@@ -2,8 +2,12 @@
 
 import java.net.URI;
 import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import org.wagtailpin.config.Tunable;
 import org.wagtailpin.json.JsonObjectReader;
 import org.wagtailpin.json.JsonParseResult;
 import org.wagtailpin.json.JsonProblems;
@@ -17,6 +21,9 @@
   private static final long MAX_MILLIS = 3_600_000;
   private static final int MAX_LOG_CAPACITY = 1_000_000;
 
+  private static final String ADDRESS_EXPECTED =
+      "an object with address and port, or a text such as 10.0.0.1:7400";
+
   private static final int DEFAULT_THREADS = 4;
   private static final long DEFAULT_NOTICE_MILLIS = 3_000;
   private static final long DEFAULT_GRACE_MILLIS = 30_000;
@@ -61,11 +68,43 @@
         in.integer("noticeMillis", 0, MAX_MILLIS, DEFAULT_NOTICE_MILLIS),
         in.integer("graceMillis", 0, MAX_MILLIS, DEFAULT_GRACE_MILLIS),
         (int) in.integer("decisionLogCapacity", 1, MAX_LOG_CAPACITY, DEFAULT_LOG_CAPACITY),
+        failureDomains(in),
+        constants(in),
         seed(in));
   }
 
+  private static Map<String, String> failureDomains(JsonObjectReader in) {
+    Map<String, String> regions = new HashMap<>();
+    in.object("failureDomains")
+        .ifPresent(
+            domains ->
+                domains.keys().forEach(domain -> regions.put(domain, domains.name(domain))));
+    return regions;
+  }
+
+  private static Map<Tunable, Double> constants(JsonObjectReader in) {
+    Map<Tunable, Double> values = new EnumMap<>(Tunable.class);
+    in.object("constants").ifPresent(object -> readConstants(object, values));
+    return values;
+  }
+
+  private static void readConstants(JsonObjectReader in, Map<Tunable, Double> values) {
+    for (String label : in.keys()) {
+      Optional<Tunable> tunable = Tunable.ofLabel(label);
+      if (tunable.isPresent()) {
+        Tunable known = tunable.get();
+        values.put(known, in.number(label, known.min(), known.max()));
+      } else {
+        in.noteKey(label, "the name of a constant");
+      }
+    }
+  }
+
   private static ListenAddress address(JsonObjectReader in, String key) {
-    in.require(key, "an object with address and port");
+    in.require(key, ADDRESS_EXPECTED);
+    if (in.isText(key)) {
+      return addressText(in, key, in.text(key));
+    }
     return in.object(key)
         .map(SettingsReader::address)
         .orElseGet(() -> new ListenAddress("127.0.0.1", 0));
@@ -78,9 +117,27 @@
     return new ListenAddress(address, port);
   }
 
+  private static ListenAddress addressText(JsonObjectReader in, String key, String text) {
+    int colon = text.lastIndexOf(':');
+    try {
+      int port = Integer.parseInt(text.substring(colon + 1));
+      if (colon > 0 && port >= 0 && port <= MAX_PORT) {
+        return new ListenAddress(text.substring(0, colon), port);
+      }
+    } catch (NumberFormatException e) {
+      // Noted below, as any other text that is not an address.
+    }
+    in.note(key, ADDRESS_EXPECTED);
+    return new ListenAddress("127.0.0.1", 0);
+  }
+
   private static List<ListenAddress> seeds(JsonObjectReader in) {
     List<ListenAddress> seeds = new ArrayList<>();
-    if (in.has("seeds")) {
+    if (in.isText("seeds")) {
+      for (String text : in.text("seeds").split(",", -1)) {
+        seeds.add(addressText(in, "seeds", text));
+      }
+    } else if (in.has("seeds")) {
       in.objects("seeds").forEach(seed -> seeds.add(address(seed)));
     }
     return seeds;
--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -43,6 +43,7 @@
 
   TrafficParts(
       EntrySettings settings,
+      EntryPlatform platform,
       Clock clock,
       ControlLoop loop,
       EventLoopGroup trafficLoops,
@@ -51,7 +52,7 @@
       long seed) {
     this.loop = loop;
     this.control = control;
-    LimitShares shares = control.membership();
+    LimitShares shares = control.shares();
     SharedRandom random = new SharedRandom(seed);
     RouteTimes times = new RouteTimes(clock);
     Consumer<String> lines = line -> Logger.tag(JsonConsoleWriter.RAW_TAG).info("{}", line);
@@ -61,7 +62,8 @@
             BackendSettings.defaults(),
             trafficLoops,
             server -> shares.wholeShare("connections/" + server.name(), server.connections()),
-            clock);
+            clock,
+            platform.dialect());
     QueueingPlacement placement =
         new QueueingPlacement(
             control.published(),
@@ -81,12 +83,13 @@
             CallSettings.defaults(),
             control.published(),
             placement,
-            new BudgetedRetryPolicy(control.published(), clock, times, new RetryBudgets(), random),
+            new BudgetedRetryPolicy(control.published(), clock, times, new RetryBudgets(), shares, random),
             control.claims(),
             backend,
             clock,
             decisions,
-            new PrometheusCallMetrics(registry));
+            new PrometheusCallMetrics(registry),
+            platform.dialect());
   }
 
   // Queued calls are served by traffic threads, so that a long queue does not delay heartbeats.
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClient.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClient.java
@@ -12,6 +12,7 @@
 import org.asynchttpclient.uri.Uri;
 import org.tinylog.Logger;
 import org.wagtailpin.clock.Clock;
+import org.wagtailpin.transport.HttpDialect;
 
 /** Sends requests to backend servers. Safe for use by all traffic threads. */
 public final class BackendClient implements AutoCloseable {
@@ -22,12 +23,13 @@
   private final BackendSettings settings;
   private final ConnectionCaps caps;
   private final Clock clock;
+  private final HttpDialect dialect;
   private final ConnectionPool pool = new ConnectionPool();
   private final AsyncHttpClient client;
   private final Future<?> sweep;
 
   /**
-   * Creates a client.
+   * Creates a client that uses the project's own header names.
    *
    * @param settings the settings
    * @param loops the event loops, from {@link org.wagtailpin.transport.EventLoops#createAffine}
@@ -36,9 +38,28 @@
    */
   public BackendClient(
       BackendSettings settings, EventLoopGroup loops, ConnectionCaps caps, Clock clock) {
+    this(settings, loops, caps, clock, HttpDialect.own());
+  }
+
+  /**
+   * Creates a client.
+   *
+   * @param settings the settings
+   * @param loops the event loops, from {@link org.wagtailpin.transport.EventLoops#createAffine}
+   * @param caps the limits of connections
+   * @param clock the clock
+   * @param dialect the header names
+   */
+  public BackendClient(
+      BackendSettings settings,
+      EventLoopGroup loops,
+      ConnectionCaps caps,
+      Clock clock,
+      HttpDialect dialect) {
     this.settings = settings;
     this.caps = caps;
     this.clock = clock;
+    this.dialect = dialect;
     this.client = new DefaultAsyncHttpClient(BackendClientConfig.of(settings, loops, pool, clock));
     this.sweep =
         loops
@@ -58,7 +79,7 @@
   public BackendExchange send(BackendRequest request, EventLoop owner, ExchangeListener listener) {
     ServerConnections connections = pool.of(request.server());
     connections.limit(caps.connections(request.server()));
-    BackendExchange exchange = new BackendExchange(request, connections, owner, listener);
+    BackendExchange exchange = new BackendExchange(request, connections, owner, listener, dialect);
     try {
       exchange.started(client.executeRequest(toRequest(request, connections), exchange));
     } catch (RuntimeException e) {
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
@@ -21,7 +21,7 @@
 import org.wagtailpin.error.Fault;
 import org.wagtailpin.error.Peer;
 import org.wagtailpin.error.Step;
-import org.wagtailpin.transport.WagtailpinHeaders;
+import org.wagtailpin.transport.HttpDialect;
 
 /**
  * One request to a backend server and its answer.
@@ -32,6 +32,8 @@
  */
 public final class BackendExchange implements AsyncHandler<Void> {
 
+  private static final int FIRST_REDIRECT = 300;
+
   private enum Dispatch {
     PENDING,
     BEGUN,
@@ -42,6 +44,7 @@
   private final ServerConnections connections;
   private final EventLoop owner;
   private final ExchangeListener listener;
+  private final HttpDialect dialect;
   private final AtomicReference<Dispatch> dispatch = new AtomicReference<>(Dispatch.PENDING);
   private volatile ConnectionGate gate;
   private volatile ListenableFuture<Void> future;
@@ -60,11 +63,13 @@
       BackendRequest request,
       ServerConnections connections,
       EventLoop owner,
-      ExchangeListener listener) {
+      ExchangeListener listener,
+      HttpDialect dialect) {
     this.request = request;
     this.connections = connections;
     this.owner = owner;
     this.listener = listener;
+    this.dialect = dialect;
   }
 
   void started(ListenableFuture<Void> running) {
@@ -162,11 +167,15 @@
   }
 
   private Optional<String> objectionTo(HttpHeaders headers) {
-    String echo = headers.get(WagtailpinHeaders.ATTEMPT);
+    String echo = headers.get(dialect.echo());
     boolean crossed = echo == null ? request.echoesAttempt() : !echo.equals(request.attempt());
     if (crossed) {
       return Optional.of("the answer belongs to another request");
     }
+    boolean success = status >= HttpResponseStatus.OK.code() && status < FIRST_REDIRECT;
+    if (success && dialect.signature().isPresent() && !headers.contains(dialect.signature().get())) {
+      return Optional.of("the answer does not bear the server's signature");
+    }
     // RFC 9112 section 6.3: a body that ends with the connection can't be told from a broken one.
     boolean framed =
         headers.contains(HttpHeaderNames.CONTENT_LENGTH)
@@ -192,10 +201,10 @@
   private void tellHead(HttpHeaders headers) {
     headTold = true;
     step = Step.RELAY_ANSWER;
-    String load = headers.get(WagtailpinHeaders.LOAD);
+    String load = headers.get(dialect.load());
     AnswerHead head =
         new AnswerHead(
-            status, headers, load == null ? Optional.empty() : LoadReportHeader.parse(load));
+            status, headers, load == null ? Optional.empty() : LoadReportHeader.read(load, dialect));
     tell(() -> listener.head(head));
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/LoadReportHeader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/LoadReportHeader.java
@@ -2,11 +2,12 @@
 
 import java.util.Optional;
 import org.wagtailpin.routing.LoadReport;
+import org.wagtailpin.transport.HttpDialect;
 
 /**
- * Reader of the {@code Wagtailpin-Load} header: {@code inflight=3, queued=0, leaving}.
+ * Reader of the header by which a server tells its load.
  *
- * <p>The members may come in any order; unknown ones are passed over, and a header without a valid
+ * <p>In its own form, {@code inflight=3, queued=0, leaving}, the members may come in any order; unknown ones are passed over, and a header without a valid
  * {@code inflight} is none.
  */
 public final class LoadReportHeader {
@@ -16,6 +17,10 @@
   private static final String LEAVING = "leaving";
   private static final int ABSENT = -1;
   private static final int MAX_DIGITS = 9;
+  private static final int RUNNING_COLUMN = 0;
+  private static final int WAITING_COLUMN = 1;
+  private static final int SLOWNESS_COLUMN = 3;
+  private static final double PERCENT = 100;
 
   private LoadReportHeader() {}
 
@@ -46,6 +51,38 @@
     return inFlight < 0 ? Optional.empty() : Optional.of(new LoadReport(inFlight, queued, leaving));
   }
 
+  /**
+   * Reads a header in the form of a dialect.
+   *
+   * @param value the header's value
+   * @param dialect tells the form
+   */
+  public static Optional<LoadReport> read(String value, HttpDialect dialect) {
+    return dialect.loadForm() == HttpDialect.LoadForm.COLUMNS ? parseColumns(value) : parse(value);
+  }
+
+  /**
+   * Reads a header of numbers in order: running, waiting, slots, slowness in percent.
+   *
+   * @param value the header's value
+   * @return the report, or empty if the value does not begin with two numbers
+   */
+  public static Optional<LoadReport> parseColumns(String value) {
+    String[] columns = value.split(",", -1);
+    if (columns.length <= WAITING_COLUMN) {
+      return Optional.empty();
+    }
+    int running = number(columns[RUNNING_COLUMN].strip(), 0);
+    int waiting = number(columns[WAITING_COLUMN].strip(), 0);
+    if (running < 0 || waiting < 0) {
+      return Optional.empty();
+    }
+    int percent =
+        columns.length > SLOWNESS_COLUMN ? number(columns[SLOWNESS_COLUMN].strip(), 0) : ABSENT;
+    double slowness = percent > 0 ? percent / PERCENT : 1;
+    return Optional.of(new LoadReport(running, waiting, false, slowness));
+  }
+
   private static int number(String member, int from) {
     int digits = member.length() - from;
     if (digits < 1 || digits > MAX_DIGITS) {
--- a/wagtailpin/src/main/java/org/wagtailpin/call/Attempt.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Attempt.java
@@ -29,6 +29,7 @@
   private Optional<LoadReport> load = Optional.empty();
   private int status;
   private boolean refused;
+  private boolean unproven;
   private boolean finished;
 
   Attempt(Call call, ConfigService service, Grant grant) {
@@ -97,26 +98,32 @@
     load = head.load();
     status = head.status();
     refused = isRefusal(head);
-    if (!refused) {
+    unproven = !refused && call.environment().dialect().notRunStatuses().contains(status);
+    if (!refused && !unproven) {
       call.answerBegan(head.status(), head.headers());
     }
   }
 
   private boolean isRefusal(AnswerHead head) {
     for (RefusalForm form : service.refusals()) {
-      String value = head.headers().get(form.headerName());
-      if (form.status() == head.status()
-          && value != null
-          && value.strip().equalsIgnoreCase(form.headerValue())) {
+      if (form.status() == head.status() && carries(head, form)) {
         return true;
       }
     }
     return false;
   }
 
+  private static boolean carries(AnswerHead head, RefusalForm form) {
+    if (form.headerName().isEmpty()) {
+      return true;
+    }
+    String value = head.headers().get(form.headerName());
+    return value != null && value.strip().equalsIgnoreCase(form.headerValue());
+  }
+
   @Override
   public void part(ByteBuf part) {
-    if (refused) {
+    if (refused || unproven) {
       part.release();
     } else {
       call.answerPart(part);
@@ -129,10 +136,24 @@
       endRefused();
       return;
     }
+    if (unproven) {
+      endUnproven();
+      return;
+    }
     finish(new AttemptOutcome.Answered(status));
     call.answerEnded(trailers);
   }
 
+  private void endUnproven() {
+    Fault fault =
+        new Fault(
+            Step.AWAIT_ANSWER,
+            Peer.BACKEND_SERVER,
+            grant.server().name(),
+            "status " + status + " without proof that the request was not run");
+    end(new AttemptOutcome.Unknown(fault));
+  }
+
   private void endRefused() {
     Fault fault =
         new Fault(
@@ -147,6 +168,8 @@
   public void failed(ExchangeFailure failure) {
     if (refused) {
       endRefused();
+    } else if (unproven) {
+      endUnproven();
     } else if (failure.notRun()) {
       end(new AttemptOutcome.NotRun(failure.fault()));
     } else {
--- a/wagtailpin/src/main/java/org/wagtailpin/call/AttemptRequests.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/AttemptRequests.java
@@ -6,6 +6,7 @@
 import org.wagtailpin.backend.RequestBody;
 import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.config.ConfigService;
+import org.wagtailpin.transport.HttpDialect;
 import org.wagtailpin.transport.WagtailpinHeaders;
 
 /** Maker of the requests that a call's attempts send. */
@@ -14,11 +15,14 @@
   private final IncomingRequest request;
   private final ConfigService service;
   private final RequestBody body;
+  private final HttpDialect dialect;
 
-  AttemptRequests(IncomingRequest request, ConfigService service, RequestBody body) {
+  AttemptRequests(
+      IncomingRequest request, ConfigService service, RequestBody body, HttpDialect dialect) {
     this.request = request;
     this.service = service;
     this.body = body;
+    this.dialect = dialect;
   }
 
   RequestBody body() {
@@ -33,15 +37,16 @@
    * @param remainingMillis the time left for the answer, in milliseconds
    */
   BackendRequest next(ConfigServer server, int number, long remainingMillis) {
-    String attempt = request.id() + "." + number;
     HttpHeaders headers = new DefaultHttpHeaders().set(request.headers());
-    headers.set(WagtailpinHeaders.REQUEST_ID, request.id());
-    headers.set(WagtailpinHeaders.ATTEMPT, attempt);
-    headers.set(WagtailpinHeaders.DEADLINE_MILLIS, Long.toString(Math.max(1, remainingMillis)));
-    headers.set(WagtailpinHeaders.DEPTH, Integer.toString(request.depth() + 1));
-    if (!request.callerGroup().isEmpty()) {
-      headers.set(WagtailpinHeaders.CALLER_GROUP, request.callerGroup());
+    headers.set(dialect.requestId(), request.id());
+    headers.set(dialect.deadline(), Long.toString(Math.max(1, remainingMillis)));
+    String attempt = request.id();
+    if (dialect.attempt().isPresent()) {
+      attempt = request.id() + "." + number;
+      headers.set(dialect.attempt().get(), attempt);
+      addOrigin(headers);
     }
+    dialect.target().ifPresent(name -> headers.set(name, server.name()));
     return new BackendRequest(
         server,
         request.method(),
@@ -52,4 +57,11 @@
         attempt,
         service.echoesAttempt());
   }
+
+  private void addOrigin(HttpHeaders headers) {
+    headers.set(WagtailpinHeaders.DEPTH, Integer.toString(request.depth() + 1));
+    if (!request.callerGroup().isEmpty()) {
+      headers.set(WagtailpinHeaders.CALLER_GROUP, request.callerGroup());
+    }
+  }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
@@ -28,6 +28,7 @@
 import org.wagtailpin.routing.PlacementListener;
 import org.wagtailpin.routing.RetryDecision;
 import org.wagtailpin.transport.EndToEndHeaders;
+import org.wagtailpin.transport.HttpDialect;
 import org.wagtailpin.transport.WagtailpinHeaders;
 
 /**
@@ -59,6 +60,7 @@
   private Optional<PlacementHandle> waiting = Optional.empty();
   private Optional<Attempt> attempt = Optional.empty();
   private Optional<Fault> lastFault = Optional.empty();
+  private Optional<CollectedAnswer> collected = Optional.empty();
   private boolean mayHaveRun;
   private boolean answerBegan;
   private boolean callerGone;
@@ -116,7 +118,7 @@
     if (ended) {
       return;
     }
-    requests = new AttemptRequests(request, service, body);
+    requests = new AttemptRequests(request, service, body, environment.dialect());
     if (key.isPresent()) {
       claim(key.get(), body);
     } else {
@@ -170,7 +172,7 @@
       headers.add(header.name(), header.value());
     }
     headers.set(WagtailpinHeaders.REPLAYED, "true");
-    headers.set(WagtailpinHeaders.REQUEST_ID, request.id());
+    headers.set(environment.dialect().requestId(), request.id());
     end("replayed");
     sink.head(answer.status(), headers);
     if (answer.body().length > 0) {
@@ -231,11 +233,16 @@
   }
 
   void answerBegan(int status, HttpHeaders headers) {
-    answerBegan = true;
     progressMillis = nowMillis();
-    EndToEndHeaders.retain(headers);
-    headers.set(WagtailpinHeaders.REQUEST_ID, request.id());
+    HttpDialect dialect = environment.dialect();
+    EndToEndHeaders.retain(headers, dialect.signature().stream().toList());
+    headers.set(dialect.requestId(), request.id());
     keyed.ifPresent(work -> work.keepHead(status, headers));
+    if (dialect.wholeAnswers()) {
+      collected = Optional.of(new CollectedAnswer(status, headers));
+      return;
+    }
+    answerBegan = true;
     if (!callerGone) {
       sink.head(status, headers);
     }
@@ -247,14 +254,43 @@
     if (callerGone) {
       part.release();
       abandonIfUseless();
+    } else if (collected.isPresent()) {
+      collect(collected.get(), part);
     } else if (!sink.part(part)) {
-      paused = true;
-      attempt.ifPresent(Attempt::pause);
+      pause();
+    }
+  }
+
+  private void collect(CollectedAnswer answer, ByteBuf part) {
+    answer.add(part);
+    if (answer.bytes() > environment.settings().collectedAnswerBytes() && !passCollected()) {
+      pause();
     }
   }
 
+  private void pause() {
+    paused = true;
+    attempt.ifPresent(Attempt::pause);
+  }
+
+  /** Begins the answer with what was collected; tells whether the caller takes more at once. */
+  private boolean passCollected() {
+    CollectedAnswer answer = collected.orElseThrow();
+    collected = Optional.empty();
+    answerBegan = true;
+    return answer.passTo(sink);
+  }
+
+  private void dropCollected() {
+    collected.ifPresent(CollectedAnswer::release);
+    collected = Optional.empty();
+  }
+
   void answerEnded(HttpHeaders trailers) {
     keyed.ifPresent(KeyedWork::answered);
+    if (collected.isPresent() && !callerGone) {
+      passCollected();
+    }
     end(ANSWERED);
     if (!callerGone) {
       sink.end(trailers);
@@ -290,6 +326,7 @@
 
   void attemptFailed(AttemptOutcome outcome) {
     attempt = Optional.empty();
+    dropCollected();
     lastFault = Optional.of(AttemptLabels.fault(outcome));
     if (answerBegan) {
       breakOff();
@@ -343,10 +380,16 @@
       settleFailed();
       end("left");
     } else {
-      refuse(GATEWAY_TIMEOUT, outcome(), fault);
+      refuse(expiredStatus(), outcome(), fault);
     }
   }
 
+  /** Where callers read statuses only, a request that was not run must not be told as unknown. */
+  private int expiredStatus() {
+    boolean told = environment.dialect().notRunStatuses().contains(SERVICE_UNAVAILABLE);
+    return told && !mayHaveRun ? SERVICE_UNAVAILABLE : GATEWAY_TIMEOUT;
+  }
+
   private Fault expiry() {
     if (attempt.isPresent()) {
       String server = attempt.get().grant().server().name();
@@ -385,7 +428,13 @@
   private void refuse(int status, Outcome outcome, Fault fault) {
     settleFailed();
     end(outcome.label());
-    sink.problem(new Problem(status, outcome, fault));
+    sink.problem(new Problem(status, outcome, fault, retryAfter(status)));
+  }
+
+  private Optional<Long> retryAfter(int status) {
+    return status == SERVICE_UNAVAILABLE
+        ? Optional.of(environment.settings().retryAfterMillis())
+        : Optional.empty();
   }
 
   /**
@@ -447,6 +496,7 @@
 
   private void end(String outcome) {
     ended = true;
+    dropCollected();
     timer.cancel(false);
     environment.metrics().callEnded(service.name(), outcome, nowMillis() - request.arrivedMillis());
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallAdmission.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallAdmission.java
@@ -1,5 +1,6 @@
 package org.wagtailpin.call;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 import org.wagtailpin.clock.Clock;
@@ -22,6 +23,12 @@
   /** Answer to a call that is nested too deep, RFC 5842 section 7.2. */
   HttpResponseStatus LOOP_DETECTED = new HttpResponseStatus(508, "Loop Detected");
 
+  /** Bits of a hash that a double can't hold. */
+  int UNUSED_BITS = 11;
+
+  /** The step between neighbouring points, two to the power of -53. */
+  double UNIT = 0x1.0p-53;
+
   /** The greatest length of an idempotency key, in characters. */
   int MAX_KEY_LENGTH = 255;
 
@@ -56,7 +63,13 @@
     if (request.timeoutMillis().orElse(1L) < 1) {
       return refused(HttpResponseStatus.GATEWAY_TIMEOUT, Step.ADMIT, "the deadline has passed");
     }
-    Optional<ConfigRoute> route = snapshot.route(request.host(), request.path(), request.method());
+    Optional<ConfigRoute> matched =
+        snapshot.route(request.host(), request.path(), request.method());
+    if (matched.isEmpty() && snapshot.routes().isEmpty()) {
+      return refused(
+          HttpResponseStatus.SERVICE_UNAVAILABLE, Step.MATCH_ROUTE, "no configuration is known");
+    }
+    Optional<ConfigRoute> route = matched.map(found -> found.chosen(pointOf(request.id())));
     if (route.isEmpty()) {
       return refused(
           HttpResponseStatus.NOT_FOUND, Step.MATCH_ROUTE, "no route matches the request");
@@ -71,6 +84,12 @@
     return withKey(route.get(), service.get(), request, clock);
   }
 
+  /** Spreads identifiers evenly over 0 to 1, the same way on all entries. */
+  private static double pointOf(String requestId) {
+    long hash = Hashing.komihash5_0().hashCharsToLong(requestId);
+    return (hash >>> UNUSED_BITS) * UNIT;
+  }
+
   private static CallAdmission withKey(
       ConfigRoute route, ConfigService service, IncomingRequest request, Clock clock) {
     Optional<String> key =
--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallEnvironment.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallEnvironment.java
@@ -6,6 +6,7 @@
 import org.wagtailpin.config.ConfigSource;
 import org.wagtailpin.routing.Placement;
 import org.wagtailpin.routing.RetryPolicy;
+import org.wagtailpin.transport.HttpDialect;
 
 /**
  * What all calls of an entry work with.
@@ -19,6 +20,7 @@
  * @param clock the clock
  * @param decisions takes note of routing decisions
  * @param metrics counts calls
+ * @param dialect the header names
  */
 public record CallEnvironment(
     CallSettings settings,
@@ -29,4 +31,30 @@
     BackendClient backend,
     Clock clock,
     DecisionLog decisions,
-    CallMetrics metrics) {}
+    CallMetrics metrics,
+    HttpDialect dialect) {
+
+  /** Creates an environment that uses the project's own header names. */
+  public CallEnvironment(
+      CallSettings settings,
+      ConfigSource config,
+      Placement placement,
+      RetryPolicy retryPolicy,
+      Claims claims,
+      BackendClient backend,
+      Clock clock,
+      DecisionLog decisions,
+      CallMetrics metrics) {
+    this(
+        settings,
+        config,
+        placement,
+        retryPolicy,
+        claims,
+        backend,
+        clock,
+        decisions,
+        metrics,
+        HttpDialect.own());
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/AnswerWriter.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/AnswerWriter.java
@@ -19,10 +19,12 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.math.BigDecimal;
 import org.wagtailpin.call.AnswerSink;
 import org.wagtailpin.call.Problem;
 import org.wagtailpin.call.ProblemBody;
 import org.wagtailpin.transport.EndToEndHeaders;
+import org.wagtailpin.transport.HttpDialect;
 import org.wagtailpin.transport.WagtailpinHeaders;
 
 /** Writer of answers to one caller's connection, one after another; confined to its event loop. */
@@ -41,9 +43,13 @@
     void answerHeldBack();
   }
 
+  private static final int MILLIS_SCALE = 3;
+  private static final long MILLIS_PER_SECOND = 1_000;
+
   private final Channel channel;
   private final AnswerEncoder encoder;
   private final Owner owner;
+  private final HttpDialect dialect;
   private final Runnable flush;
   private boolean flushPending;
   private boolean toHead;
@@ -51,10 +57,11 @@
   private boolean chunked;
   private String requestId = "";
 
-  AnswerWriter(Channel channel, AnswerEncoder encoder, Owner owner) {
+  AnswerWriter(Channel channel, AnswerEncoder encoder, Owner owner, HttpDialect dialect) {
     this.channel = channel;
     this.encoder = encoder;
     this.owner = owner;
+    this.dialect = dialect;
     this.flush = this::flush;
   }
 
@@ -139,8 +146,11 @@
     headers.set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_STORE);
     headers.set(WagtailpinHeaders.OUTCOME, problem.outcome().label());
     if (!requestId.isEmpty()) {
-      headers.set(WagtailpinHeaders.REQUEST_ID, requestId);
+      headers.set(dialect.requestId(), requestId);
     }
+    problem
+        .retryAfterMillis()
+        .ifPresent(millis -> headers.set(HttpHeaderNames.RETRY_AFTER, retryAfter(millis)));
     HttpUtil.setContentLength(answer, body.length);
     if (!owner.keepsConnection()) {
       headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -148,6 +158,13 @@
     owner.answerEnded(channel.writeAndFlush(answer));
   }
 
+  /** RFC 9110 section 10.2.3 knows whole seconds only. */
+  private String retryAfter(long millis) {
+    return dialect.fractionalRetryAfter()
+        ? BigDecimal.valueOf(millis, MILLIS_SCALE).toPlainString()
+        : Long.toString((millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
+  }
+
   /** Ends the connection with a TCP reset, which no caller can take for the end of an answer. */
   @Override
   public void reset() {
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/CallerConnection.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/CallerConnection.java
@@ -66,7 +66,7 @@
   public void handlerAdded(ChannelHandlerContext ctx) {
     context = ctx;
     Channel channel = ctx.channel();
-    writer = new AnswerWriter(channel, encoder, this);
+    writer = new AnswerWriter(channel, encoder, this, listener.environment().dialect());
     timer = new ConnectionTimer(channel.eventLoop(), listener.environment().clock());
   }
 
@@ -80,14 +80,14 @@
   }
 
   private void awaitRequest() {
-    timer.set(listener.limits().idleMillis(), context::close);
+    timer.set(listener.idleMillis(), context::close);
     read();
   }
 
   /** Called by the decoder when a head has begun but not ended. */
   void headBegan() {
     if (answerDone && requestDone && !lingering) {
-      timer.set(listener.limits().headTimeoutMillis(), this::headTimedOut);
+      timer.set(listener.headTimeoutMillis(), this::headTimedOut);
     }
   }
 
@@ -173,7 +173,7 @@
 
   private void admit(IncomingRequest request, long length, boolean continues) {
     writer.identify(request.id());
-    if (length > listener.limits().maxBodyBytes()) {
+    if (length > listener.maxBodyBytes()) {
       keepAlive = false;
       writer.problem(problem(CONTENT_TOO_LARGE, "the request's body is too long"));
       return;
@@ -228,7 +228,7 @@
     Call current = call.get();
     RequestBodyReader reader = body.get();
     reader.add(content.content()).ifPresent(current::begin);
-    if (reader.received() > listener.limits().maxBodyBytes()) {
+    if (reader.received() > listener.maxBodyBytes()) {
       breakRequest(CONTENT_TOO_LARGE, "the request's body is too long");
     } else if (content instanceof LastHttpContent) {
       reader.end().ifPresent(current::begin);
@@ -332,7 +332,7 @@
     if (lingering || !keepAlive) {
       return;
     }
-    timer.set(listener.limits().idleMillis(), context::close);
+    timer.set(listener.idleMillis(), context::close);
     if (listener.draining()) {
       closeWhenQuiet();
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/CallerListener.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/CallerListener.java
@@ -43,7 +43,12 @@
     RequestIds ids =
         new RequestIds(settings.entry(), RandomSource.createLong() & Integer.MAX_VALUE);
     RequestHeadReader heads =
-        new RequestHeadReader(settings.kind(), environment.config(), environment.clock(), ids);
+        new RequestHeadReader(
+            settings.kind(),
+            environment.config(),
+            environment.clock(),
+            ids,
+            environment.dialect());
     this.context = new ListenerContext(environment, settings.limits(), heads);
   }
 
@@ -85,7 +90,10 @@
       CallerConnection connection = new CallerConnection(context, encoder);
       channel
           .pipeline()
-          .addLast(new StrictRequestDecoder(settings.limits(), connection::headBegan))
+          .addLast(new StrictRequestDecoder(
+                  settings.limits().maxRequestLineBytes(),
+                  context.maxHeadBytes(),
+                  connection::headBegan))
           .addLast(encoder)
           .addLast(connection);
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/ListenerContext.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/ListenerContext.java
@@ -5,6 +5,7 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.wagtailpin.call.CallEnvironment;
+import org.wagtailpin.config.Tunable;
 
 /** What the connections of a listener share. */
 final class ListenerContext {
@@ -31,6 +32,31 @@
     return limits;
   }
 
+  /** Returns how long a connection may wait for its next request, in milliseconds. */
+  long idleMillis() {
+    return stated(Tunable.CALLER_IDLE_MILLIS, limits.idleMillis());
+  }
+
+  /** Returns the longest time from the first byte of a head to its last, in milliseconds. */
+  long headTimeoutMillis() {
+    return stated(Tunable.CALLER_HEAD_MILLIS, limits.headTimeoutMillis());
+  }
+
+  /** Returns the length of the longest body, in bytes. */
+  long maxBodyBytes() {
+    return stated(Tunable.CALLER_BODY_BYTES, limits.maxBodyBytes());
+  }
+
+  /** Returns the greatest size of a request's headers, in bytes. */
+  int maxHeadBytes() {
+    return (int) stated(Tunable.CALLER_HEAD_BYTES, limits.maxHeadBytes());
+  }
+
+  /** The operator's configuration goes before the listener's own limits. */
+  private long stated(Tunable tunable, long own) {
+    return environment.config().current().stated(tunable).map(Double::longValue).orElse(own);
+  }
+
   RequestHeadReader heads() {
     return heads;
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/RequestHeadReader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/RequestHeadReader.java
@@ -21,6 +21,7 @@
 import org.wagtailpin.error.Peer;
 import org.wagtailpin.error.Step;
 import org.wagtailpin.transport.EndToEndHeaders;
+import org.wagtailpin.transport.HttpDialect;
 import org.wagtailpin.transport.WagtailpinHeaders;
 
 /** Reader of request heads: checks them and takes from them what a call needs. */
@@ -42,13 +43,16 @@
   private final ConfigSource config;
   private final Clock clock;
   private final RequestIds ids;
+  private final HttpDialect dialect;
   private volatile CallerGroups groups;
 
-  RequestHeadReader(ListenerKind kind, ConfigSource config, Clock clock, RequestIds ids) {
+  RequestHeadReader(
+      ListenerKind kind, ConfigSource config, Clock clock, RequestIds ids, HttpDialect dialect) {
     this.kind = kind;
     this.config = config;
     this.clock = clock;
     this.ids = ids;
+    this.dialect = dialect;
     this.groups = new CallerGroups(config.current());
   }
 
@@ -111,17 +115,21 @@
     boolean internal = kind == ListenerKind.INTERNAL;
     long depth = internal ? number(headers, WagtailpinHeaders.DEPTH, 0) : 0;
     CharSequence timeoutName =
-        internal ? WagtailpinHeaders.DEADLINE_MILLIS : WagtailpinHeaders.TIMEOUT_MILLIS;
+        internal ? dialect.deadline() : dialect.callerTimeout();
     long timeoutMillis = number(headers, timeoutName, Long.MAX_VALUE);
     if (depth == NO_NUMBER || depth > Integer.MAX_VALUE || timeoutMillis == NO_NUMBER) {
       return unsound(BAD_REQUEST, "a Wagtailpin header is not a number");
     }
+    String id = dialect.callerNamesCalls() ? headers.get(dialect.requestId()) : ids.next();
+    if (id == null || id.isEmpty()) {
+      return unsound(BAD_REQUEST, "the request has no identifier");
+    }
     String named = internal ? headers.get(WagtailpinHeaders.CALLER_GROUP) : null;
     String group = named == null ? groupOf(caller) : named;
     prepare(headers, target, caller);
     return new RequestHead.Sound(
         new IncomingRequest(
-            ids.next(),
+            id,
             head.method().name(),
             target.host(),
             target.path(),
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/StrictRequestDecoder.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/StrictRequestDecoder.java
@@ -26,14 +26,15 @@
   /**
    * Creates a decoder.
    *
-   * @param limits the limits of the connection
+   * @param maxLineBytes longest request line
+   * @param maxHeadBytes greatest size of a request's headers
    * @param headBegan called when the first bytes of a head came without its end
    */
-  StrictRequestDecoder(CallerLimits limits, Runnable headBegan) {
+  StrictRequestDecoder(int maxLineBytes, int maxHeadBytes, Runnable headBegan) {
     super(
         new HttpDecoderConfig()
-            .setMaxInitialLineLength(limits.maxRequestLineBytes())
-            .setMaxHeaderSize(limits.maxHeadBytes())
+            .setMaxInitialLineLength(maxLineBytes)
+            .setMaxHeaderSize(maxHeadBytes)
             .setAllowDuplicateContentLengths(false)
             .setStrictLineParsing(true)
             .setUseRfc9112TransferEncoding(true));
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigKind.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigKind.java
@@ -10,6 +10,8 @@
   LINK("link"),
   LIMIT("limit"),
   CALLER_GROUP("callerGroup"),
+  /** Objects that are replaced together; made from an operator's document, never in a ticket. */
+  DOCUMENT("document"),
   /** The number up to which tickets are closed; made by compaction, never part of a ticket. */
   TICKET_FLOOR("ticketFloor");
 
@@ -26,7 +28,7 @@
 
   /** Tells whether a ticket can carry objects of this kind. */
   public boolean inTickets() {
-    return this != TICKET_FLOOR;
+    return this != TICKET_FLOOR && this != DOCUMENT;
   }
 
   /**
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigObject.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigObject.java
@@ -7,7 +7,8 @@
         ConfigServerSet,
         ConfigLink,
         ConfigLimit,
-        ConfigCallerGroup {
+        ConfigCallerGroup,
+        ConfigDocument {
 
   /** Returns the kind of this object. */
   ConfigKind kind();
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigRoute.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigRoute.java
@@ -1,5 +1,6 @@
 package org.wagtailpin.config;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -15,6 +16,11 @@
  * @param deadlineMillis the deadline for a request that states none, in milliseconds, 1 to 3600000
  * @param keyRule how an {@code Idempotency-Key} is treated
  * @param mayWait whether the work may be queued behind work that may not wait
+ * @param split the services among which the requests are divided; none if all go to the one service
+ * @param maxAttempts the most servers that one request is sent to, empty for the service's constant
+ * @param targetLatencyMillis the time within which an answer has its full worth, in milliseconds,
+ *     empty if nothing is said of it
+ * @param priority the rank under load, 0 for the most urgent
  */
 public record ConfigRoute(
     String name,
@@ -25,15 +31,85 @@
     Optional<Boolean> repeatable,
     long deadlineMillis,
     KeyRule keyRule,
-    boolean mayWait)
+    boolean mayWait,
+    List<WeightedService> split,
+    Optional<Integer> maxAttempts,
+    Optional<Long> targetLatencyMillis,
+    int priority)
     implements ConfigObject {
 
   // RFC 9110 section 9.2.1: the safe methods; repeating them has no further effect.
   private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD", "OPTIONS");
 
-  /** Copies the set. */
+  /** Copies the collections. */
   public ConfigRoute {
     methods = Set.copyOf(methods);
+    split = List.copyOf(split);
+  }
+
+  /** Creates a route to one service, without bounds of its own. */
+  public ConfigRoute(
+      String name,
+      Optional<String> host,
+      String pathPrefix,
+      Set<String> methods,
+      String service,
+      Optional<Boolean> repeatable,
+      long deadlineMillis,
+      KeyRule keyRule,
+      boolean mayWait) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        methods,
+        service,
+        repeatable,
+        deadlineMillis,
+        keyRule,
+        mayWait,
+        List.of(),
+        Optional.empty(),
+        Optional.empty(),
+        0);
+  }
+
+  /**
+   * Returns this route with one of its services chosen.
+   *
+   * @param point where the choice falls, 0 to less than 1, spread evenly over requests
+   */
+  public ConfigRoute chosen(double point) {
+    double total = split.stream().mapToDouble(WeightedService::weight).sum();
+    double left = point * total;
+    String choice = service;
+    for (WeightedService part : split) {
+      if (part.weight() > 0) {
+        choice = part.service();
+        left -= part.weight();
+      }
+      if (left < 0) {
+        break;
+      }
+    }
+    return choice.equals(service) ? this : withService(choice);
+  }
+
+  private ConfigRoute withService(String chosen) {
+    return new ConfigRoute(
+        name,
+        host,
+        pathPrefix,
+        methods,
+        chosen,
+        repeatable,
+        deadlineMillis,
+        keyRule,
+        mayWait,
+        split,
+        maxAttempts,
+        targetLatencyMillis,
+        priority);
   }
 
   @Override
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigServer.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigServer.java
@@ -11,6 +11,9 @@
  * @param slots how many requests it runs at once, over all entries, at least 1
  * @param connections how many connections it takes, over all entries, at least 1
  * @param leaving whether it is to get no new work
+ * @param startedMillis when it was started, in milliseconds since 1970, 0 if that isn't known; a
+ *     server that starts again under its name keeps nothing of before
+ * @param slowStartMillis how long it is slow after its start, in milliseconds
  */
 public record ConfigServer(
     String name,
@@ -20,4 +23,39 @@
     String failureDomain,
     int slots,
     int connections,
-    boolean leaving) {}
+    boolean leaving,
+    long startedMillis,
+    int slowStartMillis) {
+
+  /**
+   * Returns this server with a bound on its connections.
+   *
+   * @param most the most connections over all entries, at least 1
+   */
+  public ConfigServer withConnections(int most) {
+    return new ConfigServer(
+        name,
+        address,
+        port,
+        region,
+        failureDomain,
+        slots,
+        Math.min(most, connections),
+        leaving,
+        startedMillis,
+        slowStartMillis);
+  }
+
+  /** Creates a server of which no start is known. */
+  public ConfigServer(
+      String name,
+      String address,
+      int port,
+      String region,
+      String failureDomain,
+      int slots,
+      int connections,
+      boolean leaving) {
+    this(name, address, port, region, failureDomain, slots, connections, leaving, 0, 0);
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigSnapshot.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigSnapshot.java
@@ -38,6 +38,18 @@
       add(object);
     }
     routes.sort(SPECIFIC_FIRST);
+    services.values().forEach(this::boundConnections);
+  }
+
+  private void boundConnections(ConfigService service) {
+    service
+        .connections()
+        .ifPresent(
+            most ->
+                servers.computeIfPresent(
+                    service.name(),
+                    (name, held) ->
+                        held.stream().map(server -> server.withConnections(most)).toList()));
   }
 
   /** Returns a snapshot without objects. */
@@ -58,6 +70,8 @@
       limits.add(limit);
     } else if (object instanceof ConfigCallerGroup group) {
       callerGroups.add(group);
+    } else if (object instanceof ConfigDocument document) {
+      document.objects().forEach(this::add);
     }
   }
 
@@ -142,6 +156,15 @@
     return limitValue(tunable, Optional.empty()).orElse(tunable.defaultValue());
   }
 
+  /**
+   * Returns the value that is stated of a named constant for all services, empty if none is.
+   *
+   * @param tunable the constant
+   */
+  public Optional<Double> stated(Tunable tunable) {
+    return limitValue(tunable, Optional.empty());
+  }
+
   private Optional<Double> limitValue(Tunable tunable, Optional<String> service) {
     for (ConfigLimit limit : limits) {
       if (limit.service().equals(service) && limit.values().containsKey(tunable)) {
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ObjectFieldsReader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ObjectFieldsReader.java
@@ -27,6 +27,9 @@
   private static final double MAX_PROBES_PER_SECOND = 1_000_000;
   private static final double MIN_WEIGHT = 0.001;
   private static final double MAX_WEIGHT = 1000;
+  private static final int MAX_ATTEMPTS = 1_000;
+  private static final int MAX_PRIORITY = 1_000;
+  private static final double MAX_SPLIT = 1_000_000_000;
   private static final int MIN_STATUS = 100;
   private static final int MAX_STATUS = 599;
 
@@ -53,6 +56,10 @@
     return rules;
   }
 
+  private static Map<String, ConfigKind> documentKind() {
+    return Map.of(ConfigKind.DOCUMENT.label(), ConfigKind.DOCUMENT);
+  }
+
   /** Reads the kind that an object names; a missing one is a mistake. */
   Optional<ConfigKind> kind(JsonObjectReader in) {
     if (!in.has(KIND)) {
@@ -63,7 +70,7 @@
 
   /** Reads an object that is of a kind, whether or not it names the kind itself. */
   ConfigObject read(ConfigKind kind, JsonObjectReader in) {
-    Optional<ConfigKind> named = in.choice(KIND, KINDS);
+    Optional<ConfigKind> named = in.choice(KIND, kind.inTickets() ? KINDS : documentKind());
     if (named.isPresent() && named.get() != kind) {
       in.note(KIND, kind.label());
     }
@@ -75,6 +82,7 @@
           case LINK -> link(in);
           case LIMIT -> limit(in);
           case CALLER_GROUP -> callerGroup(in);
+          case DOCUMENT -> document(in);
           case TICKET_FLOOR ->
               throw new IllegalArgumentException("a " + kind.label() + " has no JSON form");
         };
@@ -90,13 +98,17 @@
       refusals.add(refusal(refusal));
     }
     Optional<String> probePath = path(in, "probePath");
-    return new ConfigService(name, echoesAttempt, refusals, probePath);
+    Optional<Integer> connections =
+        in.has("connections")
+            ? Optional.of((int) in.integer("connections", 1, MAX_CONNECTIONS))
+            : Optional.empty();
+    return new ConfigService(name, echoesAttempt, refusals, probePath, connections);
   }
 
   private static RefusalForm refusal(JsonObjectReader in) {
     int status = (int) in.integer("status", MIN_STATUS, MAX_STATUS);
-    String headerName = in.text("headerName");
-    String headerValue = in.text("headerValue");
+    String headerName = in.optionalText("headerName").orElse("");
+    String headerValue = headerName.isEmpty() ? "" : in.text("headerValue");
     in.end();
     return new RefusalForm(status, headerName, headerValue);
   }
@@ -126,7 +138,41 @@
     KeyRule keyRule = in.choice("keyRule", KEY_RULES).orElse(KeyRule.IGNORED);
     boolean mayWait = in.flag("mayWait", false);
     return new ConfigRoute(
-        name, host, pathPrefix, methods, service, repeatable, deadlineMillis, keyRule, mayWait);
+        name,
+        host,
+        pathPrefix,
+        methods,
+        service,
+        repeatable,
+        deadlineMillis,
+        keyRule,
+        mayWait,
+        split(in),
+        in.has("maxAttempts")
+            ? Optional.of((int) in.integer("maxAttempts", 1, MAX_ATTEMPTS))
+            : Optional.empty(),
+        in.has("targetLatencyMillis")
+            ? Optional.of(in.integer("targetLatencyMillis", 1, MAX_DEADLINE_MILLIS))
+            : Optional.empty(),
+        (int) in.integer("priority", 0, MAX_PRIORITY, 0));
+  }
+
+  private static List<WeightedService> split(JsonObjectReader in) {
+    List<WeightedService> split = new ArrayList<>();
+    for (JsonObjectReader part : in.objects("split")) {
+      split.add(new WeightedService(part.name("service"), part.number("weight", 0, MAX_SPLIT)));
+      part.end();
+    }
+    return split;
+  }
+
+  private ConfigDocument document(JsonObjectReader in) {
+    String name = in.name("name");
+    List<ConfigObject> objects = new ArrayList<>();
+    for (JsonObjectReader object : in.objects("objects")) {
+      kind(object).ifPresent(kind -> objects.add(read(kind, object)));
+    }
+    return new ConfigDocument(name, objects);
   }
 
   private static ConfigServerSet serverSet(JsonObjectReader in) {
@@ -151,9 +197,20 @@
     int slots = (int) in.integer("slots", 1, MAX_SLOTS);
     int connections = (int) in.integer("connections", 1, MAX_CONNECTIONS);
     boolean leaving = in.flag("leaving", false);
+    long startedMillis = in.integer("startedMillis", 0, Long.MAX_VALUE, 0);
+    int slowStartMillis = (int) in.integer("slowStartMillis", 0, MAX_DEADLINE_MILLIS, 0);
     in.end();
     return new ConfigServer(
-        name, address, port, region, failureDomain, slots, connections, leaving);
+        name,
+        address,
+        port,
+        region,
+        failureDomain,
+        slots,
+        connections,
+        leaving,
+        startedMillis,
+        slowStartMillis);
   }
 
   private static ConfigLink link(JsonObjectReader in) {
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ObjectWriter.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ObjectWriter.java
@@ -41,6 +41,8 @@
       writeLimit(limit, out);
     } else if (object instanceof ConfigCallerGroup group) {
       writeCallerGroup(group, out);
+    } else if (object instanceof ConfigDocument document) {
+      writeDocument(document, out);
     }
     out.writeEndObject();
   }
@@ -51,14 +53,19 @@
     for (RefusalForm refusal : service.refusals()) {
       out.writeStartObject();
       out.writeNumberField("status", refusal.status());
-      out.writeStringField("headerName", refusal.headerName());
-      out.writeStringField("headerValue", refusal.headerValue());
+      if (!refusal.headerName().isEmpty()) {
+        out.writeStringField("headerName", refusal.headerName());
+        out.writeStringField("headerValue", refusal.headerValue());
+      }
       out.writeEndObject();
     }
     out.writeEndArray();
     if (service.probePath().isPresent()) {
       out.writeStringField("probePath", service.probePath().get());
     }
+    if (service.connections().isPresent()) {
+      out.writeNumberField("connections", service.connections().get());
+    }
   }
 
   private static void writeRoute(ConfigRoute route, JsonGenerator out) throws IOException {
@@ -74,6 +81,29 @@
     out.writeNumberField("deadlineMillis", route.deadlineMillis());
     out.writeStringField("keyRule", route.keyRule().label());
     out.writeBooleanField("mayWait", route.mayWait());
+    writeBounds(route, out);
+  }
+
+  private static void writeBounds(ConfigRoute route, JsonGenerator out) throws IOException {
+    if (!route.split().isEmpty()) {
+      out.writeArrayFieldStart("split");
+      for (WeightedService part : route.split()) {
+        out.writeStartObject();
+        out.writeStringField("service", part.service());
+        out.writeNumberField("weight", part.weight());
+        out.writeEndObject();
+      }
+      out.writeEndArray();
+    }
+    if (route.maxAttempts().isPresent()) {
+      out.writeNumberField("maxAttempts", route.maxAttempts().get());
+    }
+    if (route.targetLatencyMillis().isPresent()) {
+      out.writeNumberField("targetLatencyMillis", route.targetLatencyMillis().get());
+    }
+    if (route.priority() != 0) {
+      out.writeNumberField("priority", route.priority());
+    }
   }
 
   private static void writeServerSet(ConfigServerSet set, JsonGenerator out) throws IOException {
@@ -89,6 +119,12 @@
       out.writeNumberField("slots", server.slots());
       out.writeNumberField("connections", server.connections());
       out.writeBooleanField("leaving", server.leaving());
+      if (server.startedMillis() != 0) {
+        out.writeNumberField("startedMillis", server.startedMillis());
+      }
+      if (server.slowStartMillis() != 0) {
+        out.writeNumberField("slowStartMillis", server.slowStartMillis());
+      }
       out.writeEndObject();
     }
     out.writeEndArray();
@@ -126,6 +162,14 @@
     writeTexts("addressBlocks", group.addressBlocks(), out);
   }
 
+  private void writeDocument(ConfigDocument document, JsonGenerator out) throws IOException {
+    out.writeArrayFieldStart("objects");
+    for (ConfigObject object : document.objects()) {
+      write(object, out);
+    }
+    out.writeEndArray();
+  }
+
   private static void writeTexts(String key, Collection<String> texts, JsonGenerator out)
       throws IOException {
     out.writeArrayFieldStart(key);
--- a/wagtailpin/src/main/java/org/wagtailpin/config/PublishedConfig.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/PublishedConfig.java
@@ -1,5 +1,7 @@
 package org.wagtailpin.config;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
@@ -11,8 +13,23 @@
 
   private final AtomicReference<ConfigSnapshot> current =
       new AtomicReference<>(ConfigSnapshot.empty());
+  private final List<ConfigObject> defaults;
   private long publishedDigest = new MergedConfig().digest();
 
+  /** Creates a source without any configuration. */
+  public PublishedConfig() {
+    this(List.of());
+  }
+
+  /**
+   * Creates a source without any configuration.
+   *
+   * @param defaults objects that go after those of the configuration
+   */
+  public PublishedConfig(List<ConfigObject> defaults) {
+    this.defaults = List.copyOf(defaults);
+  }
+
   /**
    * Publishes a merged state if it differs from the one published before.
    *
@@ -23,7 +40,9 @@
     if (merged.digest() == publishedDigest) {
       return false;
     }
-    current.set(new ConfigSnapshot(current.get().version() + 1, merged.live()));
+    List<ConfigObject> objects = new ArrayList<>(merged.live());
+    objects.addAll(defaults);
+    current.set(new ConfigSnapshot(current.get().version() + 1, objects));
     publishedDigest = merged.digest();
     return true;
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
@@ -13,6 +13,8 @@
   RETRY_SHARE("retryShare", "share", 0, 1, 0.1),
   /** Retries saved up at most by a service. */
   RETRY_BURST("retryBurst", "attempts", 0, 1000, 10),
+  /** Retries saved up at most by a service over all entries; 0 to bound each entry on its own. */
+  FLEET_RETRY_BURST("fleetRetryBurst", "attempts", 0, 1_000_000, 0),
   /** Longest wait before the first retry; doubled for each further one. */
   RETRY_BACKOFF_MILLIS("retryBackoffMillis", "ms", 0, 60_000, 5),
   /** When a hedge is started, in multiples of the time of 95% of the route's attempts. */
@@ -60,7 +62,15 @@
   /** Share of this entry's calls in flight to a service up to which long ones take any slot. */
   LONG_WORK_SHARE("longWorkShare", "share", 0, 1, 0.5),
   /** Slots of a server that are kept free of long work beyond its share. */
-  SHORT_SLOTS("shortSlots", "slots", 0, 1000, 1);
+  SHORT_SLOTS("shortSlots", "slots", 0, 1000, 1),
+  /** How long a caller's connection may wait for its next request. */
+  CALLER_IDLE_MILLIS("callerIdleMillis", "ms", 1, 3_600_000, 60_000),
+  /** Longest time from the first byte of a request's head to its last. */
+  CALLER_HEAD_MILLIS("callerHeadMillis", "ms", 1, 3_600_000, 10_000),
+  /** Greatest size of a request's headers. */
+  CALLER_HEAD_BYTES("callerHeadBytes", "bytes", 1, 1_000_000, 16_384),
+  /** Longest request body. */
+  CALLER_BODY_BYTES("callerBodyBytes", "bytes", 0, 1_099_511_627_776.0, 1_073_741_824);
 
   private final String label;
   private final String unit;
--- a/wagtailpin/src/main/java/org/wagtailpin/json/JsonObjectReader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/json/JsonObjectReader.java
@@ -73,6 +73,15 @@
     return object.fields().containsKey(key);
   }
 
+  /**
+   * Tells whether a key is present with a string.
+   *
+   * @param key the key
+   */
+  public boolean isText(String key) {
+    return has(key) && object.fields().get(key).value() instanceof JsonValue.Text;
+  }
+
   /**
    * Reads a name: letters, digits, dots, hyphens and underscores, at most 128.
    *
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/BudgetedRetryPolicy.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/BudgetedRetryPolicy.java
@@ -5,6 +5,8 @@
 import org.wagtailpin.config.ConfigSnapshot;
 import org.wagtailpin.config.ConfigSource;
 import org.wagtailpin.config.Tunable;
+import org.wagtailpin.membership.LimitShares;
+import org.wagtailpin.membership.WholeLimits;
 import org.wagtailpin.routing.AttemptHistory;
 import org.wagtailpin.routing.AttemptOutcome;
 import org.wagtailpin.routing.CallDescriptor;
@@ -24,6 +26,25 @@
   private final RouteTimes times;
   private final UniformRandomProvider random;
   private final RetryBudgets budgets;
+  private final LimitShares shares;
+
+  /**
+   * Creates a policy whose entry is alone.
+   *
+   * @param config the configuration in force
+   * @param clock the clock of the deadlines
+   * @param times the learnt service times
+   * @param budgets the budgets, shared with the hedge policy
+   * @param random the source of the jitter, safe for all threads
+   */
+  public BudgetedRetryPolicy(
+      ConfigSource config,
+      Clock clock,
+      RouteTimes times,
+      RetryBudgets budgets,
+      UniformRandomProvider random) {
+    this(config, clock, times, budgets, new WholeLimits(), random);
+  }
 
   /**
    * Creates a policy.
@@ -32,6 +53,7 @@
    * @param clock the clock of the deadlines
    * @param times the learnt service times
    * @param budgets the budgets, shared with the hedge policy
+   * @param shares this entry's share of what all entries may save up
    * @param random the source of the jitter, safe for all threads
    */
   public BudgetedRetryPolicy(
@@ -39,11 +61,13 @@
       Clock clock,
       RouteTimes times,
       RetryBudgets budgets,
+      LimitShares shares,
       UniformRandomProvider random) {
     this.config = config;
     this.clock = clock;
     this.times = times;
     this.budgets = budgets;
+    this.shares = shares;
     this.random = random;
   }
 
@@ -54,7 +78,14 @@
     budget(service)
         .earn(
             snapshot.tunable(Tunable.RETRY_SHARE, service),
-            snapshot.tunable(Tunable.RETRY_BURST, service));
+            burst(snapshot, service));
+  }
+
+  private double burst(ConfigSnapshot snapshot, String service) {
+    double ofFleet = snapshot.tunable(Tunable.FLEET_RETRY_BURST, service);
+    return ofFleet > 0
+        ? Math.max(1, shares.share(ofFleet))
+        : snapshot.tunable(Tunable.RETRY_BURST, service);
   }
 
   @Override
@@ -78,7 +109,12 @@
       CallDescriptor call, AttemptHistory history, AttemptOutcome outcome) {
     ConfigSnapshot snapshot = config.current();
     String service = call.route().service();
-    if (history.attempts() >= snapshot.tunable(Tunable.MAX_ATTEMPTS, service)) {
+    double mostAttempts =
+        call.route()
+            .maxAttempts()
+            .map(Integer::doubleValue)
+            .orElseGet(() -> snapshot.tunable(Tunable.MAX_ATTEMPTS, service));
+    if (history.attempts() >= mostAttempts) {
       return refusal("attempts-spent");
     }
     boolean atOnce = outcome instanceof AttemptOutcome.NotRun && history.attempts() <= 1;
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/MembershipSettings.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/MembershipSettings.java
@@ -45,6 +45,31 @@
   private static final long GONE_SILENCE_MILLIS = 30_000;
   private static final double GUARANTEED_FRACTION = 0.5;
 
+  private static final long SPARSE_HEARTBEAT_MILLIS = 4_000;
+  private static final long SPARSE_PROMISE_MILLIS = 13_000;
+  private static final long SPARSE_LEASE_TTL_MILLIS = 20_000;
+  private static final long SPARSE_WATCH_WAIT_MILLIS = 20_000;
+  private static final long SPARSE_SILENCE_MILLIS = 9_000;
+
+  /**
+   * Returns settings for entries that follow the store themselves and need one another only while
+   * they can't: fewer heartbeats and calls, and a slower notice of silence.
+   */
+  public static MembershipSettings sparse() {
+    return new MembershipSettings(
+        SPARSE_HEARTBEAT_MILLIS,
+        SPARSE_PROMISE_MILLIS,
+        PROMISE_MARGIN_MILLIS,
+        SPARSE_LEASE_TTL_MILLIS,
+        LEASE_MARGIN_MILLIS,
+        SPARSE_WATCH_WAIT_MILLIS,
+        MIN_BACKOFF_MILLIS,
+        MAX_BACKOFF_MILLIS,
+        SPARSE_SILENCE_MILLIS,
+        GONE_SILENCE_MILLIS,
+        GUARANTEED_FRACTION);
+  }
+
   /** Returns the default settings. */
   public static MembershipSettings defaults() {
     return new MembershipSettings(
--- a/wagtailpin/src/main/java/org/wagtailpin/operator/ReadyPage.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/operator/ReadyPage.java
@@ -8,6 +8,9 @@
   private static final int OK = 200;
   private static final int SERVICE_UNAVAILABLE = 503;
 
+  private static final String OWN_PATH = "/readyz";
+
+  private final String path;
   private final Readiness readiness;
 
   /**
@@ -16,12 +19,23 @@
    * @param readiness tells whether the entry is ready
    */
   public ReadyPage(Readiness readiness) {
+    this(OWN_PATH, readiness);
+  }
+
+  /**
+   * Creates the page at another path.
+   *
+   * @param path the path
+   * @param readiness tells whether the entry is ready
+   */
+  public ReadyPage(String path, Readiness readiness) {
+    this.path = path;
     this.readiness = readiness;
   }
 
   @Override
   public String path() {
-    return "/readyz";
+    return path;
   }
 
   @Override
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/KeyFollower.java
@@ -0,0 +1,164 @@
+package org.wagtailpin.registry;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.tinylog.Logger;
+import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.store.Backoff;
+import org.wagtailpin.store.ListResult;
+import org.wagtailpin.store.Store;
+import org.wagtailpin.store.StoreChange;
+import org.wagtailpin.store.StoreEntry;
+import org.wagtailpin.store.WatchResult;
+
+/**
+ * Follows the keys that begin with a prefix: lists them once, and then watches for changes.
+ *
+ * <p>At most one call is under way. It lists again when the store no longer holds the changes or
+ * has gone back. Runs on the control loop.
+ */
+final class KeyFollower {
+
+  /** Told what the store holds. */
+  interface Listener {
+
+    /**
+     * Called with all keys.
+     *
+     * @param entries the keys and values
+     * @param revision the revision as of which none is missing
+     */
+    void listed(List<StoreEntry> entries, long revision);
+
+    /** Called with changes in their order. */
+    void changed(List<StoreChange> changes);
+
+    /** Called when a call failed. */
+    void lost(Fault fault);
+
+    /** Called when a call succeeded, before its result is told. */
+    void answered();
+  }
+
+  /** Bounds how long a connection that went silent stays unnoticed, with the call's own timeout. */
+  private static final long WATCH_WAIT_MILLIS = 3_000;
+
+  private static final long FIRST_RETRY_MILLIS = 50;
+  private static final long MAX_RETRY_MILLIS = 800;
+
+  /** Changes come in runs, such as a service's release; the next watch takes a run together. */
+  private static final long GATHER_MILLIS = 100;
+
+  private final Store store;
+  private final ControlLoop loop;
+  private final String prefix;
+  private final Listener listener;
+  private final Backoff backoff;
+
+  // Answers to calls of an earlier run are ignored.
+  private long run;
+  private boolean running;
+  private long revision;
+
+  KeyFollower(
+      Store store,
+      ControlLoop loop,
+      String prefix,
+      UniformRandomProvider random,
+      Listener listener) {
+    this.store = store;
+    this.loop = loop;
+    this.prefix = prefix;
+    this.listener = listener;
+    this.backoff = new Backoff(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, random);
+  }
+
+  void start() {
+    if (!running) {
+      running = true;
+      run++;
+      backoff.reset();
+      list();
+    }
+  }
+
+  void stop() {
+    running = false;
+    run++;
+  }
+
+  private void list() {
+    onLoop(store.list(prefix), this::afterList);
+  }
+
+  private void afterList(ListResult result) {
+    if (result instanceof ListResult.Listed list && list.storeRevision() >= revision) {
+      backoff.reset();
+      listener.answered();
+      revision = list.storeRevision();
+      listener.listed(list.entries(), revision);
+      watch();
+    } else if (result instanceof ListResult.Listed old) {
+      Logger.warn("list of {} as of {} is older than {}", prefix, old.storeRevision(), revision);
+      later(this::list);
+    } else if (result instanceof ListResult.Failed failed) {
+      listener.lost(failed.fault());
+      later(this::list);
+    }
+  }
+
+  private void watch() {
+    onLoop(store.watch(prefix, revision, WATCH_WAIT_MILLIS), this::afterWatch);
+  }
+
+  private void afterWatch(WatchResult result) {
+    if (result instanceof WatchResult.Changed changed && changed.storeRevision() >= revision) {
+      backoff.reset();
+      listener.answered();
+      revision = changed.storeRevision();
+      if (changed.changes().isEmpty()) {
+        watch();
+      } else {
+        listener.changed(changed.changes());
+        after(GATHER_MILLIS, this::watch);
+      }
+    } else if (result instanceof WatchResult.Failed failed) {
+      listener.lost(failed.fault());
+      later(this::watch);
+    } else {
+      Logger.info("the store no longer holds the changes of {} after {}", prefix, revision);
+      list();
+    }
+  }
+
+  private void later(Runnable next) {
+    after(backoff.nextMillis(), next);
+  }
+
+  private void after(long delayMillis, Runnable next) {
+    long startedRun = run;
+    loop.schedule(
+        delayMillis,
+        () -> {
+          if (run == startedRun) {
+            next.run();
+          }
+        });
+  }
+
+  private <R> void onLoop(CompletableFuture<R> answer, Consumer<R> next) {
+    long startedRun = run;
+    var unused =
+        answer.thenAccept(
+            value ->
+                loop.execute(
+                    () -> {
+                      if (run == startedRun) {
+                        next.accept(value);
+                      }
+                    }));
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -0,0 +1,273 @@
+package org.wagtailpin.registry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.tinylog.Logger;
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.config.ConfigKind;
+import org.wagtailpin.config.ConfigMerger;
+import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.config.ConfigServerSet;
+import org.wagtailpin.config.ObjectId;
+import org.wagtailpin.config.VersionedObject;
+import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.store.Store;
+import org.wagtailpin.store.StoreChange;
+import org.wagtailpin.store.StoreEntry;
+
+/**
+ * Follows registered servers and the operator's document, and puts them in force.
+ *
+ * <p>Each becomes a configuration object whose number is the store's revision, so that states from
+ * the store and from other entries can be merged in any order. A server whose registration
+ * disappears while the store was away is kept for a while, since it may only have been unable to
+ * renew it. Runs on the control loop.
+ */
+public final class RegistryWatcher {
+
+  /**
+   * How long after the store's return a missing registration may still come back, in milliseconds;
+   * the platform says about two seconds.
+   */
+  public static final long RETURN_MILLIS = 2_200;
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  private final ControlLoop loop;
+  private final Clock clock;
+  private final ConfigMerger merger;
+  private final RegistryFormat format;
+  private final KeyFollower documents;
+  private final KeyFollower servers;
+  private final Map<String, RegisteredServer> registered = new HashMap<>();
+  private boolean away;
+  private long returnedMillis = NEVER;
+
+  /**
+   * Creates a watcher that is not started.
+   *
+   * @param store holds the registrations and the document
+   * @param loop the control loop
+   * @param clock the time
+   * @param merger puts objects in force
+   * @param random the source of jitter
+   * @param format tells where and how they lie in the store
+   */
+  public RegistryWatcher(
+      Store store,
+      ControlLoop loop,
+      Clock clock,
+      ConfigMerger merger,
+      UniformRandomProvider random,
+      RegistryFormat format) {
+    this.loop = loop;
+    this.clock = clock;
+    this.merger = merger;
+    this.format = format;
+    this.documents =
+        new KeyFollower(store, loop, format.documentKey(), random, new DocumentListener());
+    this.servers = new KeyFollower(store, loop, format.serverPrefix(), random, new ServerListener());
+  }
+
+  /** Begins to follow; does nothing if it follows already. */
+  public void start() {
+    documents.start();
+    servers.start();
+  }
+
+  /** Ends following. */
+  public void stop() {
+    documents.stop();
+    servers.stop();
+  }
+
+  private void takeDocument(StoreEntry entry) {
+    if (!entry.key().equals(format.documentKey())) {
+      return;
+    }
+    DocumentReadResult result = format.readDocument(entry.value());
+    if (result instanceof DocumentReadResult.Read read) {
+      boolean newer =
+          merger.mergeFromStore(
+              List.of(
+                  new VersionedObject(
+                      read.document().id(), entry.revision(), Optional.of(read.document()))));
+      if (newer) {
+        Logger.info(
+            "configuration {} of revision {} is in force", read.version(), entry.revision());
+      }
+    } else if (result instanceof DocumentReadResult.Unreadable unreadable) {
+      Logger.error(
+          "the document of revision {} is unreadable: {}", entry.revision(), unreadable.detail());
+    }
+  }
+
+  /** Takes the document from the store. */
+  private final class DocumentListener implements KeyFollower.Listener {
+    @Override
+    public void listed(List<StoreEntry> entries, long revision) {
+      entries.forEach(RegistryWatcher.this::takeDocument);
+    }
+
+    @Override
+    public void changed(List<StoreChange> changes) {
+      changes.forEach(change -> change.entry().ifPresent(RegistryWatcher.this::takeDocument));
+    }
+
+    @Override
+    public void lost(Fault fault) {
+      Logger.debug("the document can't be read: {}", fault);
+    }
+
+    @Override
+    public void answered() {}
+  }
+
+  /** Takes the registrations from the store. */
+  private final class ServerListener implements KeyFollower.Listener {
+    @Override
+    public void listed(List<StoreEntry> entries, long revision) {
+      List<VersionedObject> states = new ArrayList<>();
+      Set<String> present = new HashSet<>();
+      for (StoreEntry entry : entries) {
+        nameOf(entry.key()).ifPresent(present::add);
+        takeServer(entry, states);
+      }
+      for (String name : heldServers()) {
+        if (!present.contains(name)) {
+          remove(name, revision, states);
+        }
+      }
+      merger.mergeFromStore(states);
+    }
+
+    @Override
+    public void changed(List<StoreChange> changes) {
+      List<VersionedObject> states = new ArrayList<>();
+      for (StoreChange change : changes) {
+        if (change.entry().isPresent()) {
+          takeServer(change.entry().get(), states);
+        } else {
+          nameOf(change.key()).ifPresent(name -> remove(name, change.revision(), states));
+        }
+      }
+      merger.mergeFromStore(states);
+    }
+
+    @Override
+    public void lost(Fault fault) {
+      if (!away) {
+        away = true;
+        Logger.warn("the store is lost: {}", fault);
+      }
+    }
+
+    @Override
+    public void answered() {
+      if (away) {
+        away = false;
+        returnedMillis = clock.millis();
+        Logger.info("the store answers again");
+      }
+    }
+  }
+
+  private Optional<String> nameOf(String key) {
+    String prefix = format.serverPrefix();
+    return key.startsWith(prefix) && key.length() > prefix.length()
+        ? Optional.of(key.substring(prefix.length()))
+        : Optional.empty();
+  }
+
+  private List<String> heldServers() {
+    List<String> names = new ArrayList<>();
+    for (VersionedObject object : merger.merged().objects()) {
+      if (object.id().kind() == ConfigKind.SERVER_SET && object.value().isPresent()) {
+        names.add(object.id().name());
+      }
+    }
+    return names;
+  }
+
+  private void takeServer(StoreEntry entry, List<VersionedObject> states) {
+    Optional<String> name = nameOf(entry.key());
+    if (name.isEmpty()) {
+      return;
+    }
+    ServerReadResult result = format.readServer(name.get(), entry.value());
+    if (result instanceof ServerReadResult.Read read) {
+      RegisteredServer newest = newer(read.server(), registered.get(name.get()));
+      logChange(newest, registered.put(name.get(), newest));
+      states.add(stateOf(name.get(), entry.revision(), Optional.of(newest)));
+    } else if (result instanceof ServerReadResult.Unreadable unreadable) {
+      Logger.warn(
+          "registration {} of revision {} names no server: {}",
+          entry.key(),
+          entry.revision(),
+          unreadable.detail());
+      registered.remove(name.get());
+      states.add(stateOf(name.get(), entry.revision(), Optional.empty()));
+    }
+  }
+
+  /** A registration can be overtaken on its way to the store by a later one. */
+  private static RegisteredServer newer(RegisteredServer read, RegisteredServer known) {
+    return known != null && read.isOlderThan(known) ? known : read;
+  }
+
+  private static void logChange(RegisteredServer now, RegisteredServer before) {
+    ConfigServer server = now.server();
+    if (before == null || before.server().leaving() != server.leaving()) {
+      Logger.info(
+          "server {} of {} at {}:{} is {}",
+          server.name(),
+          now.service(),
+          server.address(),
+          server.port(),
+          server.leaving() ? "leaving" : "registered");
+    }
+  }
+
+  private void remove(String name, long revision, List<VersionedObject> states) {
+    RegisteredServer known = registered.get(name);
+    long waitMillis = returnedMillis + RETURN_MILLIS - clock.millis();
+    boolean leaving = known != null && known.server().leaving();
+    if (waitMillis <= 0 || leaving) {
+      removeNow(name, revision, states);
+      return;
+    }
+    loop.schedule(waitMillis, () -> removeUnlessBack(name, revision));
+  }
+
+  private void removeUnlessBack(String name, long revision) {
+    List<VersionedObject> states = new ArrayList<>();
+    removeNow(name, revision, states);
+    merger.mergeFromStore(states);
+  }
+
+  private void removeNow(String name, long revision, List<VersionedObject> states) {
+    ObjectId id = new ObjectId(ConfigKind.SERVER_SET, name);
+    boolean back =
+        merger.merged().object(id).map(held -> held.ticket() > revision).orElse(false);
+    if (!back) {
+      registered.remove(name);
+      Logger.info("server {} is gone as of revision {}", name, revision);
+      states.add(stateOf(name, revision, Optional.empty()));
+    }
+  }
+
+  private static VersionedObject stateOf(
+      String name, long revision, Optional<RegisteredServer> server) {
+    return new VersionedObject(
+        new ObjectId(ConfigKind.SERVER_SET, name),
+        revision,
+        server.map(known -> new ConfigServerSet(name, known.service(), List.of(known.server()))));
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
@@ -126,7 +126,9 @@
   }
 
   private static boolean samePlace(ConfigServer one, ConfigServer other) {
-    return one.address().equals(other.address()) && one.port() == other.port();
+    return one.address().equals(other.address())
+        && one.port() == other.port()
+        && one.startedMillis() == other.startedMillis();
   }
 
   private double tripMillis(
--- a/wagtailpin/src/main/java/org/wagtailpin/transport/EndToEndHeaders.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/transport/EndToEndHeaders.java
@@ -4,6 +4,8 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.AsciiString;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Locale;
@@ -41,6 +43,24 @@
     removeOwn(headers);
   }
 
+  /**
+   * Does as {@link #retain(HttpHeaders)}, but keeps some of this project's headers.
+   *
+   * @param headers the headers of a message, changed in place
+   * @param kept the names to keep
+   */
+  public static void retain(HttpHeaders headers, Collection<AsciiString> kept) {
+    Map<AsciiString, String> values = new HashMap<>();
+    for (AsciiString name : kept) {
+      String value = headers.get(name);
+      if (value != null) {
+        values.put(name, value);
+      }
+    }
+    retain(headers);
+    values.forEach(headers::set);
+  }
+
   private static void removeOwn(HttpHeaders headers) {
     List<CharSequence> own = new ArrayList<>();
     Iterator<Map.Entry<CharSequence, CharSequence>> fields = headers.iteratorCharSequence();
