--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -17,6 +18,7 @@
 import org.wagtailpin.config.MergedConfig;
 import org.wagtailpin.config.PublishedConfig;
 import org.wagtailpin.config.StoreConfigWatcher;
+import org.wagtailpin.config.Tunable;
 import org.wagtailpin.control.ControlLoop;
 import org.wagtailpin.entrypeer.LearntAddressBook;
 import org.wagtailpin.entrypeer.ListenResult;
@@ -60,17 +62,13 @@
   private final Optional<HostListPoller> hosts;
 
   ControlParts(
-      EntrySettings settings,
-      EntryPlatform platform,
-      Clock clock,
-      ControlLoop loop,
-      long seed) {
+      EntrySettings settings, EntryPlatform platform, Clock clock, ControlLoop loop, long seed) {
     this.loop = loop;
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     long incarnation = clock.wallMillis();
     storeClient = new StoreHttpClient(StoreTimeouts.defaults());
     store = platform.store(storeClient.client(), settings);
-    published = new PublishedConfig(List.of(defaults(settings)));
+    published = new PublishedConfig(List.of(defaults(settings.constants())));
     merger = new ConfigMerger(clock, merged, published);
     configWatcher = new StoreConfigWatcher(store, loop, merger, random);
     registry =
@@ -102,6 +100,7 @@
             random,
             platform.membership(),
             seeds(settings));
+    registry.ifPresent(watcher -> membership.onStoreReachability(watcher::storeReachable));
     claims =
         new ShardedClaims(
             ClaimSettings.defaults(),
@@ -114,8 +113,12 @@
             random);
   }
 
-  private static ConfigLimit defaults(EntrySettings settings) {
-    return new ConfigLimit("settings", Optional.empty(), settings.constants());
+  private static ConfigLimit defaults(Map<Tunable, Double> constants) {
+    return new ConfigLimit("settings", Optional.empty(), constants);
+  }
+
+  void changeConstants(Map<Tunable, Double> constants) {
+    published.changeDefaults(List.of(defaults(constants)), merger.merged());
   }
 
   // With a registry each entry follows the store itself, whoever is elected.
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryCommand.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryCommand.java
@@ -8,6 +8,7 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
+import org.tinylog.Logger;
 
 /**
  * Command that runs an entry until SIGTERM, and then lets it leave gracefully.
@@ -68,8 +69,7 @@
 
   private int serve(PrintStream err) {
     try {
-      byte[] text = Files.readAllBytes(settingsFile.toPath());
-      SettingsReadResult result = new SettingsReader().read(settingsFile.getPath(), text);
+      SettingsReadResult result = readSettings();
       if (result instanceof SettingsReadResult.Malformed malformed) {
         malformed.problems().forEach(err::println);
         return USAGE;
@@ -82,9 +82,10 @@
     }
   }
 
-  private static void runUntilLeft(EntryNode node) throws IOException {
+  private void runUntilLeft(EntryNode node) throws IOException {
     CountDownLatch left = new CountDownLatch(1);
     node.start();
+    HangupSignal.onHangup(() -> reload(node));
     Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(node, left), "leave"));
     try {
       left.await();
@@ -93,6 +94,26 @@
     }
   }
 
+  /** Takes over the constants; other settings hold until the next start. */
+  private void reload(EntryNode node) {
+    try {
+      SettingsReadResult result = readSettings();
+      if (result instanceof SettingsReadResult.Read read) {
+        node.changeConstants(read.settings().constants());
+        Logger.info("settings were read again");
+      } else if (result instanceof SettingsReadResult.Malformed malformed) {
+        Logger.error("settings stay as they are: {}", malformed.problems());
+      }
+    } catch (IOException e) {
+      Logger.error(e, "settings stay as they are");
+    }
+  }
+
+  private SettingsReadResult readSettings() throws IOException {
+    byte[] text = Files.readAllBytes(settingsFile.toPath());
+    return new SettingsReader().read(settingsFile.getPath(), text);
+  }
+
   private static void leave(EntryNode node, CountDownLatch left) {
     node.leave().join();
     left.countDown();
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +17,7 @@
 import org.wagtailpin.caller.ListenerKind;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.clock.SystemClock;
+import org.wagtailpin.config.Tunable;
 import org.wagtailpin.control.ThreadControlLoop;
 import org.wagtailpin.membership.LimitShares;
 import org.wagtailpin.operator.AdminListener;
@@ -75,8 +77,8 @@
         EventLoops.createAffine(settings.trafficThreads(), settings.id() + "-traffic");
     long seed = settings.seed().orElseGet(System::nanoTime);
     this.control = new ControlParts(settings, platform, clock, loop, seed);
-    this.traffic = new TrafficParts(
-            settings, platform, clock, loop, trafficLoops, control, registry, seed);
+    this.traffic =
+        new TrafficParts(settings, platform, clock, loop, trafficLoops, control, registry, seed);
     this.callers = listener(ListenerKind.PUBLIC, settings.callers());
     this.internal = settings.internal().map(address -> listener(ListenerKind.INTERNAL, address));
     this.admin = adminListener();
@@ -114,7 +116,9 @@
    */
   public void start() throws IOException {
     control.start();
-    loop.execute(traffic::followHostList);
+    if (settings.hostList().isPresent()) {
+      loop.execute(traffic::followHostList);
+    }
     admin.start();
     callers.start();
     if (internal.isPresent()) {
@@ -142,6 +146,15 @@
     return settings;
   }
 
+  /**
+   * Changes the constants that hold where the configuration states none.
+   *
+   * @param constants the constants
+   */
+  public void changeConstants(Map<Tunable, Double> constants) {
+    loop.execute(() -> control.changeConstants(constants));
+  }
+
   /** Returns the address on which operators are served. */
   public InetSocketAddress adminAddress() {
     return admin.address();
--- a/daemon/src/main/java/org/wagtailpin/daemon/SettingsReader.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/SettingsReader.java
@@ -77,8 +77,7 @@
     Map<String, String> regions = new HashMap<>();
     in.object("failureDomains")
         .ifPresent(
-            domains ->
-                domains.keys().forEach(domain -> regions.put(domain, domains.name(domain))));
+            domains -> domains.keys().forEach(domain -> regions.put(domain, domains.name(domain))));
     return regions;
   }
 
--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import org.tinylog.Logger;
 import org.wagtailpin.backend.BackendClient;
+import org.wagtailpin.backend.BackendLoadProbe;
 import org.wagtailpin.backend.BackendSettings;
 import org.wagtailpin.call.CallEnvironment;
 import org.wagtailpin.call.CallSettings;
@@ -34,6 +35,9 @@
 
   private static final long DEPARTURES_PERIOD_MILLIS = 500;
 
+  /** Some trips to the farthest region; a report that comes later is of no use. */
+  private static final long PROBE_TIMEOUT_MILLIS = 100;
+
   private final ControlLoop loop;
   private final ControlParts control;
   private final BackendClient backend;
@@ -77,13 +81,15 @@
             new PlacementObservers(
                 List.of(
                     new PrometheusPlacementObserver(registry),
-                    new LoggedPlacementObserver(clock, decisions))));
+                    new LoggedPlacementObserver(clock, decisions))),
+            new BackendLoadProbe(backend, trafficLoops, platform.dialect(), PROBE_TIMEOUT_MILLIS));
     environment =
         new CallEnvironment(
             CallSettings.defaults(),
             control.published(),
             placement,
-            new BudgetedRetryPolicy(control.published(), clock, times, new RetryBudgets(), shares, random),
+            new BudgetedRetryPolicy(
+                control.published(), clock, times, new RetryBudgets(), shares, random),
             control.claims(),
             backend,
             clock,
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClient.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClient.java
@@ -117,6 +117,7 @@
   }
 
   private void closeIdle() {
+    pool.closeExpired(clock.millis());
     pool.closeIdleSince(clock.millis() - settings.idleConnectionMillis());
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
@@ -133,6 +133,12 @@
     return true;
   }
 
+  /** Tells whether an answer is to another request, such as a second answer to an earlier one. */
+  boolean isForeign(HttpHeaders headers) {
+    String echo = headers.get(dialect.echo());
+    return !request.isProbe() && echo != null && !echo.equals(request.attempt());
+  }
+
   private void hold(Channel channel) {
     step = Step.SEND_REQUEST;
     ConnectionGate taken = ConnectionGate.of(channel);
@@ -168,19 +174,24 @@
 
   private Optional<String> objectionTo(HttpHeaders headers) {
     String echo = headers.get(dialect.echo());
-    boolean crossed = echo == null ? request.echoesAttempt() : !echo.equals(request.attempt());
+    boolean crossed =
+        !request.isProbe()
+            && (echo == null ? request.echoesAttempt() : !echo.equals(request.attempt()));
     if (crossed) {
       return Optional.of("the answer belongs to another request");
     }
-    boolean success = status >= HttpResponseStatus.OK.code() && status < FIRST_REDIRECT;
-    if (success && dialect.signature().isPresent() && !headers.contains(dialect.signature().get())) {
+    boolean success =
+        !request.isProbe() && status >= HttpResponseStatus.OK.code() && status < FIRST_REDIRECT;
+    if (success
+        && dialect.signature().isPresent()
+        && !headers.contains(dialect.signature().get())) {
       return Optional.of("the answer does not bear the server's signature");
     }
     // RFC 9112 section 6.3: a body that ends with the connection can't be told from a broken one.
     boolean framed =
         headers.contains(HttpHeaderNames.CONTENT_LENGTH)
             || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
-    if (!framed && mayHaveBody()) {
+    if (!framed && mayHaveBody() && !dialect.unframedAnswers()) {
       return Optional.of("the answer does not state its length");
     }
     return Optional.empty();
@@ -204,7 +215,9 @@
     String load = headers.get(dialect.load());
     AnswerHead head =
         new AnswerHead(
-            status, headers, load == null ? Optional.empty() : LoadReportHeader.read(load, dialect));
+            status,
+            headers,
+            load == null ? Optional.empty() : LoadReportHeader.read(load, dialect));
     tell(() -> listener.head(head));
   }
 
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendLoadProbe.java
@@ -0,0 +1,104 @@
+package org.wagtailpin.backend;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.routing.LoadProbe;
+import org.wagtailpin.routing.LoadReport;
+import org.wagtailpin.transport.HttpDialect;
+
+/** Probes of load over the connections that carry requests. Safe for all threads. */
+public final class BackendLoadProbe implements LoadProbe {
+
+  private final BackendClient client;
+  private final EventLoopGroup loops;
+  private final HttpDialect dialect;
+  private final long timeoutMillis;
+
+  /**
+   * Creates a probe.
+   *
+   * @param client sends the probes
+   * @param loops the event loops, from {@link org.wagtailpin.transport.EventLoops#createAffine}
+   * @param dialect the header names
+   * @param timeoutMillis how long an answer is awaited, in milliseconds
+   */
+  public BackendLoadProbe(
+      BackendClient client, EventLoopGroup loops, HttpDialect dialect, long timeoutMillis) {
+    this.client = client;
+    this.loops = loops;
+    this.dialect = dialect;
+    this.timeoutMillis = timeoutMillis;
+  }
+
+  @Override
+  public void probe(ConfigServer server, String path, Consumer<Optional<LoadReport>> done) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set(HttpHeaderNames.HOST, server.address() + ":" + server.port());
+    BackendRequest request = BackendRequest.probe(server, HttpMethod.GET.name(), path, headers);
+    Pending pending = new Pending(server, done);
+    var loop = loops.next();
+    BackendExchange exchange = client.send(request, loop, pending);
+    var unused =
+        loop.schedule(
+            () -> {
+              if (!pending.ended) {
+                exchange.cancel();
+                pending.end();
+              }
+            },
+            timeoutMillis,
+            TimeUnit.MILLISECONDS);
+  }
+
+  /** One probe under way; confined to its event loop. */
+  private final class Pending implements ExchangeListener {
+    private final ConfigServer server;
+    private final Consumer<Optional<LoadReport>> done;
+    private Optional<LoadReport> report = Optional.empty();
+    private boolean ended;
+
+    Pending(ConfigServer server, Consumer<Optional<LoadReport>> done) {
+      this.server = server;
+      this.done = done;
+    }
+
+    private void end() {
+      if (!ended) {
+        ended = true;
+        done.accept(report);
+      }
+    }
+
+    @Override
+    public void head(AnswerHead head) {
+      // The address can have passed to another server.
+      String instance = dialect.instance().map(name -> head.headers().get(name)).orElse(null);
+      if (instance == null || instance.equals(server.name())) {
+        report = head.load();
+      }
+    }
+
+    @Override
+    public void part(ByteBuf part) {
+      part.release();
+    }
+
+    @Override
+    public void end(HttpHeaders trailers) {
+      end();
+    }
+
+    @Override
+    public void failed(ExchangeFailure failure) {
+      end();
+    }
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendSettings.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendSettings.java
@@ -12,7 +12,7 @@
 public record BackendSettings(
     int connectTimeoutMillis, int idleConnectionMillis, int maxStatusLineBytes, int maxHeadBytes) {
 
-  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final int CONNECT_TIMEOUT_MILLIS = 250;
   private static final int IDLE_CONNECTION_MILLIS = 4_000;
   private static final int MAX_STATUS_LINE_BYTES = 4_096;
   private static final int MAX_HEAD_BYTES = 32_768;
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/ConnectionGate.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/ConnectionGate.java
@@ -13,6 +13,8 @@
 import io.netty.util.AttributeKey;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.channels.ClosedChannelException;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.wagtailpin.clock.Clock;
 
 /**
@@ -27,6 +29,10 @@
   private static final AttributeKey<ConnectionGate> KEY =
       AttributeKey.valueOf(ConnectionGate.class, "gate");
 
+  private static final String KEEP_ALIVE = "keep-alive";
+  private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,9})");
+  private static final long MILLIS_PER_SECOND = 1_000;
+
   private final Clock clock;
   private volatile BackendExchange exchange;
   private volatile ServerConnections connections;
@@ -39,6 +45,9 @@
   private boolean requestWritten = true;
   private boolean answerDue;
   private boolean interimAnswer;
+  private boolean foreignAnswer;
+  private boolean usedBefore;
+  private volatile long keptMillis = Long.MAX_VALUE;
   private boolean paused;
   private boolean readHeldBack;
 
@@ -127,6 +136,14 @@
       skipInterim(message);
       return;
     }
+    if (message instanceof HttpResponse head) {
+      foreignAnswer = usedBefore && exchange != null && exchange.isForeign(head.headers());
+      noteKeepAlive(head);
+    }
+    if (foreignAnswer) {
+      skipForeign(message);
+      return;
+    }
     if (message instanceof LastHttpContent) {
       endOfAnswer();
     }
@@ -141,7 +158,32 @@
     ReferenceCountUtil.release(message);
   }
 
+  /** A surplus answer to an earlier request; what follows it answers the present one. */
+  private void skipForeign(Object message) {
+    reusable = false;
+    if (message instanceof LastHttpContent) {
+      foreignAnswer = false;
+    }
+    ReferenceCountUtil.release(message);
+    context.read();
+  }
+
+  /** Notes how long the server keeps the connection, and leaves half of it unused. */
+  private void noteKeepAlive(HttpResponse head) {
+    String value = head.headers().get(KEEP_ALIVE);
+    Matcher timeout = value == null ? null : KEEP_ALIVE_TIMEOUT.matcher(value);
+    if (timeout != null && timeout.find()) {
+      keptMillis = Long.parseLong(timeout.group(1)) * MILLIS_PER_SECOND / 2;
+    }
+  }
+
+  /** Returns how long the connection may be idle by what the server said, in milliseconds. */
+  long keptMillis() {
+    return keptMillis;
+  }
+
   private void endOfAnswer() {
+    usedBefore = true;
     answerDue = false;
     paused = false;
     exchange = null;
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/ConnectionPool.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/ConnectionPool.java
@@ -29,6 +29,12 @@
     }
   }
 
+  void closeExpired(long nowMillis) {
+    for (ServerConnections connections : servers.values()) {
+      connections.closeExpired(nowMillis);
+    }
+  }
+
   int openConnections() {
     return servers.values().stream().mapToInt(ServerConnections::open).sum();
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/LoadReportHeader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/LoadReportHeader.java
@@ -7,8 +7,8 @@
 /**
  * Reader of the header by which a server tells its load.
  *
- * <p>In its own form, {@code inflight=3, queued=0, leaving}, the members may come in any order; unknown ones are passed over, and a header without a valid
- * {@code inflight} is none.
+ * <p>In its own form, {@code inflight=3, queued=0, leaving}, the members may come in any order;
+ * unknown ones are passed over, and a header without a valid {@code inflight} is none.
  */
 public final class LoadReportHeader {
 
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/ServerConnections.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/ServerConnections.java
@@ -85,6 +85,16 @@
     return idle.removeFirstOccurrence(channel) && channel.isActive();
   }
 
+  /** Closes the connections that their server may close soon. */
+  void closeExpired(long nowMillis) {
+    for (Channel channel : idle) {
+      ConnectionGate gate = ConnectionGate.of(channel);
+      if (nowMillis - gate.idleSinceMillis() >= gate.keptMillis() && remove(channel)) {
+        channel.close();
+      }
+    }
+  }
+
   boolean remove(Channel channel) {
     return idle.removeFirstOccurrence(channel);
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallSettings.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallSettings.java
@@ -28,10 +28,6 @@
   /** Returns the settings in force where none are stated. */
   public static CallSettings defaults() {
     return new CallSettings(
-        HELD_BODY_BYTES,
-        HELD_ANSWER_BYTES,
-        FEED_BYTES,
-        COLLECTED_ANSWER_BYTES,
-        RETRY_AFTER_MILLIS);
+        HELD_BODY_BYTES, HELD_ANSWER_BYTES, FEED_BYTES, COLLECTED_ANSWER_BYTES, RETRY_AFTER_MILLIS);
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/CallerListener.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/CallerListener.java
@@ -44,11 +44,7 @@
         new RequestIds(settings.entry(), RandomSource.createLong() & Integer.MAX_VALUE);
     RequestHeadReader heads =
         new RequestHeadReader(
-            settings.kind(),
-            environment.config(),
-            environment.clock(),
-            ids,
-            environment.dialect());
+            settings.kind(), environment.config(), environment.clock(), ids, environment.dialect());
     this.context = new ListenerContext(environment, settings.limits(), heads);
   }
 
@@ -90,7 +86,8 @@
       CallerConnection connection = new CallerConnection(context, encoder);
       channel
           .pipeline()
-          .addLast(new StrictRequestDecoder(
+          .addLast(
+              new StrictRequestDecoder(
                   settings.limits().maxRequestLineBytes(),
                   context.maxHeadBytes(),
                   connection::headBegan))
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/RequestHeadReader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/RequestHeadReader.java
@@ -114,8 +114,7 @@
     HttpHeaders headers = head.headers();
     boolean internal = kind == ListenerKind.INTERNAL;
     long depth = internal ? number(headers, WagtailpinHeaders.DEPTH, 0) : 0;
-    CharSequence timeoutName =
-        internal ? dialect.deadline() : dialect.callerTimeout();
+    CharSequence timeoutName = internal ? dialect.deadline() : dialect.callerTimeout();
     long timeoutMillis = number(headers, timeoutName, Long.MAX_VALUE);
     if (depth == NO_NUMBER || depth > Integer.MAX_VALUE || timeoutMillis == NO_NUMBER) {
       return unsound(BAD_REQUEST, "a Wagtailpin header is not a number");
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigServer.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigServer.java
@@ -46,6 +46,9 @@
         slowStartMillis);
   }
 
+  /** Connections of a server that states no bound of its own. */
+  public static final int MANY_CONNECTIONS = 1_000_000;
+
   /** Creates a server of which no start is known. */
   public ConfigServer(
       String name,
--- a/wagtailpin/src/main/java/org/wagtailpin/config/PublishedConfig.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/PublishedConfig.java
@@ -13,7 +13,7 @@
 
   private final AtomicReference<ConfigSnapshot> current =
       new AtomicReference<>(ConfigSnapshot.empty());
-  private final List<ConfigObject> defaults;
+  private List<ConfigObject> defaults;
   private long publishedDigest = new MergedConfig().digest();
 
   /** Creates a source without any configuration. */
@@ -40,11 +40,28 @@
     if (merged.digest() == publishedDigest) {
       return false;
     }
+    arrange(merged);
+    return true;
+  }
+
+  /**
+   * Replaces the objects that go after those of the configuration.
+   *
+   * @param newDefaults the objects
+   * @param merged the state in force
+   */
+  public void changeDefaults(List<ConfigObject> newDefaults, MergedConfig merged) {
+    if (!defaults.equals(newDefaults)) {
+      defaults = List.copyOf(newDefaults);
+      arrange(merged);
+    }
+  }
+
+  private void arrange(MergedConfig merged) {
     List<ConfigObject> objects = new ArrayList<>(merged.live());
     objects.addAll(defaults);
     current.set(new ConfigSnapshot(current.get().version() + 1, objects));
     publishedDigest = merged.digest();
-    return true;
   }
 
   @Override
--- a/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
@@ -24,7 +24,23 @@
   /** Longest time a call is queued for a server. */
   MAX_QUEUE_MILLIS("maxQueueMillis", "ms", 0, 600_000, 1000),
   /** Servers of the own region that a decision compares. */
-  CANDIDATES("candidates", "servers", 1, 16, 3),
+  CANDIDATES("candidates", "servers", 1, 1000, 3),
+  /** Servers of other regions that a decision compares. */
+  FAR_CANDIDATES("farCandidates", "servers", 0, 1000, 2),
+  /** What a server of another failure domain is taken to cost besides the trip. */
+  DOMAIN_PENALTY_MILLIS("domainPenaltyMillis", "ms", 0, 60_000, 0),
+  /** What a server of another region is taken to cost besides the trip. */
+  REGION_PENALTY_MILLIS("regionPenaltyMillis", "ms", 0, 60_000, 0),
+  /** Servers that are asked for their load together before a call is placed; 0 for none. */
+  PROBES_PER_ROUND("probesPerRound", "servers", 0, 100, 0),
+  /** Longest time that a call waits for reports of load. */
+  PROBE_MILLIS("probeMillis", "ms", 0, 10_000, 30),
+  /** Age up to which a report of load is taken as it is. */
+  REPORT_FRESH_MILLIS("reportFreshMillis", "ms", 0, 60_000, 50),
+  /** Probes of one server in a second over all entries. */
+  SERVER_PROBES_PER_SECOND("serverProbesPerSecond", "probes/s", 0, 100_000, 0),
+  /** Age at which a reported slowness has lost two thirds of its weight. */
+  SLOWNESS_TRUST_MILLIS("slownessTrustMillis", "ms", 1, 600_000, 250),
   /** Age at which a load report has lost two thirds of its weight, in usual service times. */
   REPORT_TRUST("reportTrust", "factor", 0.001, 1000, 1),
   /** One-way delay between failure domains of a region. */
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/BudgetedRetryPolicy.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/BudgetedRetryPolicy.java
@@ -75,10 +75,7 @@
   public void firstAttempt(CallDescriptor call) {
     ConfigSnapshot snapshot = config.current();
     String service = call.route().service();
-    budget(service)
-        .earn(
-            snapshot.tunable(Tunable.RETRY_SHARE, service),
-            burst(snapshot, service));
+    budget(service).earn(snapshot.tunable(Tunable.RETRY_SHARE, service), burst(snapshot, service));
   }
 
   private double burst(ConfigSnapshot snapshot, String service) {
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/LeaseKeeper.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/LeaseKeeper.java
@@ -1,6 +1,7 @@
 package org.wagtailpin.membership;
 
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.control.ControlLoop;
@@ -32,6 +33,8 @@
   private Optional<LeaseId> lease = Optional.empty();
   private boolean keyWritten;
   private boolean storeReachable;
+  private Consumer<Boolean> reachability = reachable -> {};
+  private Optional<Boolean> toldReachable = Optional.empty();
   private boolean stopped;
   private long endMillis = NOT_HELD;
 
@@ -61,6 +64,24 @@
     this.backoff = new Backoff(settings.minBackoffMillis(), settings.maxBackoffMillis(), random);
   }
 
+  /**
+   * Has changes of the store's reachability told. Renewals are frequent, so they are the first to
+   * show that the store or the connections to it are gone.
+   *
+   * @param listener told whether the store answers, on the control loop
+   */
+  public void onReachability(Consumer<Boolean> listener) {
+    reachability = listener;
+  }
+
+  private void tellReachable() {
+    boolean changed = toldReachable.isPresent() && toldReachable.get() != storeReachable;
+    toldReachable = Optional.of(storeReachable);
+    if (changed) {
+      reachability.accept(storeReachable);
+    }
+  }
+
   /** Begins to keep the lease. */
   public void start() {
     loop.execute(this::step);
@@ -115,6 +136,7 @@
       return;
     }
     storeReachable = !(result instanceof LeaseResult.Failed);
+    tellReachable();
     if (result instanceof LeaseResult.Held held) {
       lease = Optional.of(held.lease());
       endMillis = sentMillis + held.ttlMillis() - settings.leaseMarginMillis();
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/Membership.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/Membership.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.control.ControlLoop;
@@ -119,6 +120,15 @@
     return state.equals(Optional.of(HostState.GONE));
   }
 
+  /**
+   * Has changes of the store's reachability told, before the start.
+   *
+   * @param listener told whether the store answers, on the control loop
+   */
+  public void onStoreReachability(Consumer<Boolean> listener) {
+    lease.onReachability(listener);
+  }
+
   /** Begins to join the fleet. */
   public void start() {
     heartbeats.listen();
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/MembershipSettings.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/MembershipSettings.java
@@ -47,7 +47,7 @@
 
   private static final long SPARSE_HEARTBEAT_MILLIS = 4_000;
   private static final long SPARSE_PROMISE_MILLIS = 13_000;
-  private static final long SPARSE_LEASE_TTL_MILLIS = 20_000;
+  private static final long SPARSE_LEASE_TTL_MILLIS = 5_000;
   private static final long SPARSE_WATCH_WAIT_MILLIS = 20_000;
   private static final long SPARSE_SILENCE_MILLIS = 9_000;
 
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/KeyFollower.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/KeyFollower.java
@@ -43,14 +43,14 @@
     void answered();
   }
 
-  /** Bounds how long a connection that went silent stays unnoticed, with the call's own timeout. */
-  private static final long WATCH_WAIT_MILLIS = 3_000;
+  /** Below the longest wait of stores, 30 s; a dead connection is noticed by other means. */
+  private static final long WATCH_WAIT_MILLIS = 15_000;
 
   private static final long FIRST_RETRY_MILLIS = 50;
   private static final long MAX_RETRY_MILLIS = 800;
 
   /** Changes come in runs, such as a service's release; the next watch takes a run together. */
-  private static final long GATHER_MILLIS = 100;
+  private static final long GATHER_MILLIS = 250;
 
   private final Store store;
   private final ControlLoop loop;
@@ -85,6 +85,18 @@
     }
   }
 
+  /** Gives up the call under way, if any, and goes on from the last revision. */
+  void restart() {
+    if (running) {
+      run++;
+      if (revision == 0) {
+        list();
+      } else {
+        watch();
+      }
+    }
+  }
+
   void stop() {
     running = false;
     run++;
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryFormat.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryFormat.java
@@ -6,6 +6,9 @@
   /** Returns the key of the operator's document. */
   String documentKey();
 
+  /** Returns what the key of the document and those of registered servers begin with together. */
+  String commonPrefix();
+
   /** Returns what the keys of registered servers begin with; the rest of a key names the server. */
   String serverPrefix();
 
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -44,8 +44,7 @@
   private final Clock clock;
   private final ConfigMerger merger;
   private final RegistryFormat format;
-  private final KeyFollower documents;
-  private final KeyFollower servers;
+  private final KeyFollower follower;
   private final Map<String, RegisteredServer> registered = new HashMap<>();
   private boolean away;
   private long returnedMillis = NEVER;
@@ -71,21 +70,17 @@
     this.clock = clock;
     this.merger = merger;
     this.format = format;
-    this.documents =
-        new KeyFollower(store, loop, format.documentKey(), random, new DocumentListener());
-    this.servers = new KeyFollower(store, loop, format.serverPrefix(), random, new ServerListener());
+    this.follower = new KeyFollower(store, loop, format.commonPrefix(), random, new KeyListener());
   }
 
   /** Begins to follow; does nothing if it follows already. */
   public void start() {
-    documents.start();
-    servers.start();
+    follower.start();
   }
 
   /** Ends following. */
   public void stop() {
-    documents.stop();
-    servers.stop();
+    follower.stop();
   }
 
   private void takeDocument(StoreEntry entry) {
@@ -109,35 +104,35 @@
     }
   }
 
-  /** Takes the document from the store. */
-  private final class DocumentListener implements KeyFollower.Listener {
-    @Override
-    public void listed(List<StoreEntry> entries, long revision) {
-      entries.forEach(RegistryWatcher.this::takeDocument);
-    }
-
-    @Override
-    public void changed(List<StoreChange> changes) {
-      changes.forEach(change -> change.entry().ifPresent(RegistryWatcher.this::takeDocument));
+  /**
+   * Notes what other calls of the store show, which are more frequent than those of a long watch.
+   *
+   * @param reachable whether the store answers, called when that changes
+   */
+  public void storeReachable(boolean reachable) {
+    if (reachable) {
+      follower.restart();
+    } else {
+      lost("no answer to a renewal");
     }
+  }
 
-    @Override
-    public void lost(Fault fault) {
-      Logger.debug("the document can't be read: {}", fault);
+  private void lost(String detail) {
+    if (!away) {
+      away = true;
+      Logger.warn("the store is lost: {}", detail);
     }
-
-    @Override
-    public void answered() {}
   }
 
-  /** Takes the registrations from the store. */
-  private final class ServerListener implements KeyFollower.Listener {
+  /** Takes what the store holds. */
+  private final class KeyListener implements KeyFollower.Listener {
     @Override
     public void listed(List<StoreEntry> entries, long revision) {
       List<VersionedObject> states = new ArrayList<>();
       Set<String> present = new HashSet<>();
       for (StoreEntry entry : entries) {
         nameOf(entry.key()).ifPresent(present::add);
+        takeDocument(entry);
         takeServer(entry, states);
       }
       for (String name : heldServers()) {
@@ -153,6 +148,7 @@
       List<VersionedObject> states = new ArrayList<>();
       for (StoreChange change : changes) {
         if (change.entry().isPresent()) {
+          takeDocument(change.entry().get());
           takeServer(change.entry().get(), states);
         } else {
           nameOf(change.key()).ifPresent(name -> remove(name, change.revision(), states));
@@ -163,10 +159,7 @@
 
     @Override
     public void lost(Fault fault) {
-      if (!away) {
-        away = true;
-        Logger.warn("the store is lost: {}", fault);
-      }
+      RegistryWatcher.this.lost(fault.toString());
     }
 
     @Override
@@ -254,8 +247,7 @@
 
   private void removeNow(String name, long revision, List<VersionedObject> states) {
     ObjectId id = new ObjectId(ConfigKind.SERVER_SET, name);
-    boolean back =
-        merger.merged().object(id).map(held -> held.ticket() > revision).orElse(false);
+    boolean back = merger.merged().object(id).map(held -> held.ticket() > revision).orElse(false);
     if (!back) {
       registered.remove(name);
       Logger.info("server {} is gone as of revision {}", name, revision);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptLearning.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptLearning.java
@@ -32,7 +32,9 @@
     report.load().ifPresent(load -> learnLoad(service, server, load, now));
     String route = call.route().name();
     double expected = times.expectedMillis(service.name(), route);
-    double serviceMillis = Math.max(0, report.latencyMillis() - 2 * server.tripMillis());
+    // What the server's machine is slowed by for the moment says nothing of the server.
+    double slowness = report.load().map(load -> Math.max(1, load.slowness())).orElse(1.0);
+    double serviceMillis = Math.max(0, report.latencyMillis() - 2 * server.tripMillis()) / slowness;
     double forget = service.view().settings().of(Tunable.FORGET_MILLIS);
     AttemptOutcome outcome = report.outcome();
     if (outcome instanceof AttemptOutcome.Answered answered) {
@@ -54,8 +56,7 @@
   }
 
   private void learnLoad(ServiceState service, ServerState server, LoadReport load, double now) {
-    server.load().reported(load, now);
-    service.learnOthers(server.load().lastOthers(), server.server().slots());
+    service.learnLoad(server, load, now);
     if (load.leaving() != server.saysLeaving()) {
       server.saysLeaving(load.leaving());
       observer.serverChanged(
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -1,6 +1,7 @@
 package org.wagtailpin.routing;
 
 import java.util.Optional;
+import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.config.Tunable;
 import org.wagtailpin.limits.RouteTimes;
@@ -19,12 +20,22 @@
   private final RegionLinks links;
   private final LimitShares shares;
   private final RouteTimes times;
-
-  Dispatcher(ServerPicker picker, RegionLinks links, LimitShares shares, RouteTimes times) {
+  private final ServerCosts costs;
+  private final Clock clock;
+
+  Dispatcher(
+      ServerPicker picker,
+      RegionLinks links,
+      LimitShares shares,
+      RouteTimes times,
+      ServerCosts costs,
+      Clock clock) {
     this.picker = picker;
     this.links = links;
     this.shares = shares;
     this.times = times;
+    this.costs = costs;
+    this.clock = clock;
   }
 
   /** A server with a slot taken on it, and why. */
@@ -74,7 +85,7 @@
 
   private Optional<Choice> worthTheTrip(
       ServiceState service, Optional<Choice> near, Request request) {
-    if (near.isPresent() && fits(service, near.get(), request)) {
+    if (near.isPresent() && fits(service, near.get(), request) && quick(service, near.get())) {
       return Optional.empty();
     }
     double nearCost =
@@ -85,6 +96,12 @@
         .filter(choice -> choice.costMillis() < nearCost);
   }
 
+  private boolean quick(ServiceState service, Choice near) {
+    double slowness = costs.slowness(service, near.server(), clock.exactMillis());
+    return slowness < service.view().settings().of(Tunable.TOLERATED_SLOWNESS)
+        || slowness <= service.usualSlowness();
+  }
+
   /** While calls are queued here, a near server costs the wait of the last of them as well. */
   private double costWithWait(ServiceState service, Choice near) {
     if (service.queue().isEmpty() || service.inFlight() == 0) {
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/LoadEstimate.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/LoadEstimate.java
@@ -8,10 +8,10 @@
  */
 final class LoadEstimate {
 
-  private record Report(int others, double atMillis) {}
+  private record Report(int others, double slowness, double atMillis) {}
 
   private final AtomicInteger inFlight = new AtomicInteger();
-  private volatile Report last = new Report(0, Double.NEGATIVE_INFINITY);
+  private volatile Report last = new Report(0, 1, Double.NEGATIVE_INFINITY);
 
   int inFlight() {
     return inFlight.get();
@@ -37,7 +37,7 @@
   /** Takes in a report that arrived after the attempt it came with was ended. */
   void reported(LoadReport report, double nowMillis) {
     int total = report.inFlight() + report.queued();
-    last = new Report(Math.max(0, total - inFlight.get()), nowMillis);
+    last = new Report(Math.max(0, total - inFlight.get()), report.slowness(), nowMillis);
   }
 
   /**
@@ -50,6 +50,16 @@
     return usual + weight * (report.others() - usual);
   }
 
+  /**
+   * Returns the slowness that the server is taken to have now. The older its report, the nearer it
+   * is to what is usual.
+   */
+  double slowness(double usual, double trustMillis, double nowMillis) {
+    Report report = last;
+    double weight = Math.exp((report.atMillis() - nowMillis) / trustMillis);
+    return usual + weight * (report.slowness() - usual);
+  }
+
   int lastOthers() {
     return last.others();
   }
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/LoadProbe.java
@@ -0,0 +1,18 @@
+package org.wagtailpin.routing;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.wagtailpin.config.ConfigServer;
+
+/** Asks backend servers for their load. */
+public interface LoadProbe {
+
+  /**
+   * Asks one server.
+   *
+   * @param server the server
+   * @param path the path of its probe
+   * @param done called once, on any thread, with the report or with nothing if none came
+   */
+  void probe(ConfigServer server, String path, Consumer<Optional<LoadReport>> done);
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -9,6 +9,7 @@
 import org.wagtailpin.error.Peer;
 import org.wagtailpin.error.Step;
 import org.wagtailpin.limits.FairQueue;
+import org.wagtailpin.limits.ProbeBudget;
 import org.wagtailpin.limits.RouteTimes;
 import org.wagtailpin.membership.LimitShares;
 
@@ -29,6 +30,7 @@
   private final RoutingTable table;
   private final Dispatcher dispatcher;
   private final AttemptLearning learning;
+  private final ProbeRounds probes;
 
   /**
    * Creates a placement without knowledge of any server.
@@ -53,14 +55,55 @@
       DelayedTasks tasks,
       RouteTimes times,
       PlacementObserver observer) {
+    this(
+        config,
+        locality,
+        shares,
+        departures,
+        clock,
+        random,
+        tasks,
+        times,
+        observer,
+        (server, path, done) -> done.accept(Optional.empty()));
+  }
+
+  /**
+   * Creates a placement without knowledge of any server, which may ask servers for their load.
+   *
+   * @param config the configuration in force
+   * @param locality where this entry stands
+   * @param shares this entry's share of limits
+   * @param departures the hosts that the platform's list names as leaving
+   * @param clock the clock of deadlines
+   * @param random the source of samples, safe for all threads
+   * @param tasks runs tasks later, for queued calls
+   * @param times the learnt service times, shared with the retry policy
+   * @param observer told of each decision
+   * @param probe asks servers for their load
+   */
+  public QueueingPlacement(
+      ConfigSource config,
+      Locality locality,
+      LimitShares shares,
+      DepartureList departures,
+      Clock clock,
+      UniformRandomProvider random,
+      DelayedTasks tasks,
+      RouteTimes times,
+      PlacementObserver observer,
+      LoadProbe probe) {
     this.clock = clock;
     this.tasks = tasks;
     this.times = times;
     this.observer = observer;
     RegionLinks links = new RegionLinks(locality.region(), shares, clock, config.current());
     this.table = new RoutingTable(config, locality, clock, links);
-    ServerPicker picker = new ServerPicker(clock, random, departures, new ServerCosts(times));
-    this.dispatcher = new Dispatcher(picker, links, shares, times);
+    ServerCosts costs = new ServerCosts(times);
+    ServerPicker picker = new ServerPicker(clock, random, departures, costs);
+    this.dispatcher = new Dispatcher(picker, links, shares, times, costs, clock);
+    this.probes =
+        new ProbeRounds(clock, picker, costs, probe, new ProbeBudget(clock, shares), tasks);
     this.learning = new AttemptLearning(clock, times, observer);
   }
 
@@ -78,12 +121,23 @@
       refuse(queued, Step.ADMIT, refusal.get());
       return queued;
     }
-    if (!service.get().queue().isEmpty() || !tryGrant(service.get(), queued)) {
+    if (service.get().queue().isEmpty()) {
+      probes.run(service.get(), history, () -> placeOrQueue(service.get(), queued));
+    } else {
       enqueue(service.get(), queued);
     }
     return queued;
   }
 
+  private void placeOrQueue(ServiceState service, QueuedCall queued) {
+    if (!queued.waiting()) {
+      return;
+    }
+    if (!service.queue().isEmpty() || !tryGrant(service, queued)) {
+      enqueue(service, queued);
+    }
+  }
+
   private QueuedCall queuedCall(
       CallDescriptor call, AttemptHistory history, PlacementListener listener) {
     String service = call.route().service();
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
@@ -108,10 +108,12 @@
     for (ConfigServer server : snapshot.servers(service)) {
       double trip = tripMillis(snapshot, settings, server);
       ServerState state = serverState(server, trip, newService);
+      state.penalize(penaltyMillis(settings, server));
       servers.put(server.name(), state);
       (server.region().equals(locality.region()) ? near : far).add(state);
     }
-    return new ServiceView(near, far, settings);
+    Optional<String> probePath = snapshot.service(service).flatMap(ConfigService::probePath);
+    return new ServiceView(near, far, settings, probePath);
   }
 
   /** Servers that a new service starts with are not new themselves, so they take work at once. */
@@ -131,6 +133,14 @@
         && one.startedMillis() == other.startedMillis();
   }
 
+  private double penaltyMillis(RoutingSettings settings, ConfigServer server) {
+    if (!server.region().equals(locality.region())) {
+      return settings.of(Tunable.REGION_PENALTY_MILLIS);
+    }
+    boolean sameDomain = server.failureDomain().equals(locality.failureDomain());
+    return sameDomain ? 0 : settings.of(Tunable.DOMAIN_PENALTY_MILLIS);
+  }
+
   private double tripMillis(
       ConfigSnapshot snapshot, RoutingSettings settings, ConfigServer server) {
     if (!server.region().equals(locality.region())) {
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerCosts.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerCosts.java
@@ -42,7 +42,15 @@
     double waited = (Math.max(0, overload) + BUSY_SHARE * load) / slots;
     double risk =
         server.health().failureShare(nowMillis, forget) * settings.of(Tunable.FAILURE_COST);
-    double cost = 2 * server.tripMillis() + typical * (slowness * (1 + waited) + risk);
+    double now = slowness * slowness(service, server, nowMillis);
+    double cost =
+        2 * server.tripMillis() + server.penaltyMillis() + typical * (now * (1 + waited) + risk);
     return new Choice(server, cost, overload, load);
   }
+
+  /** Returns how many times longer than usual work takes on a server's machine now. */
+  double slowness(ServiceState service, ServerState server, double nowMillis) {
+    double trust = service.view().settings().of(Tunable.SLOWNESS_TRUST_MILLIS);
+    return server.load().slowness(service.usualSlowness(), trust, nowMillis);
+  }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
@@ -9,7 +9,6 @@
 /** Compares a few sampled servers of a service, near ones first. Safe for all threads. */
 final class ServerPicker {
 
-  private static final int FAR_CANDIDATES = 2;
   private static final int TRIES_FOR_EACH = 2;
 
   private final Clock clock;
@@ -58,7 +57,8 @@
    * @param history servers tried already, which are left out
    */
   Optional<Choice> far(ServiceState service, AttemptHistory history) {
-    return cheapest(service, service.view().far(), FAR_CANDIDATES, history);
+    int candidates = (int) service.view().settings().of(Tunable.FAR_CANDIDATES);
+    return cheapest(service, service.view().far(), candidates, history);
   }
 
   private Optional<Choice> cheapest(
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerState.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerState.java
@@ -7,6 +7,7 @@
 
   private volatile ConfigServer server;
   private volatile double tripMillis;
+  private volatile double penaltyMillis;
   private volatile boolean saysLeaving;
   private final LoadEstimate load = new LoadEstimate();
   private final ServerHealth health;
@@ -26,6 +27,15 @@
     return server;
   }
 
+  void penalize(double millis) {
+    penaltyMillis = millis;
+  }
+
+  /** Returns what its distance costs besides the trip, in milliseconds. */
+  double penaltyMillis() {
+    return penaltyMillis;
+  }
+
   /** Returns the one-way delay from this entry, in milliseconds. */
   double tripMillis() {
     return tripMillis;
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServiceState.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServiceState.java
@@ -11,6 +11,8 @@
   private final String name;
   private volatile ServiceView view;
   private final MovingAverage othersPerSlot = new MovingAverage(OTHERS_GAIN);
+  private final MovingAverage slowness = new MovingAverage(OTHERS_GAIN);
+  private volatile boolean reportsLoad;
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicInteger longInFlight = new AtomicInteger();
   private final CallQueue queue = new CallQueue();
@@ -60,9 +62,22 @@
     }
   }
 
-  /** Learns how much work of other entries is usual for each slot. */
-  void learnOthers(int others, int slots) {
-    othersPerSlot.add((double) others / slots);
+  /** Learns from a report of one of the servers. */
+  void learnLoad(ServerState server, LoadReport load, double nowMillis) {
+    server.load().reported(load, nowMillis);
+    othersPerSlot.add((double) server.load().lastOthers() / server.server().slots());
+    slowness.add(load.slowness());
+    reportsLoad = true;
+  }
+
+  /** Tells whether any of its servers has reported its load. */
+  boolean reportsLoad() {
+    return reportsLoad;
+  }
+
+  /** Returns the slowness that its servers report on average. */
+  double usualSlowness() {
+    return slowness.orElse(1);
   }
 
   double usualOthers(int slots) {
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServiceView.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServiceView.java
@@ -1,6 +1,7 @@
 package org.wagtailpin.routing;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The servers of one service under one configuration.
@@ -8,8 +9,13 @@
  * @param near the servers of this entry's region
  * @param far the servers of other regions
  * @param settings the named constants in force
+ * @param probePath the path at which its servers tell their load, empty if they have none
  */
-record ServiceView(List<ServerState> near, List<ServerState> far, RoutingSettings settings) {
+record ServiceView(
+    List<ServerState> near,
+    List<ServerState> far,
+    RoutingSettings settings,
+    Optional<String> probePath) {
 
   ServiceView {
     near = List.copyOf(near);
--- a/wagtailpin/src/main/java/org/wagtailpin/store/StoreHttpClient.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/StoreHttpClient.java
@@ -1,5 +1,7 @@
 package org.wagtailpin.store;
 
+import io.netty.channel.ChannelOption;
+import io.netty.channel.epoll.Epoll;
 import io.netty.util.HashedWheelTimer;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
@@ -10,6 +12,7 @@
 import org.asynchttpclient.AsyncHttpClientConfig;
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.Dsl;
+import org.wagtailpin.transport.KeepAliveProbes;
 
 /**
  * The HTTP client that calls to the store go through.
@@ -21,7 +24,7 @@
 
   private static final int MAX_CONNECTIONS = 64;
   private static final int IO_THREADS = 1;
-  private static final long TIMER_TICK_MILLIS = 5;
+  private static final long TIMER_TICK_MILLIS = 50;
   private static final long IDLE_CONNECTION_MILLIS = 30_000;
 
   private final HashedWheelTimer timer =
@@ -35,8 +38,10 @@
    * @param timeouts how long it waits
    */
   public StoreHttpClient(StoreTimeouts timeouts) {
+    DefaultAsyncHttpClientConfig.Builder options = new DefaultAsyncHttpClientConfig.Builder();
+    KeepAliveProbes.options().forEach((option, value) -> addOption(options, option, value));
     AsyncHttpClientConfig config =
-        new DefaultAsyncHttpClientConfig.Builder()
+        options
             // With HTTP/2 a call beyond the bound of connections sleeps in the thread that makes
             // it.
             .setHttp2Enabled(false)
@@ -54,11 +59,18 @@
             .setReadTimeout(Duration.ofMillis(-1))
             .setNettyTimer(timer)
             .setIoThreadsCount(IO_THREADS)
+            .setUseNativeTransport(Epoll.isAvailable())
             .setThreadFactory(new DefaultThreadFactory("store-client", true))
             .build();
     client = Dsl.asyncHttpClient(config);
   }
 
+  @SuppressWarnings("unchecked") // each option is stored with a value of its own type
+  private static void addOption(
+      DefaultAsyncHttpClientConfig.Builder options, ChannelOption<?> option, Object value) {
+    options.addChannelOption((ChannelOption<Object>) option, value);
+  }
+
   /** Returns the client. */
   public AsyncHttpClient client() {
     return client;
--- a/wagtailpin/src/main/java/org/wagtailpin/transport/HttpDialect.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/transport/HttpDialect.java
@@ -12,14 +12,17 @@
  * @param deadline the milliseconds that remain of a call, towards backend servers
  * @param load the load that a backend server reports with its answers
  * @param loadForm how the value of that header is written
- * @param attempt identifies an attempt, repeated by backend servers; empty if they repeat the call's
- *     identifier instead
+ * @param attempt identifies an attempt, repeated by backend servers; empty if they repeat the
+ *     call's identifier instead
  * @param target names the backend server that a request is meant for, empty if none is named
  * @param signature marks an answer as made by a backend server, empty if answers have no such mark;
  *     an answer of success without it is none
+ * @param instance names the backend server that answered, empty if answers have no such mark
  * @param callerNamesCalls whether callers give calls their identifiers; if not, the entry does
  * @param notRunStatuses status codes that tell a caller that its request was not and will not be
  *     run; a backend server's answer with one of them is passed on only with proof
+ * @param unframedAnswers whether backend servers may end an answer with its connection; one that is
+ *     reset is broken off
  * @param fractionalRetryAfter whether the time to come back may have fractions of a second
  * @param wholeAnswers whether answers of moderate length are collected before any of them is passed
  *     on, so that one that breaks off can be replaced
@@ -33,8 +36,10 @@
     Optional<AsciiString> attempt,
     Optional<AsciiString> target,
     Optional<AsciiString> signature,
+    Optional<AsciiString> instance,
     boolean callerNamesCalls,
     Set<Integer> notRunStatuses,
+    boolean unframedAnswers,
     boolean fractionalRetryAfter,
     boolean wholeAnswers) {
 
@@ -62,9 +67,11 @@
         Optional.of(WagtailpinHeaders.ATTEMPT),
         Optional.empty(),
         Optional.empty(),
+        Optional.empty(),
         false,
         Set.of(),
         false,
+        false,
         false);
   }
 
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/transport/KeepAliveProbes.java
@@ -0,0 +1,41 @@
+package org.wagtailpin.transport;
+
+import io.netty.channel.ChannelOption;
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollChannelOption;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Options by which TCP itself notices a peer that went silent, on idle connections and on those
+ * that wait for an answer.
+ */
+public final class KeepAliveProbes {
+
+  /** Silence after which a peer is probed, in seconds, the least that TCP knows. */
+  private static final int IDLE_SECONDS = 1;
+
+  /** Time between probes, in seconds. */
+  private static final int INTERVAL_SECONDS = 1;
+
+  /** Unanswered probes after which the connection is given up. */
+  private static final int PROBES = 2;
+
+  /** Longest time that sent bytes may stay without acknowledgement, in milliseconds. */
+  private static final int UNACKNOWLEDGED_MILLIS = 3_000;
+
+  private KeepAliveProbes() {}
+
+  /** Returns the options; where the native transport is missing, only the switch. */
+  public static Map<ChannelOption<?>, Object> options() {
+    Map<ChannelOption<?>, Object> options = new LinkedHashMap<>();
+    options.put(ChannelOption.SO_KEEPALIVE, true);
+    if (Epoll.isAvailable()) {
+      options.put(EpollChannelOption.TCP_KEEPIDLE, IDLE_SECONDS);
+      options.put(EpollChannelOption.TCP_KEEPINTVL, INTERVAL_SECONDS);
+      options.put(EpollChannelOption.TCP_KEEPCNT, PROBES);
+      options.put(EpollChannelOption.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLIS);
+    }
+    return options;
+  }
+}
