--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClientConfig.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClientConfig.java
@@ -9,6 +9,7 @@
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.transport.KeepAliveProbes;
+import org.wagtailpin.transport.PlainTextOnly;
 
 /** The one place where AsyncHttpClient's options are set. */
 final class BackendClientConfig {
@@ -31,6 +32,7 @@
     return options
         .setEventLoopGroup(loops)
         .setTcpNoDelay(true)
+        .setSslEngineFactory(new PlainTextOnly())
         .setHttpAdditionalChannelInitializer(channel -> addGate(channel, clock))
         .build();
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
@@ -39,6 +39,10 @@
   REPORT_FRESH_MILLIS("reportFreshMillis", "ms", 0, 60_000, 50),
   /** Probes of one server in a second over all entries. */
   SERVER_PROBES_PER_SECOND("serverProbesPerSecond", "probes/s", 0, 100_000, 0),
+  /** Share of its slots in use from which on a server may get slow. */
+  NEARLY_FULL_SHARE("nearlyFullShare", "share", 0, 1, 1),
+  /** How many times longer work is taken to last at a server that is nearly full. */
+  NEARLY_FULL_SLOWNESS("nearlyFullSlowness", "factor", 1, 100, 1),
   /** Age at which a reported slowness has lost two thirds of its weight. */
   SLOWNESS_TRUST_MILLIS("slownessTrustMillis", "ms", 1, 600_000, 250),
   /** Age at which a load report has lost two thirds of its weight, in usual service times. */
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
@@ -120,6 +120,7 @@
     private boolean known(Choice choice, double now) {
       return fresh(choice.server(), now)
           && choice.overload() <= 0
+          && !ServerCosts.nearlyFull(service, choice.load(), choice.server().server().slots())
           && costs.slowness(service, choice.server(), now)
               < service.view().settings().of(Tunable.TOLERATED_SLOWNESS);
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerCosts.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerCosts.java
@@ -43,11 +43,19 @@
     double risk =
         server.health().failureShare(nowMillis, forget) * settings.of(Tunable.FAILURE_COST);
     double now = slowness * slowness(service, server, nowMillis);
+    if (nearlyFull(service, load, slots)) {
+      now *= settings.of(Tunable.NEARLY_FULL_SLOWNESS);
+    }
     double cost =
         2 * server.tripMillis() + server.penaltyMillis() + typical * (now * (1 + waited) + risk);
     return new Choice(server, cost, overload, load);
   }
 
+  /** Tells whether one more call would fill a server so far that some get slow. */
+  static boolean nearlyFull(ServiceState service, double load, int slots) {
+    return load + 1 > service.view().settings().of(Tunable.NEARLY_FULL_SHARE) * slots;
+  }
+
   /** Returns how many times longer than usual work takes on a server's machine now. */
   double slowness(ServiceState service, ServerState server, double nowMillis) {
     double trust = service.view().settings().of(Tunable.SLOWNESS_TRUST_MILLIS);
--- a/wagtailpin/src/main/java/org/wagtailpin/store/StoreHttpClient.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/StoreHttpClient.java
@@ -13,6 +13,7 @@
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.Dsl;
 import org.wagtailpin.transport.KeepAliveProbes;
+import org.wagtailpin.transport.PlainTextOnly;
 
 /**
  * The HTTP client that calls to the store go through.
@@ -58,6 +59,7 @@
             // The whole call has a timeout; one between reads would end a watch that waits.
             .setReadTimeout(Duration.ofMillis(-1))
             .setNettyTimer(timer)
+            .setSslEngineFactory(new PlainTextOnly())
             .setIoThreadsCount(IO_THREADS)
             .setUseNativeTransport(Epoll.isAvailable())
             .setThreadFactory(new DefaultThreadFactory("store-client", true))
