Weigh distance by the bytes of a route; test registry, probes and documents

A call's distance now costs by the bytes its route moves. A store that tells on each watch that its history is gone was listed without pause (found by RegistryWatcherTest, which never ended): it is listed with the usual backoff. The first probe of each server was refused by an empty budget (found by ProbeRoundsTest).

--- a/wagtailpin/src/main/java/org/wagtailpin/call/Attempt.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Attempt.java
@@ -8,6 +8,7 @@
 import org.wagtailpin.backend.BackendRequest;
 import org.wagtailpin.backend.ExchangeFailure;
 import org.wagtailpin.backend.ExchangeListener;
+import org.wagtailpin.backend.RequestBody;
 import org.wagtailpin.config.ConfigService;
 import org.wagtailpin.config.RefusalForm;
 import org.wagtailpin.error.Fault;
@@ -27,6 +28,7 @@
   private final double startedMillis;
   private BackendExchange exchange;
   private Optional<LoadReport> load = Optional.empty();
+  private long bytes;
   private int status;
   private boolean refused;
   private boolean unproven;
@@ -40,6 +42,7 @@
   }
 
   void start(BackendRequest request) {
+    bytes = request.body() instanceof RequestBody.Held held ? held.bytes().length : 0;
     BackendExchange started = call.environment().backend().send(request, call.loop(), this);
     exchange = started;
   }
@@ -123,6 +126,7 @@
 
   @Override
   public void part(ByteBuf part) {
+    bytes += part.readableBytes();
     if (refused || unproven) {
       part.release();
     } else {
@@ -188,7 +192,7 @@
     }
     finished = true;
     double latencyMillis = call.nowMillis() - startedMillis;
-    grant.finished(new AttemptReport(outcome, latencyMillis, load));
+    grant.finished(new AttemptReport(outcome, latencyMillis, load, bytes));
     call.attemptFinished(this, outcome, latencyMillis);
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
@@ -27,10 +27,10 @@
   CANDIDATES("candidates", "servers", 1, 1000, 3),
   /** Servers of other regions that a decision compares. */
   FAR_CANDIDATES("farCandidates", "servers", 0, 1000, 2),
-  /** What a server of another failure domain is taken to cost besides the trip. */
-  DOMAIN_PENALTY_MILLIS("domainPenaltyMillis", "ms", 0, 60_000, 0),
-  /** What a server of another region is taken to cost besides the trip. */
-  REGION_PENALTY_MILLIS("regionPenaltyMillis", "ms", 0, 60_000, 0),
+  /** What a KiB moved to or from another failure domain is taken to cost besides the trip. */
+  DOMAIN_MILLIS_PER_KIB("domainMillisPerKib", "ms", 0, 60_000, 0),
+  /** What a KiB moved to or from another region is taken to cost besides the trip. */
+  REGION_MILLIS_PER_KIB("regionMillisPerKib", "ms", 0, 60_000, 0),
   /** Servers that are asked for their load together before a call is placed; 0 for none. */
   PROBES_PER_ROUND("probesPerRound", "servers", 0, 100, 0),
   /** Longest time that a call waits for reports of load. */
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/ProbeBudget.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/ProbeBudget.java
@@ -13,6 +13,9 @@
 
   private static final double BURST_MILLIS = 1000;
 
+  /** Probes of an entry that has just started, before it has earned any. */
+  private static final double FIRST_PROBES = 100;
+
   /**
    * The rates allowed over all entries.
    *
@@ -37,7 +40,8 @@
   public ProbeBudget(Clock clock, LimitShares shares) {
     this.clock = clock;
     this.shares = shares;
-    this.entry = new TokenBucket(clock, BURST_MILLIS);
+    // The first look at a server must not wait for its rate.
+    this.entry = new TokenBucket(clock, BURST_MILLIS, FIRST_PROBES);
   }
 
   /**
@@ -57,7 +61,9 @@
     if (!near && !bucket(links, region).take(1, shares.share(rates.perLink()))) {
       return false;
     }
-    return bucket(servers, server).take(1, shares.share(rates.perServer()));
+    TokenBucket ofServer =
+        servers.computeIfAbsent(server, name -> new TokenBucket(clock, BURST_MILLIS, 1));
+    return ofServer.take(1, shares.share(rates.perServer()));
   }
 
   private TokenBucket bucket(ConcurrentHashMap<String, TokenBucket> buckets, String name) {
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/RouteTimes.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/RouteTimes.java
@@ -4,7 +4,8 @@
 import org.wagtailpin.clock.Clock;
 
 /**
- * The service times learnt for each route and service, and the size class that follows from them.
+ * The service times and the bytes learnt for each route and service, and the size class that
+ * follows from the times.
  *
  * <p>What was learnt of a route fades while it gets no answers, so that a route whose work is
  * refused for its length is tried again. Safe for all threads.
@@ -25,6 +26,7 @@
   private final Clock clock;
   private final ConcurrentHashMap<String, TypicalTime> routes = new ConcurrentHashMap<>();
   private final ConcurrentHashMap<String, TypicalTime> tails = new ConcurrentHashMap<>();
+  private final ConcurrentHashMap<String, MovingAverage> bytes = new ConcurrentHashMap<>();
   private final ConcurrentHashMap<String, TypicalTime> services = new ConcurrentHashMap<>();
 
   /**
@@ -52,6 +54,26 @@
         .add(millis, now);
   }
 
+  /**
+   * Learns how much an answered attempt moved.
+   *
+   * @param route the route
+   * @param bytes the bytes of the bodies of its request and answer
+   */
+  public void learnBytes(String route, long bytes) {
+    this.bytes.computeIfAbsent(route, name -> new MovingAverage(ROUTE_GAIN)).add((double) bytes);
+  }
+
+  /**
+   * Returns how much an attempt on a route is expected to move, in bytes; 0 if nothing is known.
+   *
+   * @param route the route
+   */
+  public double expectedBytes(String route) {
+    MovingAverage known = bytes.get(route);
+    return known == null ? 0 : known.orElse(0);
+  }
+
   /**
    * Returns the time that an attempt on a route is expected to take, in milliseconds.
    *
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/TokenBucket.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/TokenBucket.java
@@ -24,9 +24,20 @@
    * @param burstMillis how long unused rate is saved up, in milliseconds, above 0
    */
   public TokenBucket(Clock clock, double burstMillis) {
+    this(clock, burstMillis, 0);
+  }
+
+  /**
+   * Creates a bucket that holds some tokens.
+   *
+   * @param clock the clock
+   * @param burstMillis how long unused rate is saved up, in milliseconds, above 0
+   * @param tokens how many it holds, at least 0
+   */
+  public TokenBucket(Clock clock, double burstMillis, double tokens) {
     this.clock = clock;
     this.burstMillis = burstMillis;
-    this.level = new AtomicReference<>(new Level(0, clock.exactMillis()));
+    this.level = new AtomicReference<>(new Level(tokens, clock.exactMillis()));
   }
 
   /**
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/KeyFollower.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/KeyFollower.java
@@ -142,7 +142,7 @@
       later(this::watch);
     } else {
       Logger.info("the store no longer holds the changes of {} after {}", prefix, revision);
-      list();
+      later(this::list);
     }
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptLearning.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptLearning.java
@@ -43,6 +43,7 @@
         return;
       }
       times.learn(service.name(), route, serviceMillis);
+      times.learnBytes(route, report.bytes());
       server.health().succeeded(serviceMillis, expected, now, forget);
       report.load().ifPresent(load -> checkClaim(server, load, serviceMillis, expected));
     } else if (outcome instanceof AttemptOutcome.NotRun) {
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -49,7 +49,7 @@
    * @return the server, or empty if the call is to wait
    */
   Optional<Dispatch> dispatch(ServiceState service, Request request) {
-    Optional<Choice> near = picker.near(service, request.history());
+    Optional<Choice> near = picker.near(service, request);
     Optional<Choice> far = worthTheTrip(service, near, request);
     if (far.isPresent()) {
       Optional<Dispatch> dispatch = begin(service, far.get(), request, PlacementRule.OTHER_REGION);
@@ -72,7 +72,7 @@
    */
   Optional<Dispatch> dispatchTo(ServiceState service, ServerState server, Request request) {
     return picker
-        .only(service, server, request.history())
+        .only(service, server, request)
         .filter(choice -> links.nearby(server.server().region()))
         .filter(choice -> fits(service, choice, request))
         .flatMap(choice -> begin(service, choice, request, PlacementRule.FREED_SLOT));
@@ -91,7 +91,7 @@
     double nearCost =
         near.map(choice -> costWithWait(service, choice)).orElse(Double.POSITIVE_INFINITY);
     return picker
-        .far(service, request.history())
+        .far(service, request)
         .filter(choice -> fits(service, choice, request))
         .filter(choice -> choice.costMillis() < nearCost);
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
@@ -49,10 +49,10 @@
    * Asks servers and then goes on.
    *
    * @param service the service
-   * @param history servers tried already, which are not asked
+   * @param request what is asked for; servers tried already are not asked
    * @param then what to do afterwards, at once if there is nothing to ask
    */
-  void run(ServiceState service, AttemptHistory history, Runnable then) {
+  void run(ServiceState service, Request request, Runnable then) {
     ServiceView view = service.view();
     Optional<String> path = view.probePath();
     double untilMillis = clock.exactMillis() + view.settings().of(Tunable.PROBE_MILLIS);
@@ -62,26 +62,21 @@
       then.run();
       return;
     }
-    new Run(service, history, path.get(), untilMillis, then).next();
+    new Run(service, request, path.get(), untilMillis, then).next();
   }
 
   /** The rounds for one call. */
   private final class Run {
     private final ServiceState service;
-    private final AttemptHistory history;
+    private final Request request;
     private final String path;
     private final double untilMillis;
     private final Runnable then;
     private final Set<String> asked = new HashSet<>();
 
-    Run(
-        ServiceState service,
-        AttemptHistory history,
-        String path,
-        double untilMillis,
-        Runnable then) {
+    Run(ServiceState service, Request request, String path, double untilMillis, Runnable then) {
       this.service = service;
-      this.history = history;
+      this.request = request;
       this.path = path;
       this.untilMillis = untilMillis;
       this.then = then;
@@ -110,7 +105,7 @@
       List<Choice> choices = new ArrayList<>();
       ServiceView view = service.view();
       for (int i = 0; i < view.size(); i++) {
-        picker.only(service, view.at(i), history).ifPresent(choices::add);
+        picker.only(service, view.at(i), request).ifPresent(choices::add);
       }
       choices.sort(Comparator.comparingDouble(Choice::costMillis));
       return choices;
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -122,7 +122,7 @@
       return queued;
     }
     if (service.get().queue().isEmpty()) {
-      probes.run(service.get(), history, () -> placeOrQueue(service.get(), queued));
+      probes.run(service.get(), request(queued), () -> placeOrQueue(service.get(), queued));
     } else {
       enqueue(service.get(), queued);
     }
@@ -196,7 +196,11 @@
   private Request request(QueuedCall queued) {
     double now = clock.exactMillis();
     return new Request(
-        queued.history(), queued.longWork(), now, Math.max(0, now - queued.queuedAtMillis()));
+        queued.history(),
+        queued.longWork(),
+        now,
+        Math.max(0, now - queued.queuedAtMillis()),
+        times.expectedBytes(queued.call().route().name()));
   }
 
   private boolean grant(ServiceState service, QueuedCall queued, Dispatcher.Dispatch dispatch) {
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Request.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Request.java
@@ -7,5 +7,11 @@
  * @param longWork whether its route is one of long work
  * @param nowMillis the time
  * @param queuedMillis how long it has been queued here
+ * @param bytes how much it is expected to move, in bytes
  */
-record Request(AttemptHistory history, boolean longWork, double nowMillis, double queuedMillis) {}
+record Request(
+    AttemptHistory history,
+    boolean longWork,
+    double nowMillis,
+    double queuedMillis,
+    double bytes) {}
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
@@ -108,7 +108,7 @@
     for (ConfigServer server : snapshot.servers(service)) {
       double trip = tripMillis(snapshot, settings, server);
       ServerState state = serverState(server, trip, newService);
-      state.penalize(penaltyMillis(settings, server));
+      state.weighDistance(distanceMillisPerKib(settings, server));
       servers.put(server.name(), state);
       (server.region().equals(locality.region()) ? near : far).add(state);
     }
@@ -133,12 +133,12 @@
         && one.startedMillis() == other.startedMillis();
   }
 
-  private double penaltyMillis(RoutingSettings settings, ConfigServer server) {
+  private double distanceMillisPerKib(RoutingSettings settings, ConfigServer server) {
     if (!server.region().equals(locality.region())) {
-      return settings.of(Tunable.REGION_PENALTY_MILLIS);
+      return settings.of(Tunable.REGION_MILLIS_PER_KIB);
     }
     boolean sameDomain = server.failureDomain().equals(locality.failureDomain());
-    return sameDomain ? 0 : settings.of(Tunable.DOMAIN_PENALTY_MILLIS);
+    return sameDomain ? 0 : settings.of(Tunable.DOMAIN_MILLIS_PER_KIB);
   }
 
   private double tripMillis(
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerCosts.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerCosts.java
@@ -9,6 +9,8 @@
   /** How much a busy server costs more than an idle one while both have free slots. */
   private static final double BUSY_SHARE = 0.1;
 
+  private static final double BYTES_PER_KIB = 1_024;
+
   private final RouteTimes times;
 
   ServerCosts(RouteTimes times) {
@@ -21,8 +23,9 @@
    * @param service the service
    * @param server the server
    * @param nowMillis the time
+   * @param bytes how much the call is expected to move
    */
-  Choice estimate(ServiceState service, ServerState server, double nowMillis) {
+  Choice estimate(ServiceState service, ServerState server, double nowMillis, double bytes) {
     RoutingSettings settings = service.view().settings();
     double typical = times.typicalMillis(service.name());
     int slots = server.server().slots();
@@ -47,7 +50,9 @@
       now *= settings.of(Tunable.NEARLY_FULL_SLOWNESS);
     }
     double cost =
-        2 * server.tripMillis() + server.penaltyMillis() + typical * (now * (1 + waited) + risk);
+        2 * server.tripMillis()
+            + server.distanceMillisPerKib() * bytes / BYTES_PER_KIB
+            + typical * (now * (1 + waited) + risk);
     return new Choice(server, cost, overload, load);
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
@@ -31,38 +31,38 @@
         && !departures.leaving(server.server().address());
   }
 
-  private boolean usable(ServerState server, AttemptHistory history) {
+  private boolean usable(ServerState server, Request request) {
     long now = clock.millis();
     return staying(server)
         && !server.health().ejected(now)
         && !server.health().paused(now)
-        && !history.servers().contains(server.server().name());
+        && !request.history().servers().contains(server.server().name());
   }
 
   /**
    * Returns the cheapest of a sample of the servers of this entry's region.
    *
    * @param service the service
-   * @param history servers tried already, which are left out
+   * @param request what is asked for; servers tried already are left out
    */
-  Optional<Choice> near(ServiceState service, AttemptHistory history) {
+  Optional<Choice> near(ServiceState service, Request request) {
     int candidates = (int) service.view().settings().of(Tunable.CANDIDATES);
-    return cheapest(service, service.view().near(), candidates, history);
+    return cheapest(service, service.view().near(), candidates, request);
   }
 
   /**
    * Returns the cheapest of a sample of the servers of other regions.
    *
    * @param service the service
-   * @param history servers tried already, which are left out
+   * @param request what is asked for; servers tried already are left out
    */
-  Optional<Choice> far(ServiceState service, AttemptHistory history) {
+  Optional<Choice> far(ServiceState service, Request request) {
     int candidates = (int) service.view().settings().of(Tunable.FAR_CANDIDATES);
-    return cheapest(service, service.view().far(), candidates, history);
+    return cheapest(service, service.view().far(), candidates, request);
   }
 
   private Optional<Choice> cheapest(
-      ServiceState service, List<ServerState> servers, int candidates, AttemptHistory history) {
+      ServiceState service, List<ServerState> servers, int candidates, Request request) {
     if (servers.isEmpty()) {
       return Optional.empty();
     }
@@ -75,11 +75,11 @@
     for (int i = 0; i < tries && compared < candidates; i++) {
       int index = all ? (start + i) % servers.size() : random.nextInt(servers.size());
       ServerState server = servers.get(index);
-      if (!usable(server, history) || !warm(service, server)) {
+      if (!usable(server, request) || !warm(service, server)) {
         continue;
       }
       compared++;
-      Choice choice = costs.estimate(service, server, now);
+      Choice choice = costs.estimate(service, server, now, request.bytes());
       if (best == null || choice.costMillis() < best.costMillis()) {
         best = choice;
       }
@@ -98,13 +98,13 @@
    *
    * @param service the service
    * @param server the server
-   * @param history servers tried already
+   * @param request what is asked for; servers tried already are left out
    */
-  Optional<Choice> only(ServiceState service, ServerState server, AttemptHistory history) {
-    if (!usable(server, history)) {
+  Optional<Choice> only(ServiceState service, ServerState server, Request request) {
+    if (!usable(server, request)) {
       return Optional.empty();
     }
-    return Optional.of(costs.estimate(service, server, clock.exactMillis()));
+    return Optional.of(costs.estimate(service, server, clock.exactMillis(), request.bytes()));
   }
 
   /**
@@ -126,7 +126,7 @@
     for (int i = 0; i < servers.size(); i++) {
       ServerState server = servers.get((start + i) % servers.size());
       if (staying(server)) {
-        return Optional.of(costs.estimate(service, server, clock.exactMillis()));
+        return Optional.of(costs.estimate(service, server, clock.exactMillis(), 0));
       }
     }
     return Optional.empty();
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerState.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerState.java
@@ -7,7 +7,7 @@
 
   private volatile ConfigServer server;
   private volatile double tripMillis;
-  private volatile double penaltyMillis;
+  private volatile double distanceMillisPerKib;
   private volatile boolean saysLeaving;
   private final LoadEstimate load = new LoadEstimate();
   private final ServerHealth health;
@@ -27,13 +27,13 @@
     return server;
   }
 
-  void penalize(double millis) {
-    penaltyMillis = millis;
+  void weighDistance(double millis) {
+    distanceMillisPerKib = millis;
   }
 
-  /** Returns what its distance costs besides the trip, in milliseconds. */
-  double penaltyMillis() {
-    return penaltyMillis;
+  /** Returns what its distance costs for each KiB moved, in milliseconds. */
+  double distanceMillisPerKib() {
+    return distanceMillisPerKib;
   }
 
   /** Returns the one-way delay from this entry, in milliseconds. */
--- a/wagtailpin/src/test/java/org/wagtailpin/backend/LoadReportHeaderTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/backend/LoadReportHeaderTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.wagtailpin.routing.LoadReport;
 
@@ -28,4 +29,18 @@
     }
     assertThat(LoadReportHeader.parse("inflight=99999999999999")).isEmpty();
   }
+
+  @Test
+  void columnsAreReadInTheirOrder() {
+    assertThat(LoadReportHeader.parseColumns("3,1,6")).hasValue(new LoadReport(3, 1, false, 1));
+    assertThat(LoadReportHeader.parseColumns("3, 1, 6, 250"))
+        .hasValue(new LoadReport(3, 1, false, 2.5));
+  }
+
+  @Test
+  void columnsThatAreNoNumbersAreNoReport() {
+    for (String value : List.of("", "3", "a,b,c", "-1,0,6", "3,x")) {
+      assertThat(LoadReportHeader.parseColumns(value)).isEmpty();
+    }
+  }
 }
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/RegistryWatcherTest.java
@@ -0,0 +1,185 @@
+package org.wagtailpin.registry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.wagtailpin.clock.ManualClock;
+import org.wagtailpin.config.ConfigMerger;
+import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.config.MergedConfig;
+import org.wagtailpin.config.PublishedConfig;
+import org.wagtailpin.control.ManualControlLoop;
+import org.wagtailpin.routing.SharedRandom;
+import org.wagtailpin.store.Store;
+import org.wagtailpin.store.WriteCondition;
+import org.wagtailpin.store.memory.FaultyStore;
+import org.wagtailpin.store.memory.MemoryStore;
+import org.wagtailpin.store.memory.StoreFaults;
+
+class RegistryWatcherTest {
+
+  private static final long SOON_MILLIS = 1_000;
+  private static final long LONG_MILLIS = 60_000;
+
+  private final ManualClock clock = new ManualClock(1_000_000);
+  private final ManualControlLoop loop = new ManualControlLoop(clock);
+  private final MemoryStore store = new MemoryStore(clock, loop);
+  private final FaultyStore faulty = new FaultyStore(store, clock, loop, 1, 500);
+  private final PublishedConfig published = new PublishedConfig();
+  private final ConfigMerger merger = new ConfigMerger(clock, new MergedConfig(), published);
+  private RegistryWatcher watcher;
+
+  @BeforeEach
+  void start() {
+    Store client = faulty.client("entry");
+    watcher =
+        new RegistryWatcher(client, loop, clock, merger, new SharedRandom(2), new TextFormat());
+    watcher.start();
+    loop.advance(SOON_MILLIS);
+  }
+
+  private void put(String key, String value) {
+    store.write(
+        key, value.getBytes(StandardCharsets.UTF_8), new WriteCondition.Always(), Optional.empty());
+  }
+
+  private void remove(String key) {
+    store.delete(key, new WriteCondition.Always());
+  }
+
+  private void register(String name, String value) {
+    put(TextFormat.SERVERS + name, value);
+    loop.advance(SOON_MILLIS);
+  }
+
+  private Optional<ConfigServer> server(String name) {
+    return published.current().servers("work").stream()
+        .filter(server -> server.name().equals(name))
+        .findFirst();
+  }
+
+  private void cutOff() {
+    faulty.changeFaults(StoreFaults.builder().partition(Set.of("entry")).build());
+    watcher.storeReachable(false);
+    loop.advance(LONG_MILLIS);
+  }
+
+  private void heal() {
+    faulty.changeFaults(StoreFaults.none());
+    watcher.storeReachable(true);
+  }
+
+  @Test
+  void aServerIsKnownFromItsRegistrationToItsEnd() {
+    register("a", "staying 1 1");
+    assertThat(server("a")).isPresent();
+
+    register("a", "leaving 1 2");
+    assertThat(server("a").orElseThrow().leaving()).isTrue();
+
+    remove(TextFormat.SERVERS + "a");
+    loop.advance(SOON_MILLIS);
+    assertThat(server("a")).isEmpty();
+  }
+
+  @Test
+  void aServerThatIsRemovedWithoutNoticeIsGoneAtOnce() {
+    register("a", "staying 1 1");
+
+    remove(TextFormat.SERVERS + "a");
+    loop.advance(SOON_MILLIS);
+
+    assertThat(server("a")).isEmpty();
+  }
+
+  @Test
+  void aRegistrationThatWasOvertakenChangesNothing() {
+    register("a", "leaving 1 5");
+    register("a", "staying 1 4");
+
+    assertThat(server("a").orElseThrow().leaving()).isTrue();
+  }
+
+  @Test
+  void aServerThatStartsAgainUnderItsNameIsNew() {
+    register("a", "leaving 1 5");
+    register("a", "staying 2 1");
+
+    assertThat(server("a").orElseThrow().leaving()).isFalse();
+    assertThat(server("a").orElseThrow().startedMillis()).isEqualTo(2);
+  }
+
+  @Test
+  void anUnreadableRegistrationNamesNoServerAndHarmsNoOther() {
+    register("a", "staying 1 1");
+    register("b", "what is this thing");
+
+    assertThat(server("a")).isPresent();
+    assertThat(server("b")).isEmpty();
+  }
+
+  @Test
+  void registrationsThatLapsedWhileTheStoreWasAwayMayComeBack() {
+    register("a", "staying 1 1");
+    register("b", "staying 1 1");
+    cutOff();
+    remove(TextFormat.SERVERS + "a");
+    remove(TextFormat.SERVERS + "b");
+
+    heal();
+    loop.advance(SOON_MILLIS);
+    assertThat(server("a")).isPresent();
+    assertThat(server("b")).isPresent();
+
+    register("a", "staying 1 2");
+    loop.advance(RegistryWatcher.RETURN_MILLIS);
+    assertThat(server("a")).isPresent();
+    assertThat(server("b")).isEmpty();
+  }
+
+  @Test
+  void aLeavingServerIsGoneAtOnceAlsoWhenTheStoreReturns() {
+    register("a", "leaving 1 1");
+    cutOff();
+    remove(TextFormat.SERVERS + "a");
+
+    heal();
+    loop.advance(SOON_MILLIS);
+
+    assertThat(server("a")).isEmpty();
+  }
+
+  @Test
+  void aDocumentIsInForceWholeAndAnUnreadableOneIsPassedOver() {
+    put(TextFormat.DOCUMENT, "one");
+    loop.advance(SOON_MILLIS);
+    assertThat(published.current().service("one")).isPresent();
+
+    put(TextFormat.DOCUMENT, " ");
+    loop.advance(SOON_MILLIS);
+    assertThat(published.current().service("one")).isPresent();
+
+    put(TextFormat.DOCUMENT, "two");
+    loop.advance(SOON_MILLIS);
+    assertThat(published.current().service("two")).isPresent();
+    assertThat(published.current().service("one")).isEmpty();
+  }
+
+  @Test
+  void whatChangedWhileTheHistoryWasDroppedIsReadAgain() {
+    register("a", "staying 1 1");
+    faulty.changeFaults(StoreFaults.builder().slowWatch(0, 1).build());
+    put(TextFormat.SERVERS + "b", "staying 1 1");
+    put(TextFormat.DOCUMENT, "one");
+    loop.advance(SOON_MILLIS);
+    faulty.changeFaults(StoreFaults.none());
+    loop.advance(SOON_MILLIS);
+
+    assertThat(server("b")).isPresent();
+    assertThat(published.current().service("one")).isPresent();
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/TextFormat.java
@@ -0,0 +1,62 @@
+package org.wagtailpin.registry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.wagtailpin.config.ConfigDocument;
+import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.config.ConfigService;
+
+/** A small format for tests: servers as {@code state start sequence}, documents as one service. */
+final class TextFormat implements RegistryFormat {
+
+  static final String DOCUMENT = "operator/document";
+  static final String SERVERS = "members/";
+
+  @Override
+  public String documentKey() {
+    return DOCUMENT;
+  }
+
+  @Override
+  public String commonPrefix() {
+    return "";
+  }
+
+  @Override
+  public String serverPrefix() {
+    return SERVERS;
+  }
+
+  @Override
+  public DocumentReadResult readDocument(byte[] value) {
+    String text = new String(value, StandardCharsets.UTF_8);
+    if (text.isBlank()) {
+      return new DocumentReadResult.Unreadable("blank");
+    }
+    ConfigService service = new ConfigService(text, true, List.of(), Optional.empty());
+    return new DocumentReadResult.Read(new ConfigDocument("document", List.of(service)), 1);
+  }
+
+  @Override
+  public ServerReadResult readServer(String name, byte[] value) {
+    String[] words = new String(value, StandardCharsets.UTF_8).split(" ", -1);
+    if (words.length != 3) {
+      return new ServerReadResult.Unreadable("not three words");
+    }
+    ConfigServer server =
+        new ConfigServer(
+            name,
+            "10.0.0.1",
+            80,
+            "r",
+            "d",
+            4,
+            10,
+            words[0].equals("leaving"),
+            Long.parseLong(words[1]),
+            0);
+    return new ServerReadResult.Read(
+        new RegisteredServer("work", server, Long.parseLong(words[2])));
+  }
+}
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
@@ -33,6 +33,7 @@
   final DepartureList departures = new DepartureList();
   final List<ConfigServer> servers = new ArrayList<>();
   final List<ConfigObject> extras = new ArrayList<>();
+  private Optional<String> probePath = Optional.empty();
   int connectionShare = Integer.MAX_VALUE;
   double shareOfRates = 1;
   private volatile ConfigSnapshot snapshot = ConfigSnapshot.empty();
@@ -44,6 +45,11 @@
     return this;
   }
 
+  PlacementFixture probed() {
+    probePath = Optional.of("/load");
+    return this;
+  }
+
   PlacementFixture servers(int count, int slots) {
     for (int i = 0; i < count; i++) {
       server("s" + i, "north", "n1", slots);
@@ -85,7 +91,7 @@
 
   PlacementFixture publish() {
     List<ConfigObject> objects = new ArrayList<>(extras);
-    objects.add(new ConfigService(SERVICE, false, List.of(), Optional.empty()));
+    objects.add(new ConfigService(SERVICE, false, List.of(), probePath));
     objects.add(new ConfigServerSet("set", SERVICE, List.copyOf(servers)));
     snapshot = new ConfigSnapshot(++version, objects);
     return this;
@@ -100,6 +106,10 @@
   }
 
   QueueingPlacement placement(long seed, PlacementObserver observer) {
+    return placement(seed, observer, (server, path, done) -> done.accept(Optional.empty()));
+  }
+
+  QueueingPlacement placement(long seed, PlacementObserver observer, LoadProbe probe) {
     return new QueueingPlacement(
         () -> snapshot,
         new Locality("north", "n1"),
@@ -109,7 +119,8 @@
         new SharedRandom(seed),
         loop::schedule,
         times,
-        observer);
+        observer,
+        probe);
   }
 
   LimitShares shares() {
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/ProbeRoundsTest.java
@@ -0,0 +1,180 @@
+package org.wagtailpin.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.config.Tunable;
+
+class ProbeRoundsTest {
+
+  private static final double SLOW = 7;
+
+  private final Map<String, LoadReport> loads = new HashMap<>();
+  private final List<String> asked = new ArrayList<>();
+  private final List<Consumer<Optional<LoadReport>>> open = new ArrayList<>();
+  private boolean silent;
+  private final PlacementFixture fixture = new PlacementFixture().probed();
+
+  private void probe(ConfigServer server, String path, Consumer<Optional<LoadReport>> done) {
+    asked.add(server.name());
+    if (silent) {
+      open.add(done);
+    } else {
+      done.accept(Optional.ofNullable(loads.get(server.name())));
+    }
+  }
+
+  private QueueingPlacement placement() {
+    fixture
+        .tune(Tunable.CANDIDATES, 100)
+        .tune(Tunable.FAR_CANDIDATES, 100)
+        .tune(Tunable.PROBES_PER_ROUND, 2)
+        .tune(Tunable.PROBE_MILLIS, 50)
+        .tune(Tunable.SERVER_PROBES_PER_SECOND, 1_000)
+        .publish();
+    return fixture.placement(PlacementFixture.SEED, PlacementObserver.none(), this::probe);
+  }
+
+  private Optional<Grant> place(QueueingPlacement placement) {
+    List<Grant> grants = new ArrayList<>();
+    placement.request(
+        fixture.call(5_000),
+        AttemptHistory.none(),
+        new PlacementListener() {
+          @Override
+          public void granted(Grant grant) {
+            grants.add(grant);
+          }
+
+          @Override
+          public void refused(org.wagtailpin.error.Fault fault) {}
+        });
+    return grants.stream().findFirst();
+  }
+
+  /** Lets one answer with a load report show that the servers tell their load. */
+  private void learnThatLoadIsTold(QueueingPlacement placement) {
+    place(placement)
+        .orElseThrow()
+        .finished(PlacementFixture.answered(10, new LoadReport(0, 0, false, 1)));
+    fixture.loop.advance(10_000);
+    asked.clear();
+  }
+
+  @Test
+  void nobodyIsAskedBeforeAnyServerHasToldItsLoad() {
+    fixture.servers(4, 6);
+
+    assertThat(place(placement())).isPresent();
+    assertThat(asked).isEmpty();
+  }
+
+  @Test
+  void serversAreAskedUntilOneIsFreeAndQuick() {
+    fixture.servers(4, 6);
+    QueueingPlacement placement = placement();
+    learnThatLoadIsTold(placement);
+    for (int i = 0; i < 4; i++) {
+      loads.put("s" + i, new LoadReport(0, 0, false, SLOW));
+    }
+    loads.put("s2", new LoadReport(0, 0, false, 1));
+
+    assertThat(place(placement).orElseThrow().server().name()).isEqualTo("s2");
+    assertThat(asked).containsNoDuplicates();
+  }
+
+  @Test
+  void anotherRegionIsAskedAndUsedWhenAllNearServersAreSlow() {
+    fixture.server("near", "north", "n1", 6).server("far", "south", "s1", 6);
+    fixture.times.learn(PlacementFixture.SERVICE, "short", 140);
+    QueueingPlacement placement = placement();
+    learnThatLoadIsTold(placement);
+    loads.put("near", new LoadReport(0, 0, false, SLOW));
+    loads.put("far", new LoadReport(0, 0, false, 1));
+
+    assertThat(place(placement).orElseThrow().server().name()).isEqualTo("far");
+  }
+
+  @Test
+  void workThatMovesMuchStaysNearerThanWorkThatMovesLittle() {
+    fixture
+        .server("near", "north", "n1", 6)
+        .server("far", "south", "s1", 6)
+        .tune(Tunable.REGION_MILLIS_PER_KIB, 20);
+    fixture.times.learn(PlacementFixture.SERVICE, "short", 140);
+    QueueingPlacement placement = placement();
+    learnThatLoadIsTold(placement);
+    loads.put("near", new LoadReport(0, 0, false, 2));
+    loads.put("far", new LoadReport(0, 0, false, 1));
+    assertThat(place(placement).orElseThrow().server().name()).isEqualTo("far");
+
+    fixture.loop.advance(10_000);
+    for (int i = 0; i < 100; i++) {
+      fixture.times.learnBytes("short", 50_000);
+    }
+    assertThat(place(placement).orElseThrow().server().name()).isEqualTo("near");
+  }
+
+  @Test
+  void aFreshReportSparesTheQuestion() {
+    fixture.servers(1, 6);
+    QueueingPlacement placement = placement();
+    learnThatLoadIsTold(placement);
+    loads.put("s0", new LoadReport(0, 0, false, 1));
+    place(placement);
+    asked.clear();
+
+    place(placement);
+
+    assertThat(asked).isEmpty();
+  }
+
+  @Test
+  void silentServersHoldACallNoLongerThanItsTimeForProbes() {
+    fixture.servers(3, 6);
+    QueueingPlacement placement = placement();
+    learnThatLoadIsTold(placement);
+    silent = true;
+    List<Grant> grants = new ArrayList<>();
+    placement.request(
+        fixture.call(5_000),
+        AttemptHistory.none(),
+        new PlacementListener() {
+          @Override
+          public void granted(Grant grant) {
+            grants.add(grant);
+          }
+
+          @Override
+          public void refused(org.wagtailpin.error.Fault fault) {}
+        });
+    assertThat(grants).isEmpty();
+
+    fixture.loop.advance(51);
+
+    assertThat(grants).hasSize(1);
+    open.forEach(done -> done.accept(Optional.empty()));
+    assertThat(grants).hasSize(1);
+  }
+
+  @Test
+  void probesStayWithinTheirRate() {
+    fixture.servers(2, 6).tune(Tunable.SERVER_PROBES_PER_SECOND, 3);
+    QueueingPlacement placement = placement();
+    learnThatLoadIsTold(placement);
+    for (int i = 0; i < 50; i++) {
+      place(placement).ifPresent(grant -> grant.finished(PlacementFixture.answered(1)));
+      fixture.loop.advance(60);
+    }
+
+    // Three seconds of three a second for each of two servers, and a burst of one second.
+    assertThat(asked.size()).isAtMost(24);
+  }
+}
