--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
@@ -40,6 +40,9 @@
 
   private static final long CLOSE_WAIT_MILLIS = 2_000;
 
+  /** How long peers and the store are told of the end; some trips to the farthest region. */
+  private static final long GOODBYE_MILLIS = 200;
+
   private final EntrySettings settings;
   private final EntryPlatform platform;
   private final Clock clock = new SystemClock();
@@ -218,7 +221,7 @@
             .orElseGet(() -> CompletableFuture.completedFuture(0));
     outer
         .thenCombine(inner, Integer::sum)
-        .thenCompose(cut -> control.leave().thenApply(left -> cut))
+        .thenCompose(cut -> sayGoodbye().thenApply(left -> cut))
         .whenCompleteAsync(
             (cut, failure) -> {
               close();
@@ -226,6 +229,11 @@
             });
   }
 
+  /** Others learn of silence anyway, so a peer or store that does not answer delays nothing. */
+  private CompletableFuture<Void> sayGoodbye() {
+    return control.leave().completeOnTimeout(null, GOODBYE_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
   /** Closes everything at once, as a crash would, without leave; does nothing the second time. */
   @Override
   public void close() {
