Write logs to standard output on the platform, a run of lines at once; gather store events for 400 ms

Cause: each line cost two calls of the system and a wake-up, both charged; watches came back for nearly each of the beats that follow one another.

--- a/daemon/src/main/java/org/wagtailpin/daemon/log/JsonConsoleWriter.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/log/JsonConsoleWriter.java
@@ -2,10 +2,14 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.BufferedOutputStream;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.EnumSet;
 import java.util.Locale;
@@ -14,22 +18,43 @@
 import org.tinylog.core.LogEntryValue;
 import org.tinylog.writers.Writer;
 
-/** Log writer that prints each entry to standard error as a JSON object on a line of its own. */
+/**
+ * Log writer that prints each entry to the console as a JSON object on a line of its own.
+ *
+ * <p>Lines are gathered until the log library flushes, which it does when none waits, so that a run
+ * of lines costs one call of the system.
+ */
 public final class JsonConsoleWriter implements Writer {
 
   /** Tag of entries whose message is a JSON object already and is printed as it is. */
   public static final String RAW_TAG = "raw-json";
 
+  private static final String STREAM = "stream";
+  private static final String STANDARD_OUTPUT = "out";
+  private static final int BUFFER_BYTES = 65_536;
+
   private final JsonFactory factory = new JsonFactory();
   private final PrintStream stream;
 
   /**
    * Creates the writer; called by the log library.
    *
-   * @param properties the writer's properties, of which none is used
+   * @param properties the writer's properties; {@code stream} is {@code out} for standard output,
+   *     anything else for standard error
    */
   public JsonConsoleWriter(Map<String, String> properties) {
-    this(System.err);
+    this(
+        buffered(
+            STANDARD_OUTPUT.equals(properties.get(STREAM))
+                ? FileDescriptor.out
+                : FileDescriptor.err));
+  }
+
+  private static PrintStream buffered(FileDescriptor descriptor) {
+    return new PrintStream(
+        new BufferedOutputStream(new FileOutputStream(descriptor), BUFFER_BYTES),
+        false,
+        StandardCharsets.UTF_8);
   }
 
   JsonConsoleWriter(PrintStream stream) {
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/KeyFollower.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/KeyFollower.java
@@ -50,7 +50,7 @@
   private static final long MAX_RETRY_MILLIS = 800;
 
   /** Changes come in runs, such as a service's release; the next watch takes a run together. */
-  private static final long GATHER_MILLIS = 250;
+  private static final long GATHER_MILLIS = 400;
 
   private final Store store;
   private final ControlLoop loop;
