--- a/wagtailpin/src/main/java/org/wagtailpin/membership/MembershipSettings.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/MembershipSettings.java
@@ -50,7 +50,7 @@
   private static final long SPARSE_LEASE_TTL_MILLIS = 5_000;
   private static final long SPARSE_WATCH_WAIT_MILLIS = 20_000;
   private static final long SPARSE_SILENCE_MILLIS = 9_000;
-  private static final long SPARSE_MAX_BACKOFF_MILLIS = 1_000;
+  private static final long SPARSE_BACKOFF_MILLIS = 1_000;
 
   /**
    * Returns settings for entries that follow the store themselves and need one another only while
@@ -64,8 +64,8 @@
         SPARSE_LEASE_TTL_MILLIS,
         LEASE_MARGIN_MILLIS,
         SPARSE_WATCH_WAIT_MILLIS,
-        MIN_BACKOFF_MILLIS,
-        SPARSE_MAX_BACKOFF_MILLIS,
+        SPARSE_BACKOFF_MILLIS,
+        SPARSE_BACKOFF_MILLIS,
         SPARSE_SILENCE_MILLIS,
         GONE_SILENCE_MILLIS,
         GUARANTEED_FRACTION);
