--- a/daemon/src/main/java/org/wagtailpin/daemon/SettingsReader.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/SettingsReader.java
@@ -2,12 +2,12 @@
 
 import java.net.URI;
 import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.wagtailpin.config.Tunable;
+import org.wagtailpin.config.TunableValues;
 import org.wagtailpin.json.JsonObjectReader;
 import org.wagtailpin.json.JsonParseResult;
 import org.wagtailpin.json.JsonProblems;
@@ -82,21 +82,7 @@
   }
 
   private static Map<Tunable, Double> constants(JsonObjectReader in) {
-    Map<Tunable, Double> values = new EnumMap<>(Tunable.class);
-    in.object("constants").ifPresent(object -> readConstants(object, values));
-    return values;
-  }
-
-  private static void readConstants(JsonObjectReader in, Map<Tunable, Double> values) {
-    for (String label : in.keys()) {
-      Optional<Tunable> tunable = Tunable.ofLabel(label);
-      if (tunable.isPresent()) {
-        Tunable known = tunable.get();
-        values.put(known, in.number(label, known.min(), known.max()));
-      } else {
-        in.noteKey(label, "the name of a constant");
-      }
-    }
+    return in.object("constants").map(TunableValues::read).orElseGet(() -> Map.of());
   }
 
   private static ListenAddress address(JsonObjectReader in, String key) {
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClientConfig.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClientConfig.java
@@ -1,7 +1,6 @@
 package org.wagtailpin.backend;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import java.time.Duration;
 import org.asynchttpclient.AsyncHttpClientConfig;
@@ -28,7 +27,7 @@
     keepMessagesAsTheyAre(options);
     limitConnections(options, settings, pool);
     leaveTimesToCalls(options, settings);
-    KeepAliveProbes.options().forEach((option, value) -> addOption(options, option, value));
+    KeepAliveProbes.addTo(options);
     return options
         .setEventLoopGroup(loops)
         .setTcpNoDelay(true)
@@ -37,12 +36,6 @@
         .build();
   }
 
-  @SuppressWarnings("unchecked") // each option is stored with a value of its own type
-  private static void addOption(
-      DefaultAsyncHttpClientConfig.Builder options, ChannelOption<?> option, Object value) {
-    options.addChannelOption((ChannelOption<Object>) option, value);
-  }
-
   /** A request leaves at most once: repeating it is decided by the retry policy alone. */
   private static void keepRequestsSingle(DefaultAsyncHttpClientConfig.Builder options) {
     options
--- a/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
@@ -52,6 +52,7 @@
   private final ConfigService service;
   private final Optional<String> key;
   private final AnswerSink sink;
+  private final AnswerRelay relay;
   private final EventLoop loop;
   private Future<?> timer;
   private AttemptRequests requests;
@@ -60,9 +61,7 @@
   private Optional<PlacementHandle> waiting = Optional.empty();
   private Optional<Attempt> attempt = Optional.empty();
   private Optional<Fault> lastFault = Optional.empty();
-  private Optional<CollectedAnswer> collected = Optional.empty();
   private boolean mayHaveRun;
-  private boolean answerBegan;
   private boolean callerGone;
   private boolean paused;
   private boolean ended;
@@ -89,6 +88,11 @@
     this.service = admission.service();
     this.key = admission.key();
     this.sink = sink;
+    this.relay =
+        new AnswerRelay(
+            sink,
+            environment.dialect().wholeAnswers(),
+            environment.settings().collectedAnswerBytes());
     this.loop = loop;
     this.timer = loop.schedule(this::expire, remainingMillis(), TimeUnit.MILLISECONDS);
   }
@@ -238,13 +242,10 @@
     EndToEndHeaders.retain(headers, dialect.signature().stream().toList());
     headers.set(dialect.requestId(), request.id());
     keyed.ifPresent(work -> work.keepHead(status, headers));
-    if (dialect.wholeAnswers()) {
-      collected = Optional.of(new CollectedAnswer(status, headers));
-      return;
-    }
-    answerBegan = true;
-    if (!callerGone) {
-      sink.head(status, headers);
+    if (callerGone) {
+      relay.beginUnheard();
+    } else {
+      relay.head(status, headers);
     }
   }
 
@@ -254,42 +255,16 @@
     if (callerGone) {
       part.release();
       abandonIfUseless();
-    } else if (collected.isPresent()) {
-      collect(collected.get(), part);
-    } else if (!sink.part(part)) {
-      pause();
-    }
-  }
-
-  private void collect(CollectedAnswer answer, ByteBuf part) {
-    answer.add(part);
-    if (answer.bytes() > environment.settings().collectedAnswerBytes() && !passCollected()) {
-      pause();
+    } else if (!relay.part(part)) {
+      paused = true;
+      attempt.ifPresent(Attempt::pause);
     }
   }
 
-  private void pause() {
-    paused = true;
-    attempt.ifPresent(Attempt::pause);
-  }
-
-  /** Begins the answer with what was collected; tells whether the caller takes more at once. */
-  private boolean passCollected() {
-    CollectedAnswer answer = collected.orElseThrow();
-    collected = Optional.empty();
-    answerBegan = true;
-    return answer.passTo(sink);
-  }
-
-  private void dropCollected() {
-    collected.ifPresent(CollectedAnswer::release);
-    collected = Optional.empty();
-  }
-
   void answerEnded(HttpHeaders trailers) {
     keyed.ifPresent(KeyedWork::answered);
-    if (collected.isPresent() && !callerGone) {
-      passCollected();
+    if (!callerGone) {
+      relay.pass();
     }
     end(ANSWERED);
     if (!callerGone) {
@@ -326,9 +301,9 @@
 
   void attemptFailed(AttemptOutcome outcome) {
     attempt = Optional.empty();
-    dropCollected();
+    relay.drop();
     lastFault = Optional.of(AttemptLabels.fault(outcome));
-    if (answerBegan) {
+    if (relay.began()) {
       breakOff();
       return;
     }
@@ -369,7 +344,7 @@
     if (ended) {
       return;
     }
-    if (answerBegan) {
+    if (relay.began()) {
       expireAnswer();
       return;
     }
@@ -465,7 +440,7 @@
     }
     waiting.ifPresent(PlacementHandle::withdraw);
     attempt.ifPresent(running -> running.expire(fault));
-    if (answerBegan) {
+    if (relay.began()) {
       breakOff();
     } else {
       refuse(status, outcome(), fault);
@@ -496,7 +471,7 @@
 
   private void end(String outcome) {
     ended = true;
-    dropCollected();
+    relay.drop();
     timer.cancel(false);
     environment.metrics().callEnded(service.name(), outcome, nowMillis() - request.arrivedMillis());
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ObjectFieldsReader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ObjectFieldsReader.java
@@ -1,8 +1,6 @@
 package org.wagtailpin.config;
 
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -10,7 +8,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.stream.Collectors;
 import org.wagtailpin.json.JsonObjectReader;
 
 /** Reads the fields of one object of the configuration; mistakes are noted with the reader. */
@@ -35,8 +32,6 @@
 
   private static final Map<String, ConfigKind> KINDS = kinds();
   private static final Map<String, KeyRule> KEY_RULES = keyRules();
-  private static final String TUNABLES =
-      Arrays.stream(Tunable.values()).map(Tunable::label).collect(Collectors.joining(", "));
 
   private static Map<String, ConfigKind> kinds() {
     Map<String, ConfigKind> kinds = new LinkedHashMap<>();
@@ -226,26 +221,14 @@
   private static ConfigLimit limit(JsonObjectReader in) {
     String name = in.name("name");
     Optional<String> service = in.optionalName("service");
-    Map<Tunable, Double> values = new EnumMap<>(Tunable.class);
     if (!in.has("values")) {
       in.note("values", "an object");
     }
-    in.object("values").ifPresent(object -> readValues(object, values));
+    Map<Tunable, Double> values =
+        in.object("values").map(TunableValues::read).orElseGet(() -> Map.of());
     return new ConfigLimit(name, service, values);
   }
 
-  private static void readValues(JsonObjectReader in, Map<Tunable, Double> values) {
-    for (String label : in.keys()) {
-      Optional<Tunable> tunable = Tunable.ofLabel(label);
-      if (tunable.isPresent()) {
-        Tunable known = tunable.get();
-        values.put(known, in.number(label, known.min(), known.max()));
-      } else {
-        in.noteKey(label, "one of " + TUNABLES);
-      }
-    }
-  }
-
   private static ConfigCallerGroup callerGroup(JsonObjectReader in) {
     String name = in.name("name");
     double weight = in.number("weight", MIN_WEIGHT, MAX_WEIGHT);
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/TunableValues.java
@@ -0,0 +1,36 @@
+package org.wagtailpin.config;
+
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.wagtailpin.json.JsonObjectReader;
+
+/** Reader of values for named constants, in tickets and in settings. */
+public final class TunableValues {
+
+  private static final String NAMES =
+      Arrays.stream(Tunable.values()).map(Tunable::label).collect(Collectors.joining(", "));
+
+  private TunableValues() {}
+
+  /**
+   * Reads an object whose keys are names of constants; mistakes are noted with the reader.
+   *
+   * @param in the object
+   */
+  public static Map<Tunable, Double> read(JsonObjectReader in) {
+    Map<Tunable, Double> values = new EnumMap<>(Tunable.class);
+    for (String label : in.keys()) {
+      Optional<Tunable> tunable = Tunable.ofLabel(label);
+      if (tunable.isPresent()) {
+        Tunable known = tunable.get();
+        values.put(known, in.number(label, known.min(), known.max()));
+      } else {
+        in.noteKey(label, "one of " + NAMES);
+      }
+    }
+    return values;
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/store/StoreHttpClient.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/StoreHttpClient.java
@@ -1,6 +1,5 @@
 package org.wagtailpin.store;
 
-import io.netty.channel.ChannelOption;
 import io.netty.channel.epoll.Epoll;
 import io.netty.util.HashedWheelTimer;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -40,7 +39,7 @@
    */
   public StoreHttpClient(StoreTimeouts timeouts) {
     DefaultAsyncHttpClientConfig.Builder options = new DefaultAsyncHttpClientConfig.Builder();
-    KeepAliveProbes.options().forEach((option, value) -> addOption(options, option, value));
+    KeepAliveProbes.addTo(options);
     AsyncHttpClientConfig config =
         options
             // With HTTP/2 a call beyond the bound of connections sleeps in the thread that makes
@@ -67,12 +66,6 @@
     client = Dsl.asyncHttpClient(config);
   }
 
-  @SuppressWarnings("unchecked") // each option is stored with a value of its own type
-  private static void addOption(
-      DefaultAsyncHttpClientConfig.Builder options, ChannelOption<?> option, Object value) {
-    options.addChannelOption((ChannelOption<Object>) option, value);
-  }
-
   /** Returns the client. */
   public AsyncHttpClient client() {
     return client;
--- a/wagtailpin/src/main/java/org/wagtailpin/transport/KeepAliveProbes.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/transport/KeepAliveProbes.java
@@ -5,6 +5,7 @@
 import io.netty.channel.epoll.EpollChannelOption;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 
 /**
  * Options by which TCP itself notices a peer that went silent, on idle connections and on those
@@ -26,8 +27,23 @@
 
   private KeepAliveProbes() {}
 
+  /**
+   * Adds the options to those of a client.
+   *
+   * @param client the client's options
+   */
+  public static void addTo(DefaultAsyncHttpClientConfig.Builder client) {
+    options().forEach((option, value) -> add(client, option, value));
+  }
+
+  @SuppressWarnings("unchecked") // each option is stored with a value of its own type
+  private static void add(
+      DefaultAsyncHttpClientConfig.Builder client, ChannelOption<?> option, Object value) {
+    client.addChannelOption((ChannelOption<Object>) option, value);
+  }
+
   /** Returns the options; where the native transport is missing, only the switch. */
-  public static Map<ChannelOption<?>, Object> options() {
+  private static Map<ChannelOption<?>, Object> options() {
     Map<ChannelOption<?>, Object> options = new LinkedHashMap<>();
     options.put(ChannelOption.SO_KEEPALIVE, true);
     if (Epoll.isAvailable()) {
