List again after a failed watch; a store that dropped its history may not say so

Ruled out: peers, from which the entry was cut, and the renewals of its lease, which were answered. After a failed watch the keys are listed. RegistryWatcherTest failed before and passes after.

--- a/wagtailpin/src/main/java/org/wagtailpin/registry/KeyFollower.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/KeyFollower.java
@@ -17,8 +17,8 @@
 /**
  * Follows the keys that begin with a prefix: lists them once, and then watches for changes.
  *
- * <p>At most one call is under way. It lists again when the store no longer holds the changes or
- * has gone back. Runs on the control loop.
+ * <p>At most one call is under way. It lists again when a watch failed, and when the store no longer
+ * holds the changes or has gone back. Runs on the control loop.
  */
 final class KeyFollower {
 
@@ -85,15 +85,11 @@
     }
   }
 
-  /** Gives up the call under way, if any, and goes on from the last revision. */
+  /** Gives up the call under way, if any, and lists anew. */
   void restart() {
     if (running) {
       run++;
-      if (revision == 0) {
-        list();
-      } else {
-        watch();
-      }
+      list();
     }
   }
 
@@ -139,7 +135,8 @@
       }
     } else if (result instanceof WatchResult.Failed failed) {
       listener.lost(failed.fault());
-      later(this::watch);
+      // A store that has dropped its history may tell so only with the next change.
+      later(this::list);
     } else {
       Logger.info("the store no longer holds the changes of {} after {}", prefix, revision);
       later(this::list);
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/RegistryWatcherTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/RegistryWatcherTest.java
@@ -169,6 +169,21 @@
     assertThat(published.current().service("one")).isEmpty();
   }
 
+  @Test
+  void whatChangedBeforeAWatchWasCutIsReadEvenIfTheNextWatchHearsNothing() {
+    watcher.stop();
+    CutWatchStore cutting = new CutWatchStore(faulty.client("other"));
+    watcher =
+        new RegistryWatcher(cutting, loop, clock, merger, new SharedRandom(3), new TextFormat());
+    watcher.start();
+    loop.advance(SOON_MILLIS);
+    cutting.cut();
+    put(TextFormat.DOCUMENT, "one");
+    loop.advance(SOON_MILLIS);
+
+    assertThat(published.current().service("one")).isPresent();
+  }
+
   @Test
   void whatChangedWhileTheHistoryWasDroppedIsReadAgain() {
     register("a", "staying 1 1");
