--- a/wagtailpin/src/main/java/org/wagtailpin/caller/CallerListener.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/CallerListener.java
@@ -10,6 +10,7 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.simple.RandomSource;
@@ -27,6 +28,7 @@
   private final EventLoopGroup acceptor;
   private final ListenerContext context;
   private Channel server;
+  private Optional<CompletableFuture<Integer>> drained = Optional.empty();
 
   /**
    * Creates a listener that does not listen yet.
@@ -113,18 +115,31 @@
 
   /**
    * Ends the service without cutting a call: no connection is accepted any more, answers ask for
-   * the connection's end, and idle connections are closed.
+   * the connection's end, and idle connections are closed. A further call can only shorten the
+   * grace time.
    *
    * @param graceMillis how long calls in flight may go on, in milliseconds
    * @return completed when all connections are closed, with the number of calls that were cut
    */
-  public CompletableFuture<Integer> drain(long graceMillis) {
+  public synchronized CompletableFuture<Integer> drain(long graceMillis) {
+    if (drained.isPresent()) {
+      // The acceptor may have ended, and with it the thread that would tell of its closing.
+      CompletableFuture<Integer> done = drained.get();
+      GlobalEventExecutor.INSTANCE.schedule(() -> cut(done), graceMillis, TimeUnit.MILLISECONDS);
+      return done;
+    }
     CompletableFuture<Integer> done = new CompletableFuture<>();
+    drained = Optional.of(done);
     context.startDraining();
     server.close().addListener(closed -> drainConnections(graceMillis, done));
     return done.whenComplete((cut, failure) -> acceptor.shutdownGracefully());
   }
 
+  /** Tells whether the thread that accepts connections has ended. */
+  boolean acceptorEnded() {
+    return acceptor.isTerminated();
+  }
+
   private void drainConnections(long graceMillis, CompletableFuture<Integer> done) {
     for (Channel channel : context.channels()) {
       channel
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/KeyFollower.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/KeyFollower.java
@@ -17,8 +17,8 @@
 /**
  * Follows the keys that begin with a prefix: lists them once, and then watches for changes.
  *
- * <p>At most one call is under way. It lists again when a watch failed, and when the store no longer
- * holds the changes or has gone back. Runs on the control loop.
+ * <p>At most one call is under way. It lists again when a watch failed, and when the store no
+ * longer holds the changes or has gone back. Runs on the control loop.
  */
 final class KeyFollower {
 
--- a/wagtailpin/src/test/java/org/wagtailpin/caller/DrainTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/caller/DrainTest.java
@@ -113,4 +113,18 @@
       entries.forEach(TestEntry::close);
     }
   }
+
+  @Test
+  void aSecondDrainEndsAlsoWhenTheAcceptorIsGone() throws Exception {
+    try (RawServer server = new RawServer((request, connection) -> true);
+        TestEntry entry = new TestEntry.Builder().server(server.port()).start()) {
+      entry.listener().drain(0).join();
+      long until = System.nanoTime() + 20_000_000_000L;
+      while (!entry.listener().acceptorEnded() && System.nanoTime() < until) {
+        Thread.onSpinWait();
+      }
+
+      assertThat(entry.listener().drain(0).get(5, TimeUnit.SECONDS)).isEqualTo(0);
+    }
+  }
 }
