Refuse requests that a leaving entry can't finish

Cause: an entry that drains serves requests that still come on kept connections. Ruled out: a call of the notice time (all of those end 3 s before the cut) and a connection that was idle too long (the request came within the linger time of the drain).

A request whose deadline lies beyond the grace time is now answered 503 as not run, with the connection's end and when to come back. The new test of DrainTest failed before with 200.

--- a/wagtailpin/src/main/java/org/wagtailpin/caller/CallerConnection.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/CallerConnection.java
@@ -40,6 +40,7 @@
   private static final int BAD_REQUEST = 400;
   private static final int REQUEST_TIMEOUT = 408;
   private static final int CONTENT_TOO_LARGE = 413;
+  private static final int SERVICE_UNAVAILABLE = 503;
 
   private final ListenerContext listener;
   private final AnswerEncoder encoder;
@@ -186,10 +187,21 @@
       keepAlive = keepAlive && !continues;
       writer.problem(refused.problem());
     } else if (admission instanceof CallAdmission.Admitted admitted) {
-      start(request, admitted, length, continues);
+      if (listener.cutsBefore(admitted.descriptor().deadlineMillis())) {
+        writer.problem(leaving());
+      } else {
+        start(request, admitted, length, continues);
+      }
     }
   }
 
+  private Problem leaving() {
+    Fault fault =
+        new Fault(Step.ADMIT, Peer.SELF, "", "the entry leaves before the request's deadline");
+    long retryAfterMillis = listener.environment().settings().retryAfterMillis();
+    return new Problem(SERVICE_UNAVAILABLE, Outcome.NOT_RUN, fault, Optional.of(retryAfterMillis));
+  }
+
   private void start(
       IncomingRequest request, CallAdmission.Admitted admitted, long length, boolean continues) {
     listener.calls().incrementAndGet();
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/CallerListener.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/CallerListener.java
@@ -115,8 +115,8 @@
 
   /**
    * Ends the service without cutting a call: no connection is accepted any more, answers ask for
-   * the connection's end, and idle connections are closed. A further call can only shorten the
-   * grace time.
+   * the connection's end, and idle connections are closed. A request that still comes is refused if
+   * its deadline lies beyond the grace time. A further call can only shorten the grace time.
    *
    * @param graceMillis how long calls in flight may go on, in milliseconds
    * @return completed when all connections are closed, with the number of calls that were cut
@@ -130,7 +130,7 @@
     }
     CompletableFuture<Integer> done = new CompletableFuture<>();
     drained = Optional.of(done);
-    context.startDraining();
+    context.startDraining(graceMillis);
     server.close().addListener(closed -> drainConnections(graceMillis, done));
     return done.whenComplete((cut, failure) -> acceptor.shutdownGracefully());
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/ListenerContext.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/ListenerContext.java
@@ -17,6 +17,7 @@
   private final AtomicInteger connections = new AtomicInteger();
   private final AtomicInteger calls = new AtomicInteger();
   private volatile boolean draining;
+  private volatile long drainEndMillis = Long.MAX_VALUE;
 
   ListenerContext(CallEnvironment environment, CallerLimits limits, RequestHeadReader heads) {
     this.environment = environment;
@@ -77,7 +78,22 @@
     return draining;
   }
 
-  void startDraining() {
+  /**
+   * Notes that the listener drains.
+   *
+   * @param graceMillis how long calls in flight may go on, in milliseconds
+   */
+  void startDraining(long graceMillis) {
+    drainEndMillis = environment.clock().millis() + graceMillis;
     draining = true;
   }
+
+  /**
+   * Tells whether connections are cut before a call must have ended.
+   *
+   * @param deadlineMillis the call's deadline
+   */
+  boolean cutsBefore(long deadlineMillis) {
+    return draining && deadlineMillis > drainEndMillis;
+  }
 }
--- a/wagtailpin/src/test/java/org/wagtailpin/caller/DrainTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/caller/DrainTest.java
@@ -114,6 +114,29 @@
     }
   }
 
+  @Test
+  void aRequestThatMayOutlastTheGraceTimeIsRefusedAsNotRun() throws Exception {
+    AtomicInteger ran = new AtomicInteger();
+    try (RawServer server =
+            new RawServer(
+                (request, to) -> {
+                  ran.incrementAndGet();
+                  return to.answer(request, "", "x");
+                });
+        TestEntry entry = new TestEntry.Builder().server(server.port()).start();
+        RawCaller caller = entry.caller()) {
+      assertThat(caller.call("POST", "/x", "", "1").status()).isEqualTo(200);
+      // The route of the fixture allows more than a second.
+      entry.listener().drain(1_000);
+      HttpText answer = caller.call("POST", "/x", "", "2");
+
+      assertThat(answer.status()).isEqualTo(503);
+      assertThat(answer.header("connection")).isEqualTo("close");
+      assertThat(answer.header("retry-after")).isNotEmpty();
+      assertThat(ran.get()).isEqualTo(1);
+    }
+  }
+
   @Test
   void aSecondDrainEndsAlsoWhenTheAcceptorIsGone() throws Exception {
     try (RawServer server = new RawServer((request, connection) -> true);
