--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -25,6 +25,7 @@
 import org.wagtailpin.entrypeer.NettyPeerMessenger;
 import org.wagtailpin.entrypeer.NettyPeerSettings;
 import org.wagtailpin.entrypeer.PeerIdentity;
+import org.wagtailpin.eventlog.EventLog;
 import org.wagtailpin.hostlist.Host;
 import org.wagtailpin.hostlist.HostListPoller;
 import org.wagtailpin.hostlist.HostListSettings;
@@ -37,6 +38,7 @@
 import org.wagtailpin.membership.LimitShares;
 import org.wagtailpin.membership.Member;
 import org.wagtailpin.membership.Membership;
+import org.wagtailpin.membership.PeerChanges;
 import org.wagtailpin.membership.WatchDuty;
 import org.wagtailpin.registry.RegistryWatcher;
 import org.wagtailpin.store.Store;
@@ -48,6 +50,10 @@
 
   private static final long FLUSH_WAIT_MILLIS = 2_000;
 
+  /** How late the log may learn of a change among the other entries. */
+  private static final long PEERS_PERIOD_MILLIS = 1_000;
+
+  private final long incarnation;
   private final StoreHttpClient storeClient;
   private final Store store;
   private final MergedConfig merged = new MergedConfig();
@@ -59,13 +65,21 @@
   private final Membership membership;
   private final ShardedClaims claims;
   private final ControlLoop loop;
+  private final Clock clock;
+  private final PeerChanges peers;
   private final Optional<HostListPoller> hosts;
 
   ControlParts(
-      EntrySettings settings, EntryPlatform platform, Clock clock, ControlLoop loop, long seed) {
+      EntrySettings settings,
+      EntryPlatform platform,
+      Clock clock,
+      ControlLoop loop,
+      EventLog events,
+      long seed) {
     this.loop = loop;
+    this.clock = clock;
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
-    long incarnation = clock.wallMillis();
+    incarnation = clock.wallMillis();
     storeClient = new StoreHttpClient(StoreTimeouts.defaults());
     store = platform.store(storeClient.client(), settings);
     published = new PublishedConfig(List.of(defaults(settings.constants())));
@@ -74,7 +88,7 @@
     registry =
         platform
             .registry(settings)
-            .map(format -> new RegistryWatcher(store, loop, clock, merger, random, format));
+            .map(format -> new RegistryWatcher(store, loop, clock, merger, random, format, events));
     LearntAddressBook addresses = new LearntAddressBook();
     messenger =
         new NettyPeerMessenger(
@@ -101,6 +115,7 @@
             platform.membership(),
             seeds(settings));
     registry.ifPresent(watcher -> membership.onStoreReachability(watcher::storeReachable));
+    peers = new PeerChanges(events, platform.membership().silenceMillis());
     claims =
         new ShardedClaims(
             ClaimSettings.defaults(),
@@ -184,9 +199,15 @@
     }
     loop.execute(membership::start);
     registry.ifPresent(watcher -> loop.execute(watcher::start));
+    loop.execute(this::followPeers);
     hosts.ifPresent(poller -> loop.execute(poller::start));
   }
 
+  private void followPeers() {
+    peers.update(membership.status().peers());
+    loop.schedule(PEERS_PERIOD_MILLIS, this::followPeers);
+  }
+
   CompletableFuture<Void> leave() {
     CompletableFuture<Void> left = new CompletableFuture<>();
     loop.execute(
@@ -198,6 +219,21 @@
     return left;
   }
 
+  /** Returns how long ago the store was heard last, in milliseconds, if entries follow it so. */
+  Optional<Long> storeSilenceMillis() {
+    return registry.map(watcher -> clock.millis() - watcher.heardMillis());
+  }
+
+  /** Returns how long the newest change of the configuration has been in force. */
+  long configAgeMillis() {
+    return clock.wallMillis() - merger.origin().sinceWallMillis();
+  }
+
+  /** Returns the number of this start, which grows with each. */
+  public long incarnation() {
+    return incarnation;
+  }
+
   /** Returns the configuration in force. */
   public PublishedConfig published() {
     return published;
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryCommand.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryCommand.java
@@ -8,7 +8,8 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
-import org.tinylog.Logger;
+import org.wagtailpin.eventlog.Event;
+import org.wagtailpin.eventlog.EventKind;
 
 /**
  * Command that runs an entry until SIGTERM, and then lets it leave gracefully.
@@ -100,15 +101,22 @@
       SettingsReadResult result = readSettings();
       if (result instanceof SettingsReadResult.Read read) {
         node.changeConstants(read.settings().constants());
-        Logger.info("settings were read again");
+        node.events()
+            .note(
+                Event.of(EventKind.SETTINGS_READ)
+                    .with("constants", read.settings().constants().toString()));
       } else if (result instanceof SettingsReadResult.Malformed malformed) {
-        Logger.error("settings stay as they are: {}", malformed.problems());
+        refused(node, malformed.problems().toString());
       }
     } catch (IOException e) {
-      Logger.error(e, "settings stay as they are");
+      refused(node, e.toString());
     }
   }
 
+  private static void refused(EntryNode node, String detail) {
+    node.events().note(Event.of(EventKind.SETTINGS_REFUSED).with("detail", detail));
+  }
+
   private SettingsReadResult readSettings() throws IOException {
     byte[] text = Files.readAllBytes(settingsFile.toPath());
     return new SettingsReader().read(settingsFile.getPath(), text);
--- /dev/null
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryGauges.java
@@ -0,0 +1,113 @@
+package org.wagtailpin.daemon;
+
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.DoubleSupplier;
+import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.config.ConfigService;
+import org.wagtailpin.config.ConfigSnapshot;
+import org.wagtailpin.membership.PeerStatus;
+
+/** Gauges of what an entry believes, and of how old that is. */
+final class EntryGauges {
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  private EntryGauges() {}
+
+  static void register(PrometheusRegistry registry, EntryNode node) {
+    gauge(registry, "wagtailpin_ready", "1 if the entry is ready.", () -> node.ready() ? 1 : 0);
+    gauge(registry, "wagtailpin_calls_in_flight", "Calls in flight.", node::calls);
+    gauge(
+        registry,
+        "wagtailpin_backend_connections",
+        "Open connections to backend servers.",
+        node.traffic()::backendConnections);
+    gauge(
+        registry,
+        "wagtailpin_config_age_seconds",
+        "Time since the newest change of the configuration in force.",
+        () -> seconds(node.control().configAgeMillis()));
+    GaugeWithCallback.builder()
+        .name("wagtailpin_store_silence_seconds")
+        .help("Time since the store last answered a list or a watch.")
+        .callback(
+            gauge ->
+                node.control()
+                    .storeSilenceMillis()
+                    .ifPresent(millis -> gauge.call(seconds(millis))))
+        .register(registry);
+    servers(registry, node);
+    peers(registry, node);
+    counter(registry, "wagtailpin_log_lines_dropped", "Log lines dropped.", node.events()::dropped);
+    counter(
+        registry,
+        "wagtailpin_log_lines_not_sampled",
+        "Log lines of requests outside the sample.",
+        node.events()::notSampled);
+  }
+
+  private static void servers(PrometheusRegistry registry, EntryNode node) {
+    GaugeWithCallback.builder()
+        .name("wagtailpin_servers")
+        .help("Backend servers by service and state.")
+        .labelNames("service", "state")
+        .callback(
+            gauge -> {
+              ConfigSnapshot config = node.control().published().current();
+              for (ConfigService known : config.services()) {
+                String service = known.name();
+                List<ConfigServer> servers = config.servers(service);
+                int leaving = (int) servers.stream().filter(ConfigServer::leaving).count();
+                gauge.call(servers.size() - leaving, service, "serving");
+                gauge.call(leaving, service, "leaving");
+              }
+            })
+        .register(registry);
+  }
+
+  private static void peers(PrometheusRegistry registry, EntryNode node) {
+    gauge(
+        registry,
+        "wagtailpin_peers",
+        "Other entries that are counted.",
+        () -> node.control().membership().status().peers().size());
+    gauge(
+        registry,
+        "wagtailpin_peer_silence_seconds",
+        "Time since the entry that is silent longest was heard.",
+        () ->
+            seconds(
+                node.control().membership().status().peers().stream()
+                    .map(PeerStatus::heardAgoMillis)
+                    .flatMap(Optional::stream)
+                    .mapToLong(Long::longValue)
+                    .max()
+                    .orElse(0)));
+  }
+
+  private static double seconds(long millis) {
+    return millis / MILLIS_PER_SECOND;
+  }
+
+  private static void gauge(
+      PrometheusRegistry registry, String name, String help, DoubleSupplier value) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(gauge -> gauge.call(value.getAsDouble()))
+        .register(registry);
+  }
+
+  private static void counter(
+      PrometheusRegistry registry, String name, String help, DoubleSupplier value) {
+    CounterWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(counter -> counter.call(value.getAsDouble()))
+        .register(registry);
+  }
+}
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import org.tinylog.Logger;
 import org.wagtailpin.caller.CallerLimits;
 import org.wagtailpin.caller.CallerListener;
@@ -19,6 +20,10 @@
 import org.wagtailpin.clock.SystemClock;
 import org.wagtailpin.config.Tunable;
 import org.wagtailpin.control.ThreadControlLoop;
+import org.wagtailpin.daemon.log.JsonConsoleWriter;
+import org.wagtailpin.eventlog.BoundedEventLog;
+import org.wagtailpin.eventlog.Event;
+import org.wagtailpin.eventlog.EventKind;
 import org.wagtailpin.membership.LimitShares;
 import org.wagtailpin.operator.AdminListener;
 import org.wagtailpin.operator.AdminPage;
@@ -48,10 +53,12 @@
   private final Clock clock = new SystemClock();
   private final ThreadControlLoop loop;
   private final EventLoopGroup trafficLoops;
+  private final BoundedEventLog events;
   private final ControlParts control;
   private final TrafficParts traffic;
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final AdminListener admin;
+  private final Optional<AdminListener> metrics;
   private final CallerListener callers;
   private final Optional<CallerListener> internal;
   private final AtomicBoolean closed = new AtomicBoolean();
@@ -73,18 +80,33 @@
    * @param platform what it runs on
    */
   public EntryNode(EntrySettings settings, EntryPlatform platform) {
+    this(settings, platform, line -> Logger.tag(JsonConsoleWriter.RAW_TAG).info("{}", line));
+  }
+
+  /**
+   * Wires an entry that is not started and whose events go elsewhere than to the console.
+   *
+   * @param settings its settings
+   * @param platform what it runs on
+   * @param eventLines takes each line of the event log, on a thread that may be blocked
+   */
+  public EntryNode(EntrySettings settings, EntryPlatform platform, Consumer<String> eventLines) {
     this.settings = settings;
     this.platform = platform;
     this.loop = new ThreadControlLoop(settings.id() + "-control");
     this.trafficLoops =
         EventLoops.createAffine(settings.trafficThreads(), settings.id() + "-traffic");
+    this.events = new BoundedEventLog(settings.id(), settings.eventLog(), clock, eventLines);
     long seed = settings.seed().orElseGet(System::nanoTime);
-    this.control = new ControlParts(settings, platform, clock, loop, seed);
+    this.control = new ControlParts(settings, platform, clock, loop, events, seed);
     this.traffic =
-        new TrafficParts(settings, platform, clock, loop, trafficLoops, control, registry, seed);
+        new TrafficParts(
+            settings, platform, clock, loop, trafficLoops, control, registry, events, seed);
+    EntryGauges.register(registry, this);
     this.callers = listener(ListenerKind.PUBLIC, settings.callers());
     this.internal = settings.internal().map(address -> listener(ListenerKind.INTERNAL, address));
     this.admin = adminListener();
+    this.metrics = settings.metrics().map(this::metricsListener);
   }
 
   private AdminListener adminListener() {
@@ -104,6 +126,12 @@
         new InetSocketAddress(settings.admin().address(), settings.admin().port()), pages);
   }
 
+  private AdminListener metricsListener(ListenAddress address) {
+    return new AdminListener(
+        new InetSocketAddress(address.address(), address.port()),
+        List.of(new MetricsPage(registry)));
+  }
+
   private CallerListener listener(ListenerKind kind, ListenAddress address) {
     CallerSettings callerSettings =
         new CallerSettings(
@@ -123,11 +151,15 @@
       loop.execute(traffic::followHostList);
     }
     admin.start();
+    metrics.ifPresent(AdminListener::start);
     callers.start();
     if (internal.isPresent()) {
       internal.get().start();
     }
-    Logger.info("entry {} started, callers on {}", settings.id(), callers.address());
+    events.note(
+        Event.of(EventKind.ENTRY_STARTED)
+            .with("callers", callers.address().toString())
+            .with("incarnation", control.incarnation()));
   }
 
   /** Tells whether the entry has a configuration and is not leaving. */
@@ -183,6 +215,11 @@
     return internal.map(CallerListener::address);
   }
 
+  /** Returns the event log. */
+  public BoundedEventLog events() {
+    return events;
+  }
+
   /** Returns the parts that the control thread owns. */
   public ControlParts control() {
     return control;
@@ -206,7 +243,11 @@
    */
   public CompletableFuture<Integer> leave() {
     leaving = true;
-    Logger.info("entry {} leaves", settings.id());
+    events.note(
+        Event.of(EventKind.ENTRY_LEAVING)
+            .with("calls", calls())
+            .with("noticeMillis", settings.noticeMillis())
+            .with("graceMillis", settings.graceMillis()));
     loop.execute(control.membership()::announceLeaving);
     CompletableFuture<Integer> done = new CompletableFuture<>();
     loop.schedule(settings.noticeMillis(), () -> drain(done));
@@ -224,8 +265,10 @@
         .thenCompose(cut -> sayGoodbye().thenApply(left -> cut))
         .whenCompleteAsync(
             (cut, failure) -> {
+              int calls = cut == null ? 0 : cut;
+              events.note(Event.of(EventKind.ENTRY_LEFT).with("cut", calls));
               close();
-              done.complete(cut == null ? 0 : cut);
+              done.complete(calls);
             });
   }
 
@@ -241,11 +284,13 @@
       return;
     }
     admin.close();
+    metrics.ifPresent(AdminListener::close);
     control.close();
     traffic.close();
     trafficLoops
         .shutdownGracefully(0, CLOSE_WAIT_MILLIS, TimeUnit.MILLISECONDS)
         .awaitUninterruptibly(CLOSE_WAIT_MILLIS);
     loop.close();
+    events.close();
   }
 }
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntrySettings.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntrySettings.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.wagtailpin.config.Tunable;
+import org.wagtailpin.eventlog.EventLogSettings;
 
 /**
  * The settings of one entry.
@@ -16,6 +17,7 @@
  * @param internal where backend servers connect that call further, empty for nowhere
  * @param admin where operators connect
  * @param peers where other entries connect
+ * @param metrics where metrics are read besides the operators' address, empty for nowhere
  * @param seeds addresses of other entries, asked when the store does not answer at the start
  * @param store the address of the store
  * @param hostList the address of the host list, empty if there is none
@@ -23,7 +25,7 @@
  * @param noticeMillis how long calls are still accepted after the entry has said that it is not
  *     ready, in milliseconds
  * @param graceMillis how long calls in flight may go on after that, in milliseconds
- * @param decisionLogCapacity decisions that wait to be logged before more are dropped
+ * @param eventLog the bounds of the event log
  * @param failureDomains the region of each failure domain, for servers that name only the latter
  * @param constants values of named constants where the configuration states none
  * @param seed the seed of the random choices, empty for one that differs at each start
@@ -36,13 +38,14 @@
     Optional<ListenAddress> internal,
     ListenAddress admin,
     ListenAddress peers,
+    Optional<ListenAddress> metrics,
     List<ListenAddress> seeds,
     URI store,
     Optional<URI> hostList,
     int trafficThreads,
     long noticeMillis,
     long graceMillis,
-    int decisionLogCapacity,
+    EventLogSettings eventLog,
     Map<String, String> failureDomains,
     Map<Tunable, Double> constants,
     Optional<Long> seed) {
@@ -54,7 +57,7 @@
     constants = Map.copyOf(constants);
   }
 
-  /** Creates settings without failure domains and constants. */
+  /** Creates settings without an address for metrics, failure domains and constants. */
   public EntrySettings(
       String id,
       String region,
@@ -69,7 +72,7 @@
       int trafficThreads,
       long noticeMillis,
       long graceMillis,
-      int decisionLogCapacity,
+      EventLogSettings eventLog,
       Optional<Long> seed) {
     this(
         id,
@@ -79,13 +82,14 @@
         internal,
         admin,
         peers,
+        Optional.empty(),
         seeds,
         store,
         hostList,
         trafficThreads,
         noticeMillis,
         graceMillis,
-        decisionLogCapacity,
+        eventLog,
         Map.of(),
         Map.of(),
         seed);
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryStatusPart.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryStatusPart.java
@@ -15,7 +15,7 @@
    * @param leaving whether it has begun to leave
    * @param calls how many calls are in flight
    * @param backendConnections how many connections to backend servers are open
-   * @param droppedDecisions how many decisions were not logged because the log was full
+   * @param droppedLines how many log lines were dropped because their queue was full
    */
   record EntryStatus(
       String id,
@@ -25,7 +25,7 @@
       boolean leaving,
       int calls,
       int backendConnections,
-      long droppedDecisions) {}
+      long droppedLines) {}
 
   private final EntryNode node;
 
@@ -49,6 +49,6 @@
         node.leaving(),
         node.calls(),
         node.traffic().backendConnections(),
-        node.traffic().droppedDecisions());
+        node.events().dropped());
   }
 }
--- a/daemon/src/main/java/org/wagtailpin/daemon/SettingsReader.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/SettingsReader.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.wagtailpin.config.Tunable;
 import org.wagtailpin.config.TunableValues;
+import org.wagtailpin.eventlog.EventLogSettings;
 import org.wagtailpin.json.JsonObjectReader;
 import org.wagtailpin.json.JsonParseResult;
 import org.wagtailpin.json.JsonProblems;
@@ -19,7 +20,7 @@
   private static final int MAX_PORT = 65_535;
   private static final int MAX_THREADS = 64;
   private static final long MAX_MILLIS = 3_600_000;
-  private static final int MAX_LOG_CAPACITY = 1_000_000;
+  private static final int MAX_LOG_LINES = 1_000_000;
 
   private static final String ADDRESS_EXPECTED =
       "an object with address and port, or a text such as 10.0.0.1:7400";
@@ -27,7 +28,6 @@
   private static final int DEFAULT_THREADS = 4;
   private static final long DEFAULT_NOTICE_MILLIS = 3_000;
   private static final long DEFAULT_GRACE_MILLIS = 30_000;
-  private static final int DEFAULT_LOG_CAPACITY = 8_192;
 
   private final JsonTextParser parser = new JsonTextParser();
 
@@ -61,18 +61,42 @@
         in.object("internal").map(SettingsReader::address),
         address(in, "admin"),
         address(in, "peers"),
+        in.has("metrics") ? Optional.of(address(in, "metrics")) : Optional.empty(),
         seeds(in),
         uri(in, "store").orElse(URI.create("http://127.0.0.1")),
         in.has("hostList") ? uri(in, "hostList") : Optional.empty(),
         (int) in.integer("trafficThreads", 1, MAX_THREADS, DEFAULT_THREADS),
         in.integer("noticeMillis", 0, MAX_MILLIS, DEFAULT_NOTICE_MILLIS),
         in.integer("graceMillis", 0, MAX_MILLIS, DEFAULT_GRACE_MILLIS),
-        (int) in.integer("decisionLogCapacity", 1, MAX_LOG_CAPACITY, DEFAULT_LOG_CAPACITY),
+        eventLog(in),
         failureDomains(in),
         constants(in),
         seed(in));
   }
 
+  private static EventLogSettings eventLog(JsonObjectReader in) {
+    EventLogSettings standard = EventLogSettings.defaults();
+    int waiting =
+        (int) in.integer("decisionLogCapacity", 1, MAX_LOG_LINES, standard.waitingLines());
+    return in.object("eventLog")
+        .map(log -> eventLog(log, waiting))
+        .orElseGet(() -> standard.withWaitingLines(waiting));
+  }
+
+  private static EventLogSettings eventLog(JsonObjectReader in, int waiting) {
+    EventLogSettings standard = EventLogSettings.defaults();
+    EventLogSettings read =
+        new EventLogSettings(
+            waiting,
+            (int) in.integer("linesPerSecond", 0, MAX_LOG_LINES, standard.linesPerSecond()),
+            (int)
+                in.integer(
+                    "failureLinesPerSecond", 1, MAX_LOG_LINES, standard.failureLinesPerSecond()),
+            in.integer("gatherMillis", 0, MAX_MILLIS, standard.gatherMillis()));
+    in.end();
+    return read;
+  }
+
   private static Map<String, String> failureDomains(JsonObjectReader in) {
     Map<String, String> regions = new HashMap<>();
     in.object("failureDomains")
--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -5,19 +5,16 @@
 import java.util.List;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-import org.tinylog.Logger;
 import org.wagtailpin.backend.BackendClient;
 import org.wagtailpin.backend.BackendLoadProbe;
 import org.wagtailpin.backend.BackendSettings;
 import org.wagtailpin.call.CallEnvironment;
 import org.wagtailpin.call.CallSettings;
-import org.wagtailpin.call.JsonDecisionLog;
 import org.wagtailpin.call.PrometheusCallMetrics;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.control.ControlLoop;
 import org.wagtailpin.control.Scheduled;
-import org.wagtailpin.daemon.log.JsonConsoleWriter;
+import org.wagtailpin.eventlog.EventLog;
 import org.wagtailpin.limits.BudgetedRetryPolicy;
 import org.wagtailpin.limits.RetryBudgets;
 import org.wagtailpin.limits.RouteTimes;
@@ -41,7 +38,6 @@
   private final ControlLoop loop;
   private final ControlParts control;
   private final BackendClient backend;
-  private final JsonDecisionLog decisions;
   private final DepartureList departures = new DepartureList();
   private final CallEnvironment environment;
 
@@ -53,14 +49,13 @@
       EventLoopGroup trafficLoops,
       ControlParts control,
       PrometheusRegistry registry,
+      EventLog events,
       long seed) {
     this.loop = loop;
     this.control = control;
     LimitShares shares = control.shares();
     SharedRandom random = new SharedRandom(seed);
     RouteTimes times = new RouteTimes(clock);
-    Consumer<String> lines = line -> Logger.tag(JsonConsoleWriter.RAW_TAG).info("{}", line);
-    decisions = new JsonDecisionLog(settings.decisionLogCapacity(), clock, lines);
     backend =
         new BackendClient(
             BackendSettings.defaults(),
@@ -81,7 +76,7 @@
             new PlacementObservers(
                 List.of(
                     new PrometheusPlacementObserver(registry),
-                    new LoggedPlacementObserver(clock, decisions))),
+                    new LoggedPlacementObserver(events))),
             new BackendLoadProbe(backend, trafficLoops, platform.dialect(), PROBE_TIMEOUT_MILLIS));
     environment =
         new CallEnvironment(
@@ -93,7 +88,7 @@
             control.claims(),
             backend,
             clock,
-            decisions,
+            events,
             new PrometheusCallMetrics(registry),
             platform.dialect());
   }
@@ -119,11 +114,6 @@
     return departures;
   }
 
-  /** Returns how many decisions were not logged because the log was full. */
-  public long droppedDecisions() {
-    return decisions.dropped();
-  }
-
   /** Returns how many connections to backend servers are open. */
   public int backendConnections() {
     return backend.openConnections();
@@ -132,6 +122,5 @@
   @Override
   public void close() {
     backend.close();
-    decisions.close();
   }
 }
--- a/daemon/src/test/java/org/wagtailpin/daemon/Fleet.java
+++ b/daemon/src/test/java/org/wagtailpin/daemon/Fleet.java
@@ -22,6 +22,7 @@
 import org.wagtailpin.config.TicketReader;
 import org.wagtailpin.config.TicketResult;
 import org.wagtailpin.control.ThreadControlLoop;
+import org.wagtailpin.eventlog.EventLogSettings;
 import org.wagtailpin.standins.backend.BackendServerStandIn;
 import org.wagtailpin.standins.backend.ServerProfile;
 import org.wagtailpin.standins.backend.WorkLedger;
@@ -96,7 +97,7 @@
             2,
             200,
             10_000,
-            1_000,
+            EventLogSettings.defaults(),
             Optional.of(SEED));
     peerAddresses.add(peers);
     return settings;
--- a/proof/src/test/java/org/wagtailpin/proof/scenario/RunningFleet.java
+++ b/proof/src/test/java/org/wagtailpin/proof/scenario/RunningFleet.java
@@ -35,6 +35,7 @@
 import org.wagtailpin.daemon.EntryNode;
 import org.wagtailpin.daemon.EntrySettings;
 import org.wagtailpin.daemon.ListenAddress;
+import org.wagtailpin.eventlog.EventLogSettings;
 import org.wagtailpin.standins.backend.BackendServerStandIn;
 import org.wagtailpin.standins.backend.ServerProfile;
 import org.wagtailpin.standins.backend.WorkLedger;
@@ -101,7 +102,7 @@
         1,
         200,
         DEADLINE_MILLIS,
-        1_000,
+        EventLogSettings.defaults(),
         Optional.of(seed));
   }
 
--- /dev/null
+++ b/tools/src/main/java/org/wagtailpin/tools/ExplainCommand.java
@@ -0,0 +1,97 @@
+package org.wagtailpin.tools;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import org.wagtailpin.tools.explain.LogExplanation;
+
+/** Command that says from entries' logs why a request ended as it did. */
+public final class ExplainCommand extends ArgumentsCommand<ExplainCommand.Arguments> {
+
+  /** The command's arguments. */
+  static final class Arguments extends ArgumentsCommand.Arguments {
+    @Option(name = "--summary", usage = "count failures by cause over time instead")
+    private boolean summary;
+
+    @Argument(metaVar = "REQUEST-ID FILE", usage = "the request, and logs; standard input if none")
+    private List<String> words = new ArrayList<>();
+  }
+
+  private final InputStream standardInput;
+
+  /** Creates the command. */
+  public ExplainCommand() {
+    this(System.in);
+  }
+
+  ExplainCommand(InputStream standardInput) {
+    this.standardInput = standardInput;
+  }
+
+  @Override
+  public String name() {
+    return "explain";
+  }
+
+  @Override
+  public String summary() {
+    return "Tells from entries' logs what became of a request and why, or counts failures.";
+  }
+
+  @Override
+  String usage() {
+    return "REQUEST-ID [FILE...] | --summary [FILE...]";
+  }
+
+  @Override
+  Arguments defaults() {
+    return new Arguments();
+  }
+
+  @Override
+  int run(Arguments arguments, Console console) {
+    if (!arguments.summary && arguments.words.isEmpty()) {
+      console.complain("explain: found no request, expected %s", usage());
+      return ExitCode.USAGE;
+    }
+    LogExplanation explanation =
+        arguments.summary
+            ? LogExplanation.ofFailures()
+            : LogExplanation.ofRequest(arguments.words.get(0));
+    List<String> files = arguments.words.subList(arguments.summary ? 0 : 1, arguments.words.size());
+    try {
+      readAll(files, explanation);
+    } catch (IOException e) {
+      console.complain("explain: %s", e);
+      return ExitCode.NOT_DONE;
+    }
+    explanation.lines().forEach(line -> console.say("%s", line));
+    if (explanation.unreadable() > 0) {
+      console.complain("explain: %d lines could not be read", explanation.unreadable());
+    }
+    return explanation.found() ? ExitCode.DONE : ExitCode.NOT_DONE;
+  }
+
+  private void readAll(List<String> files, LogExplanation explanation) throws IOException {
+    if (files.isEmpty()) {
+      explanation.read(
+          new BufferedReader(new InputStreamReader(standardInput, StandardCharsets.UTF_8)));
+    }
+    for (String file : files) {
+      // A log may hold bytes that are no UTF-8, which only make their lines unreadable.
+      try (BufferedReader log =
+          new BufferedReader(
+              new InputStreamReader(Files.newInputStream(Path.of(file)), StandardCharsets.UTF_8))) {
+        explanation.read(log);
+      }
+    }
+  }
+}
--- a/tools/src/main/java/org/wagtailpin/tools/Launcher.java
+++ b/tools/src/main/java/org/wagtailpin/tools/Launcher.java
@@ -39,6 +39,7 @@
     commands.add(new ApplyCommand());
     commands.add(new StatusCommand());
     commands.add(new DrainCommand());
+    commands.add(new ExplainCommand());
     commands.add(new StandInCommand());
     commands.add(
         new PlainCommand(
--- a/tools/src/main/java/org/wagtailpin/tools/demo/DemoCommand.java
+++ b/tools/src/main/java/org/wagtailpin/tools/demo/DemoCommand.java
@@ -1,5 +1,8 @@
 package org.wagtailpin.tools.demo;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.File;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.util.List;
@@ -31,6 +34,9 @@
   @Option(name = "--seed", usage = "seed of service times, arrivals and choices")
   private long seed = 7;
 
+  @Option(name = "--log", usage = "file that takes the entries' events")
+  private File logFile = new File(System.getProperty("java.io.tmpdir"), "wagtailpin-demo.log");
+
   @Option(name = "--help", help = true, usage = "print this text")
   private boolean help;
 
@@ -59,9 +65,10 @@
   }
 
   private int show(PrintStream out, PrintStream err) {
-    try (DemoSite site = new DemoSite(seed);
+    try (PrintStream log = new PrintStream(logFile, UTF_8);
+        DemoSite site = new DemoSite(seed, log);
         DemoTraffic traffic = new DemoTraffic(seed)) {
-      out.println("seed " + seed);
+      out.println("seed " + seed + ", the entries' events go to " + logFile);
       site.start();
       TicketResult ticket = site.acceptServices();
       out.println("ticket 1: " + ticket.getClass().getSimpleName());
--- a/tools/src/main/java/org/wagtailpin/tools/demo/DemoSite.java
+++ b/tools/src/main/java/org/wagtailpin/tools/demo/DemoSite.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -22,6 +23,8 @@
 import org.wagtailpin.daemon.EntryNode;
 import org.wagtailpin.daemon.EntrySettings;
 import org.wagtailpin.daemon.ListenAddress;
+import org.wagtailpin.daemon.OwnPlatform;
+import org.wagtailpin.eventlog.EventLogSettings;
 import org.wagtailpin.standins.backend.BackendServerStandIn;
 import org.wagtailpin.standins.backend.ServerProfile;
 import org.wagtailpin.standins.backend.WorkLedger;
@@ -51,13 +54,21 @@
   private final ThreadControlLoop operatorLoop = new ThreadControlLoop("operator");
   private final StoreHttpClient operatorClient = new StoreHttpClient(StoreTimeouts.defaults());
   private final WorkLedger ledger = new WorkLedger();
+  private final PrintStream log;
   private final StoreStandIn store;
   private final List<BackendServerStandIn> lessons = new ArrayList<>();
   private final List<BackendServerStandIn> orders = new ArrayList<>();
   private final List<EntryNode> entries = new ArrayList<>();
 
-  DemoSite(long seed) {
+  /**
+   * Creates a site that is not started.
+   *
+   * @param seed the seed of all random choices
+   * @param log takes the entries' events
+   */
+  DemoSite(long seed, PrintStream log) {
     this.seed = seed;
+    this.log = log;
     this.store = new StoreStandIn(anyPort(), seed);
   }
 
@@ -95,7 +106,8 @@
     List<ListenAddress> seeds = new ArrayList<>();
     for (int number = 0; number < ENTRIES; number++) {
       ListenAddress peers = new ListenAddress(loopback(), freePort());
-      EntryNode entry = new EntryNode(settings("entry-" + number, peers, seeds));
+      EntryNode entry =
+          new EntryNode(settings("entry-" + number, peers, seeds), new OwnPlatform(), log::println);
       entry.start();
       entries.add(entry);
       seeds.add(peers);
@@ -118,7 +130,7 @@
         2,
         500,
         10_000,
-        8_192,
+        EventLogSettings.defaults(),
         Optional.of(seed));
   }
 
--- /dev/null
+++ b/tools/src/main/java/org/wagtailpin/tools/explain/Beliefs.java
@@ -0,0 +1,106 @@
+package org.wagtailpin.tools.explain;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** What entries believed, and when. Remembers the newest changes of a bounded number of things. */
+final class Beliefs {
+
+  private static final int MAX_THINGS = 50_000;
+  private static final int MAX_CHANGES = 16;
+
+  private final Map<String, Deque<LogLine>> changes =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Deque<LogLine>> eldest) {
+          return size() > MAX_THINGS;
+        }
+      };
+
+  /** Takes an event that belongs to no request; others change nothing. */
+  void note(LogLine line) {
+    thing(line).ifPresent(thing -> put(line.entry() + "/" + thing, line));
+  }
+
+  private static Optional<String> thing(LogLine line) {
+    if (!line.request().isEmpty()) {
+      return Optional.empty();
+    }
+    if (line.event().startsWith("server-")) {
+      return Optional.of("server/" + line.text("server"));
+    }
+    if (line.event().startsWith("peer-")) {
+      return Optional.of("peers");
+    }
+    if (line.is("store-lost", "store-regained")) {
+      return Optional.of("store");
+    }
+    if (line.is("config-taken", "config-refused")) {
+      return Optional.of("config");
+    }
+    return line.event().startsWith("entry-") ? Optional.of("entry") : Optional.empty();
+  }
+
+  private void put(String key, LogLine line) {
+    Deque<LogLine> held = changes.computeIfAbsent(key, k -> new ArrayDeque<>());
+    held.addLast(line);
+    if (held.size() > MAX_CHANGES) {
+      held.removeFirst();
+    }
+  }
+
+  /**
+   * Returns the newest change of a thing that an entry knew of.
+   *
+   * @param entry the entry
+   * @param thing {@code config}, {@code store}, {@code peers}, {@code entry} or {@code server/NAME}
+   * @param timeMillis the time
+   */
+  Optional<LogLine> at(String entry, String thing, long timeMillis) {
+    Optional<LogLine> newest = Optional.empty();
+    for (LogLine change : changes.getOrDefault(entry + "/" + thing, new ArrayDeque<>())) {
+      if (change.timeMillis() <= timeMillis) {
+        newest = Optional.of(change);
+      }
+    }
+    return newest;
+  }
+
+  /** Tells in a line what an entry believed of the configuration, the store and its peers. */
+  String describe(String entry, long timeMillis) {
+    return describe(entry, "config", timeMillis, "no configuration noted")
+        + "; "
+        + describe(entry, "store", timeMillis, "store heard")
+        + "; "
+        + describe(entry, "peers", timeMillis, "no other entry noted");
+  }
+
+  /** Tells what an entry believed of a server. */
+  String describeServer(String entry, String server, long timeMillis) {
+    return describe(entry, "server/" + server, timeMillis, "server " + server + " not noted");
+  }
+
+  private String describe(String entry, String thing, long timeMillis, String otherwise) {
+    return at(entry, thing, timeMillis)
+        .map(
+            line ->
+                line.event()
+                    + subject(line)
+                    + " "
+                    + (timeMillis - line.timeMillis())
+                    + " ms before")
+        .orElse(otherwise);
+  }
+
+  private static String subject(LogLine line) {
+    for (String field : new String[] {"server", "peer", "config"}) {
+      if (line.fields().has(field)) {
+        return " " + line.text(field);
+      }
+    }
+    return "";
+  }
+}
--- /dev/null
+++ b/tools/src/main/java/org/wagtailpin/tools/explain/LogReader.java
@@ -0,0 +1,80 @@
+package org.wagtailpin.tools.explain;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** Reader of event logs, line by line. Text before a line's first brace is skipped. */
+final class LogReader {
+
+  private static final int MAX_LINE_CHARS = 65_536;
+
+  private final ObjectMapper json = new ObjectMapper();
+  private long unreadable;
+
+  /** Returns how many lines were no JSON object or too long. */
+  long unreadable() {
+    return unreadable;
+  }
+
+  /**
+   * Reads a log to its end.
+   *
+   * @param log the log
+   * @param taker takes the events; other lines of the entry are skipped
+   * @throws IOException if the log can't be read
+   */
+  void read(BufferedReader log, Consumer<LogLine> taker) throws IOException {
+    StringBuilder line = new StringBuilder();
+    boolean tooLong = false;
+    for (int c = log.read(); c >= 0; c = log.read()) {
+      if (c == '\n') {
+        take(line, tooLong, taker);
+        line.setLength(0);
+        tooLong = false;
+      } else if (line.length() < MAX_LINE_CHARS) {
+        line.append((char) c);
+      } else {
+        tooLong = true;
+      }
+    }
+    if (line.length() > 0) {
+      take(line, tooLong, taker);
+    }
+  }
+
+  private void take(CharSequence text, boolean tooLong, Consumer<LogLine> taker) {
+    if (text.toString().isBlank()) {
+      return;
+    }
+    Optional<JsonNode> read = tooLong ? Optional.empty() : object(text.toString());
+    if (read.isEmpty()) {
+      unreadable++;
+      return;
+    }
+    JsonNode fields = read.get();
+    if (fields.path("event").isTextual() && fields.path("time").isNumber()) {
+      taker.accept(
+          new LogLine(
+              fields.path("time").asLong(),
+              fields.path("event").asText(),
+              fields.path("entry").asText(),
+              fields.path("request").asText(),
+              fields));
+    }
+  }
+
+  private Optional<JsonNode> object(String text) {
+    int brace = text.indexOf('{');
+    try {
+      return brace < 0 ? Optional.empty() : Optional.of(json.readTree(text.substring(brace)));
+    } catch (JsonProcessingException e) {
+      // Counted by the caller; a log may be cut in the middle of a line.
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/tools/src/main/java/org/wagtailpin/tools/explain/RequestCause.java
@@ -0,0 +1,109 @@
+package org.wagtailpin.tools.explain;
+
+import java.util.List;
+import java.util.Optional;
+
+/** Why a request ended as it did, from its own events. */
+final class RequestCause {
+
+  private static final int SERVER_ERRORS = 500;
+
+  private final List<LogLine> events;
+
+  RequestCause(List<LogLine> events) {
+    this.events = events;
+  }
+
+  String sentence() {
+    Optional<LogLine> unread = last("unread");
+    if (unread.isPresent()) {
+      return String.format(
+          "The entry answered %s itself and sent the request to no server: %s.",
+          unread.get().text("status"), unread.get().text("detail"));
+    }
+    Optional<LogLine> ended = last("ended");
+    if (ended.isEmpty()) {
+      return "The log ends before the request did: its entry was killed, or the log is not whole.";
+    }
+    return switch (ended.get().text("outcome")) {
+      case "answered" -> answered(ended.get());
+      case "not-run" -> notRun(ended.get());
+      case "unknown" -> unknown(ended.get());
+      case "left" -> left(ended.get());
+      case "broken" ->
+          String.format(
+              "The answer had begun and broke off, so the connection was ended: %s.",
+              ended.get().text("detail"));
+      default -> "The answer of an earlier request with the same key was given.";
+    };
+  }
+
+  private String answered(LogLine ended) {
+    String server = last("attempt").map(line -> line.text("server")).orElse("a server");
+    int status = ended.fields().path("status").asInt();
+    String sentence =
+        String.format(
+            "Server %s answered with status %d, %s ms after the request came.",
+            server, status, ended.text("latencyMillis"));
+    return status < SERVER_ERRORS ? sentence : sentence + " The failure is the server's own.";
+  }
+
+  private String notRun(LogLine ended) {
+    Optional<LogLine> refused = last("refused");
+    String why =
+        refused
+            .map(
+                line ->
+                    String.format(
+                        "no server was chosen, by the rule %s after %s ms in the queue",
+                        line.text("rule"), line.text("queuedMillis")))
+            .orElseGet(() -> "it ended at " + ended.text("step") + ": " + ended.text("detail"));
+    return String.format(
+        "Status %s: the request was not run; %s%s.", ended.text("status"), why, earlier());
+  }
+
+  private String unknown(LogLine ended) {
+    String attempt =
+        lastAttempt("unknown")
+            .map(
+                line ->
+                    String.format(
+                        "server %s was sent it and gave no whole answer within %s ms (%s)",
+                        line.text("server"), line.text("latencyMillis"), line.text("detail")))
+            .orElse("it ended at " + ended.text("step") + ": " + ended.text("detail"));
+    return String.format(
+        "Status %s: it is not known whether the request ran; %s%s.",
+        ended.text("status"), attempt, notRepeated());
+  }
+
+  private String left(LogLine ended) {
+    String where =
+        last("placed").map(line -> "while server " + line.text("server") + " had it").orElse("");
+    return String.format(
+        "The caller closed its connection %s ms after the request came %s; no answer was owed%s.",
+        ended.text("latencyMillis"),
+        where.isEmpty() ? "and before a server was chosen" : where,
+        earlier());
+  }
+
+  private String earlier() {
+    long attempts = events.stream().filter(line -> line.is("attempt")).count();
+    return attempts == 0 ? "" : String.format(", after %d attempts%s", attempts, notRepeated());
+  }
+
+  private String notRepeated() {
+    return last("not-repeated")
+        .map(line -> "; it was not sent again by the rule " + line.text("rule"))
+        .orElse("");
+  }
+
+  private Optional<LogLine> last(String event) {
+    return events.stream().filter(line -> line.is(event)).reduce((first, second) -> second);
+  }
+
+  private Optional<LogLine> lastAttempt(String outcome) {
+    return events.stream()
+        .filter(line -> line.is("attempt") && line.text("outcome").equals(outcome))
+        .reduce((first, second) -> second);
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
@@ -44,7 +44,6 @@
   private static final int GATEWAY_TIMEOUT = 504;
   private static final int CONFLICT = 409;
   private static final int UNPROCESSABLE = 422;
-  private static final String ANSWERED = "answered";
 
   private final CallEnvironment environment;
   private final IncomingRequest request;
@@ -53,6 +52,7 @@
   private final Optional<String> key;
   private final AnswerSink sink;
   private final AnswerRelay relay;
+  private final CallRecorder recorder;
   private final EventLoop loop;
   private Future<?> timer;
   private AttemptRequests requests;
@@ -93,7 +93,9 @@
             sink,
             environment.dialect().wholeAnswers(),
             environment.settings().collectedAnswerBytes());
+    this.recorder = new CallRecorder(environment.events(), environment.metrics(), descriptor);
     this.loop = loop;
+    recorder.admitted(remainingMillis(), environment.config().current().version());
     this.timer = loop.schedule(this::expire, remainingMillis(), TimeUnit.MILLISECONDS);
   }
 
@@ -177,7 +179,7 @@
     }
     headers.set(WagtailpinHeaders.REPLAYED, "true");
     headers.set(environment.dialect().requestId(), request.id());
-    end("replayed");
+    end(CallEnd.replayed(answer.status()));
     sink.head(answer.status(), headers);
     if (answer.body().length > 0) {
       sink.part(Unpooled.wrappedBuffer(answer.body()));
@@ -266,7 +268,7 @@
     if (!callerGone) {
       relay.pass();
     }
-    end(ANSWERED);
+    end(CallEnd.answered(attempt.map(Attempt::status).orElse(0)));
     if (!callerGone) {
       sink.end(trailers);
     }
@@ -283,20 +285,7 @@
 
   void attemptFinished(Attempt finished, AttemptOutcome outcome, double latencyMillis) {
     mayHaveRun = mayHaveRun || !(outcome instanceof AttemptOutcome.NotRun);
-    environment.metrics().attemptEnded(service.name(), AttemptLabels.label(outcome));
-    environment
-        .decisions()
-        .decided(
-            new Decision(
-                request.id(),
-                service.name(),
-                descriptor.route().name(),
-                finished.grant().server().name(),
-                history.attempts(),
-                AttemptLabels.label(outcome),
-                finished.status(),
-                AttemptLabels.detail(outcome),
-                latencyMillis));
+    recorder.attemptEnded(finished, history.attempts(), outcome, latencyMillis);
   }
 
   void attemptFailed(AttemptOutcome outcome) {
@@ -309,15 +298,14 @@
     }
     if (callerGone) {
       settleFailed();
-      end("left");
+      end(CallEnd.left(lastFault));
       return;
     }
-    if (mayRepeat(outcome)) {
-      RetryDecision decision = environment.retryPolicy().decide(descriptor, history, outcome);
-      if (decision.retry()) {
-        retryIn(decision.delayMillis());
-        return;
-      }
+    RetryDecision decision = retryDecision(outcome);
+    recorder.decided(history.attempts(), decision);
+    if (decision.retry()) {
+      retryIn(decision.delayMillis());
+      return;
     }
     refuse(failedStatus(), outcome(), AttemptLabels.fault(outcome));
   }
@@ -331,9 +319,13 @@
   }
 
   /** Work that may not be repeated is sent again only after proof that it was not run. */
-  private boolean mayRepeat(AttemptOutcome outcome) {
-    boolean harmless = outcome instanceof AttemptOutcome.NotRun || descriptor.repeatable();
-    return harmless && requests.body().replayable();
+  private RetryDecision retryDecision(AttemptOutcome outcome) {
+    if (!(outcome instanceof AttemptOutcome.NotRun || descriptor.repeatable())) {
+      return new RetryDecision(false, "may-have-run", 0);
+    }
+    return requests.body().replayable()
+        ? environment.retryPolicy().decide(descriptor, history, outcome)
+        : new RetryDecision(false, "body-not-held", 0);
   }
 
   private Outcome outcome() {
@@ -353,7 +345,7 @@
     attempt.ifPresent(running -> running.expire(fault));
     if (callerGone) {
       settleFailed();
-      end("left");
+      end(CallEnd.left(Optional.of(fault)));
     } else {
       refuse(expiredStatus(), outcome(), fault);
     }
@@ -384,13 +376,14 @@
       return;
     }
     Fault fault = expiry();
+    lastFault = Optional.of(fault);
     attempt.ifPresent(running -> running.expire(fault));
     breakOff();
   }
 
   private void breakOff() {
     settleFailed();
-    end("broken");
+    end(CallEnd.broken(lastFault));
     if (!callerGone) {
       sink.reset();
     }
@@ -402,8 +395,9 @@
 
   private void refuse(int status, Outcome outcome, Fault fault) {
     settleFailed();
-    end(outcome.label());
-    sink.problem(new Problem(status, outcome, fault, retryAfter(status)));
+    Problem problem = new Problem(status, outcome, fault, retryAfter(status));
+    end(CallEnd.refused(problem));
+    sink.problem(problem);
   }
 
   private Optional<Long> retryAfter(int status) {
@@ -466,14 +460,14 @@
     boolean notRun = attempt.map(Attempt::cancel).orElse(true);
     mayHaveRun = ranBefore || !notRun;
     settleFailed();
-    end("left");
+    end(CallEnd.left(lastFault));
   }
 
-  private void end(String outcome) {
+  private void end(CallEnd how) {
     ended = true;
     relay.drop();
     timer.cancel(false);
-    environment.metrics().callEnded(service.name(), outcome, nowMillis() - request.arrivedMillis());
+    recorder.ended(how, nowMillis() - request.arrivedMillis());
   }
 
   private void onLoop(Runnable task) {
--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallEnvironment.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallEnvironment.java
@@ -1,9 +1,11 @@
 package org.wagtailpin.call;
 
+import java.util.Optional;
 import org.wagtailpin.backend.BackendClient;
 import org.wagtailpin.claims.Claims;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigSource;
+import org.wagtailpin.eventlog.EventLog;
 import org.wagtailpin.routing.Placement;
 import org.wagtailpin.routing.RetryPolicy;
 import org.wagtailpin.transport.HttpDialect;
@@ -18,7 +20,7 @@
  * @param claims the claims on idempotency keys
  * @param backend sends requests to backend servers
  * @param clock the clock
- * @param decisions takes note of routing decisions
+ * @param events takes note of decisions
  * @param metrics counts calls
  * @param dialect the header names
  */
@@ -30,7 +32,7 @@
     Claims claims,
     BackendClient backend,
     Clock clock,
-    DecisionLog decisions,
+    EventLog events,
     CallMetrics metrics,
     HttpDialect dialect) {
 
@@ -43,7 +45,7 @@
       Claims claims,
       BackendClient backend,
       Clock clock,
-      DecisionLog decisions,
+      EventLog events,
       CallMetrics metrics) {
     this(
         settings,
@@ -53,8 +55,19 @@
         claims,
         backend,
         clock,
-        decisions,
+        events,
         metrics,
         HttpDialect.own());
   }
+
+  /**
+   * Notes a request that was answered before it became a call.
+   *
+   * @param request its identifier, empty if it could not be read
+   * @param problem the answer
+   */
+  public void unread(Optional<String> request, Problem problem) {
+    metrics.unread(problem.status());
+    CallRecorder.unread(events, request, problem);
+  }
 }
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallRecorder.java
@@ -0,0 +1,103 @@
+package org.wagtailpin.call;
+
+import java.util.Optional;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.eventlog.Event;
+import org.wagtailpin.eventlog.EventKind;
+import org.wagtailpin.eventlog.EventLog;
+import org.wagtailpin.routing.AttemptOutcome;
+import org.wagtailpin.routing.CallDescriptor;
+import org.wagtailpin.routing.RetryDecision;
+
+/** Tells the log and the metrics what becomes of a call; confined to the call's event loop. */
+final class CallRecorder {
+
+  private final EventLog events;
+  private final CallMetrics metrics;
+  private final CallDescriptor call;
+
+  CallRecorder(EventLog events, CallMetrics metrics, CallDescriptor call) {
+    this.events = events;
+    this.metrics = metrics;
+    this.call = call;
+  }
+
+  /**
+   * The call was admitted.
+   *
+   * @param leftMillis how long its caller and its route let it take, in milliseconds
+   * @param config the number of the configuration that gave its route
+   */
+  void admitted(long leftMillis, long config) {
+    events.begin(call.requestId());
+    events.note(
+        event(EventKind.ADMITTED)
+            .with("route", call.route().name())
+            .with("service", call.route().service())
+            .with("deadlineMillis", leftMillis)
+            .with("config", config));
+  }
+
+  void attemptEnded(Attempt attempt, int number, AttemptOutcome outcome, double latencyMillis) {
+    String label = AttemptLabels.label(outcome);
+    metrics.attemptEnded(call.route().service(), label, latencyMillis);
+    events.note(
+        event(EventKind.ATTEMPT)
+            .with("route", call.route().name())
+            .with("service", call.route().service())
+            .with("server", attempt.grant().server().name())
+            .with("attempt", number)
+            .with("outcome", label)
+            .with("status", attempt.status())
+            .with("detail", AttemptLabels.detail(outcome))
+            .with("latencyMillis", latencyMillis));
+  }
+
+  /** It was decided whether another attempt is made after one that failed. */
+  void decided(int attempts, RetryDecision decision) {
+    metrics.retryDecided(call.route().service(), decision.rule());
+    Event event =
+        event(decision.retry() ? EventKind.REPEATED : EventKind.NOT_REPEATED)
+            .with("attempt", attempts)
+            .with("rule", decision.rule());
+    events.note(decision.retry() ? event.with("delayMillis", decision.delayMillis()) : event);
+  }
+
+  void ended(CallEnd end, double latencyMillis) {
+    metrics.callEnded(call, end.outcome(), latencyMillis);
+    Event event =
+        event(EventKind.ENDED)
+            .with("route", call.route().name())
+            .with("service", call.route().service())
+            .with("outcome", end.outcome())
+            .with("status", end.status())
+            .with("latencyMillis", latencyMillis);
+    end.fault().ifPresent(fault -> addFault(event, fault));
+    end.retryAfterMillis().ifPresent(millis -> event.with("retryAfterMillis", millis));
+    events.note(event);
+    events.end(call.requestId(), end.failed());
+  }
+
+  /** Notes a request that was answered before it became a call. */
+  static void unread(EventLog events, Optional<String> request, Problem problem) {
+    Event event =
+        request
+            .map(id -> Event.of(EventKind.UNREAD, id))
+            .orElseGet(() -> Event.of(EventKind.UNREAD))
+            .with("status", problem.status())
+            .with("step", problem.fault().step().label())
+            .with("detail", problem.fault().detail());
+    events.note(event);
+  }
+
+  private static void addFault(Event event, Fault fault) {
+    event
+        .with("step", fault.step().label())
+        .with("peer", fault.peerName().isEmpty() ? fault.peer().label() : fault.peerName())
+        .with("detail", fault.detail());
+  }
+
+  private Event event(EventKind kind) {
+    return Event.of(kind, call.requestId());
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/call/PrometheusCallMetrics.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/PrometheusCallMetrics.java
@@ -3,18 +3,35 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.wagtailpin.routing.CallDescriptor;
 
-/** Counts of calls and attempts for Prometheus. */
+/**
+ * Counts of calls and attempts for Prometheus.
+ *
+ * <p>Names of routes and services come from the configuration, so their number is bounded: further
+ * ones are counted together under {@code other}.
+ */
 public final class PrometheusCallMetrics implements CallMetrics {
 
+  /** How many routes, and how many services, have counts of their own. */
+  static final int MAX_NAMES = 256;
+
+  private static final String OTHER = "other";
   private static final double MILLIS_PER_SECOND = 1_000;
   private static final double[] BOUNDS_SECONDS = {
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10
   };
 
+  private final Set<String> routes = ConcurrentHashMap.newKeySet();
+  private final Set<String> services = ConcurrentHashMap.newKeySet();
   private final Counter calls;
   private final Counter attempts;
+  private final Counter decisions;
+  private final Counter unread;
   private final Histogram latencies;
+  private final Histogram attemptLatencies;
 
   /**
    * Registers the metrics.
@@ -23,35 +40,71 @@
    */
   public PrometheusCallMetrics(PrometheusRegistry registry) {
     calls =
-        Counter.builder()
-            .name("wagtailpin_calls")
-            .help("Calls that ended, by outcome.")
-            .labelNames("service", "outcome")
+        counter("wagtailpin_calls", "Calls that ended, by outcome.")
+            .labelNames("service", "route", "kind", "outcome")
             .register(registry);
     attempts =
-        Counter.builder()
-            .name("wagtailpin_attempts")
-            .help("Attempts on backend servers that ended, by outcome.")
+        counter("wagtailpin_attempts", "Attempts on backend servers that ended, by outcome.")
             .labelNames("service", "outcome")
             .register(registry);
+    decisions =
+        counter("wagtailpin_retry_decisions", "Decisions on another attempt, by rule.")
+            .labelNames("service", "rule")
+            .register(registry);
+    unread =
+        counter("wagtailpin_unread_requests", "Requests answered before they became calls.")
+            .labelNames("status")
+            .register(registry);
     latencies =
-        Histogram.builder()
-            .name("wagtailpin_call_seconds")
-            .help("Time from a request's head to the end of its answer.")
-            .labelNames("service")
-            .classicOnly()
-            .classicUpperBounds(BOUNDS_SECONDS)
+        histogram("wagtailpin_call_seconds", "Time from a request's head to the answer's end.")
+            .register(registry);
+    attemptLatencies =
+        histogram("wagtailpin_attempt_seconds", "Time from the choice of a server to its answer.")
             .register(registry);
   }
 
+  private static Counter.Builder counter(String name, String help) {
+    return Counter.builder().name(name).help(help);
+  }
+
+  private static Histogram.Builder histogram(String name, String help) {
+    return Histogram.builder()
+        .name(name)
+        .help(help)
+        .labelNames("service")
+        .classicOnly()
+        .classicUpperBounds(BOUNDS_SECONDS);
+  }
+
   @Override
-  public void callEnded(String service, String outcome, double latencyMillis) {
-    calls.labelValues(service, outcome).inc();
+  public void callEnded(CallDescriptor call, String outcome, double latencyMillis) {
+    String service = bounded(services, call.route().service());
+    String route = bounded(routes, call.route().name());
+    calls.labelValues(service, route, call.repeatable() ? "safe" : "unsafe", outcome).inc();
     latencies.labelValues(service).observe(latencyMillis / MILLIS_PER_SECOND);
   }
 
   @Override
-  public void attemptEnded(String service, String outcome) {
-    attempts.labelValues(service, outcome).inc();
+  public void attemptEnded(String service, String outcome, double latencyMillis) {
+    String name = bounded(services, service);
+    attempts.labelValues(name, outcome).inc();
+    attemptLatencies.labelValues(name).observe(latencyMillis / MILLIS_PER_SECOND);
+  }
+
+  @Override
+  public void retryDecided(String service, String rule) {
+    decisions.labelValues(bounded(services, service), rule).inc();
+  }
+
+  @Override
+  public void unread(int status) {
+    unread.labelValues(Integer.toString(status)).inc();
+  }
+
+  private static String bounded(Set<String> known, String name) {
+    if (known.contains(name)) {
+      return name;
+    }
+    return known.size() < MAX_NAMES && known.add(name) ? name : OTHER;
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/CallerConnection.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/CallerConnection.java
@@ -168,6 +168,7 @@
       admit(sound.request(), length, continues);
     } else if (read instanceof RequestHead.Unsound unsound) {
       keepAlive = false;
+      listener.environment().unread(Optional.empty(), unsound.problem());
       writer.problem(unsound.problem());
     }
   }
@@ -176,7 +177,7 @@
     writer.identify(request.id());
     if (length > listener.maxBodyBytes()) {
       keepAlive = false;
-      writer.problem(problem(CONTENT_TOO_LARGE, "the request's body is too long"));
+      refuse(request, problem(CONTENT_TOO_LARGE, "the request's body is too long"));
       return;
     }
     CallAdmission admission =
@@ -185,16 +186,21 @@
     if (admission instanceof CallAdmission.Refused refused) {
       // A caller that waits for leave to send its body may never send it.
       keepAlive = keepAlive && !continues;
-      writer.problem(refused.problem());
+      refuse(request, refused.problem());
     } else if (admission instanceof CallAdmission.Admitted admitted) {
       if (listener.cutsBefore(admitted.descriptor().deadlineMillis())) {
-        writer.problem(leaving());
+        refuse(request, leaving());
       } else {
         start(request, admitted, length, continues);
       }
     }
   }
 
+  private void refuse(IncomingRequest request, Problem problem) {
+    listener.environment().unread(Optional.of(request.id()), problem);
+    writer.problem(problem);
+  }
+
   private Problem leaving() {
     Fault fault =
         new Fault(Step.ADMIT, Peer.SELF, "", "the entry leaves before the request's deadline");
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ObjectId.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ObjectId.java
@@ -18,6 +18,17 @@
     return ORDER.compare(this, other);
   }
 
+  // Written out, as the records' own methods are linked at run time and slow the first use.
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof ObjectId id && kind == id.kind && name.equals(id.name);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * kind.hashCode() + name.hashCode();
+  }
+
   @Override
   public String toString() {
     return kind.label() + "/" + name;
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
@@ -0,0 +1,99 @@
+package org.wagtailpin.eventlog;
+
+import java.util.List;
+
+/** The events that an entry logs, with the fields of each; the operations page lists the same. */
+public enum EventKind {
+  ADMITTED("admitted", true, "route", "service", "deadlineMillis", "config"),
+  UNREAD("unread", true, "status", "step", "detail"),
+  PLACED(
+      "placed",
+      true,
+      "route",
+      "service",
+      "rule",
+      "queuedMillis",
+      "server",
+      "candidates",
+      "inFlight",
+      "estimatedLoad",
+      "reportAgeMillis"),
+  REFUSED("refused", true, "route", "service", "rule", "queuedMillis", "step", "detail"),
+  ATTEMPT(
+      "attempt",
+      true,
+      "route",
+      "service",
+      "server",
+      "attempt",
+      "outcome",
+      "status",
+      "detail",
+      "latencyMillis"),
+  REPEATED("repeated", true, "attempt", "rule", "delayMillis"),
+  NOT_REPEATED("not-repeated", true, "attempt", "rule"),
+  ENDED(
+      "ended",
+      true,
+      "route",
+      "service",
+      "outcome",
+      "status",
+      "step",
+      "peer",
+      "detail",
+      "latencyMillis",
+      "retryAfterMillis"),
+
+  ENTRY_STARTED("entry-started", false, "callers", "incarnation"),
+  ENTRY_LEAVING("entry-leaving", false, "calls", "noticeMillis", "graceMillis"),
+  ENTRY_LEFT("entry-left", false, "cut"),
+  SETTINGS_READ("settings-read", false, "constants"),
+  SETTINGS_REFUSED("settings-refused", false, "detail"),
+  STORE_LOST("store-lost", false, "detail"),
+  STORE_REGAINED("store-regained", false, "awayMillis"),
+  HISTORY_LOST("history-lost", false, "revision"),
+  LIST_OLDER("list-older", false, "revision", "known"),
+  CONFIG_TAKEN("config-taken", false, "config", "revision"),
+  CONFIG_REFUSED("config-refused", false, "revision", "detail"),
+  SERVER_SEEN("server-seen", false, "server", "service", "address", "revision"),
+  SERVER_LEAVING("server-leaving", false, "server", "service", "revision"),
+  SERVER_GONE("server-gone", false, "server", "revision"),
+  SERVER_REFUSED("server-refused", false, "server", "revision", "detail"),
+  SERVER_EJECTED("server-ejected", false, "server"),
+  SERVER_RETURNED("server-returned", false, "server"),
+  PEER_SEEN("peer-seen", false, "peer"),
+  PEER_SUSPECTED("peer-suspected", false, "peer", "silentMillis"),
+  PEER_GONE("peer-gone", false, "peer"),
+  LINES_DROPPED("lines-dropped", false, "dropped", "notSampled");
+
+  private final String label;
+  private final boolean ofRequest;
+
+  // Made by List.of, whose lists do not change.
+  @SuppressWarnings("ImmutableEnumChecker")
+  private final List<String> fields;
+
+  EventKind(String label, boolean ofRequest, String... fields) {
+    this.label = label;
+    this.ofRequest = ofRequest;
+    this.fields = List.of(fields);
+  }
+
+  /** Returns the name in the log. */
+  public String label() {
+    return label;
+  }
+
+  /** Tells whether the event belongs to a request, whose identifier its line then has. */
+  public boolean ofRequest() {
+    return ofRequest;
+  }
+
+  /**
+   * Returns the names of the fields that a line may have besides time, event, entry and request.
+   */
+  public List<String> fields() {
+    return fields;
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventLine.java
@@ -0,0 +1,51 @@
+package org.wagtailpin.eventlog;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+
+/** Form of an event as a line of JSON: time, event, entry, request and the kind's fields. */
+final class EventLine {
+
+  private static final JsonFactory JSON = new JsonFactory();
+
+  private EventLine() {}
+
+  static String of(Event event, long wallMillis, String entry) {
+    StringWriter text = new StringWriter();
+    try (JsonGenerator json = JSON.createGenerator(text)) {
+      json.writeStartObject();
+      json.writeNumberField("time", wallMillis);
+      json.writeStringField("event", event.kind().label());
+      json.writeStringField("entry", entry);
+      if (event.request().isPresent()) {
+        json.writeStringField("request", event.request().get());
+      }
+      event.forEach((name, value) -> write(json, name, value));
+      json.writeEndObject();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return text.toString();
+  }
+
+  private static void write(JsonGenerator json, String name, Object value) {
+    try {
+      json.writeFieldName(name);
+      if (value instanceof Integer || value instanceof Long) {
+        json.writeNumber(((Number) value).longValue());
+      } else if (value instanceof Double real) {
+        // A tenth of a microsecond is as fine as the clock.
+        json.writeNumber(Math.round(real * 10_000) / 10_000.0);
+      } else if (value instanceof Boolean truth) {
+        json.writeBoolean(truth);
+      } else {
+        json.writeString(String.valueOf(value));
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/LineQueue.java
@@ -0,0 +1,58 @@
+package org.wagtailpin.eventlog;
+
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** Bounded queue of lines that are made when they are written. Many threads put, one takes. */
+final class LineQueue {
+
+  private final int capacity;
+  private final Queue<Supplier<String>> lines = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger waiting = new AtomicInteger();
+  private final AtomicLong dropped = new AtomicLong();
+
+  LineQueue(int capacity) {
+    this.capacity = capacity;
+  }
+
+  void offer(Supplier<String> line) {
+    if (waiting.incrementAndGet() > capacity) {
+      waiting.decrementAndGet();
+      dropped.incrementAndGet();
+      return;
+    }
+    lines.add(line);
+  }
+
+  boolean isEmpty() {
+    return lines.isEmpty();
+  }
+
+  long dropped() {
+    return dropped.get();
+  }
+
+  /** Writes all lines that wait; tells how many. */
+  int writeAll(Consumer<String> output) {
+    int written = 0;
+    while (writeOne(output) > 0) {
+      written++;
+    }
+    return written;
+  }
+
+  /** Writes the line that waits longest, if any; tells how many were written. */
+  int writeOne(Consumer<String> output) {
+    Supplier<String> line = lines.poll();
+    if (line == null) {
+      return 0;
+    }
+    waiting.decrementAndGet();
+    output.accept(line.get());
+    return 1;
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/operator/ConfigPage.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/operator/ConfigPage.java
@@ -12,7 +12,6 @@
   public static final String PATH = "/config";
 
   private final Supplier<ConfigReport> reports;
-  private final ObjectMapper mapper = new ObjectMapper();
 
   /**
    * Creates the page.
@@ -31,7 +30,8 @@
   @Override
   public AdminAnswer answer() {
     try {
-      return AdminAnswer.json(mapper.writeValueAsBytes(reports.get()));
+      // Made here, as an entry that is starting has no use for it yet.
+      return AdminAnswer.json(new ObjectMapper().writeValueAsBytes(reports.get()));
     } catch (JsonProcessingException e) {
       throw new IllegalStateException("a report has no JSON form", e);
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/operator/StatusPage.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/operator/StatusPage.java
@@ -10,7 +10,6 @@
 public final class StatusPage implements AdminPage {
 
   private final List<StatusPart> parts;
-  private final ObjectMapper mapper = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
 
   /**
    * Creates the page.
@@ -28,6 +27,8 @@
 
   @Override
   public AdminAnswer answer() {
+    // Made here, as an entry that is starting has no use for it yet.
+    ObjectMapper mapper = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
     ObjectNode status = mapper.createObjectNode();
     for (StatusPart part : parts) {
       status.set(part.name(), mapper.valueToTree(part.current()));
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/KeyFollower.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/KeyFollower.java
@@ -4,9 +4,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.tinylog.Logger;
 import org.wagtailpin.control.ControlLoop;
 import org.wagtailpin.error.Fault;
+import org.wagtailpin.eventlog.Event;
+import org.wagtailpin.eventlog.EventKind;
+import org.wagtailpin.eventlog.EventLog;
 import org.wagtailpin.store.Backoff;
 import org.wagtailpin.store.ListResult;
 import org.wagtailpin.store.Store;
@@ -57,6 +59,7 @@
   private final String prefix;
   private final Listener listener;
   private final Backoff backoff;
+  private final EventLog events;
 
   // Answers to calls of an earlier run are ignored.
   private long run;
@@ -68,11 +71,13 @@
       ControlLoop loop,
       String prefix,
       UniformRandomProvider random,
-      Listener listener) {
+      Listener listener,
+      EventLog events) {
     this.store = store;
     this.loop = loop;
     this.prefix = prefix;
     this.listener = listener;
+    this.events = events;
     this.backoff = new Backoff(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, random);
   }
 
@@ -110,7 +115,10 @@
       listener.listed(list.entries(), revision);
       watch();
     } else if (result instanceof ListResult.Listed old) {
-      Logger.warn("list of {} as of {} is older than {}", prefix, old.storeRevision(), revision);
+      events.note(
+          Event.of(EventKind.LIST_OLDER)
+              .with("revision", old.storeRevision())
+              .with("known", revision));
       later(this::list);
     } else if (result instanceof ListResult.Failed failed) {
       listener.lost(failed.fault());
@@ -138,7 +146,7 @@
       // A store that has dropped its history may tell so only with the next change.
       later(this::list);
     } else {
-      Logger.info("the store no longer holds the changes of {} after {}", prefix, revision);
+      events.note(Event.of(EventKind.HISTORY_LOST).with("revision", revision));
       later(this::list);
     }
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.tinylog.Logger;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigKind;
 import org.wagtailpin.config.ConfigMerger;
@@ -18,6 +17,9 @@
 import org.wagtailpin.config.VersionedObject;
 import org.wagtailpin.control.ControlLoop;
 import org.wagtailpin.error.Fault;
+import org.wagtailpin.eventlog.Event;
+import org.wagtailpin.eventlog.EventKind;
+import org.wagtailpin.eventlog.EventLog;
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreChange;
 import org.wagtailpin.store.StoreEntry;
@@ -44,10 +46,13 @@
   private final Clock clock;
   private final ConfigMerger merger;
   private final RegistryFormat format;
+  private final EventLog events;
   private final KeyFollower follower;
   private final Map<String, RegisteredServer> registered = new HashMap<>();
   private boolean away;
   private long returnedMillis = NEVER;
+  private long lostMillis = NEVER;
+  private volatile long heardMillis = NEVER;
 
   /**
    * Creates a watcher that is not started.
@@ -58,6 +63,7 @@
    * @param merger puts objects in force
    * @param random the source of jitter
    * @param format tells where and how they lie in the store
+   * @param events takes note of what is learnt
    */
   public RegistryWatcher(
       Store store,
@@ -65,12 +71,15 @@
       Clock clock,
       ConfigMerger merger,
       UniformRandomProvider random,
-      RegistryFormat format) {
+      RegistryFormat format,
+      EventLog events) {
     this.loop = loop;
     this.clock = clock;
     this.merger = merger;
     this.format = format;
-    this.follower = new KeyFollower(store, loop, format.commonPrefix(), random, new KeyListener());
+    this.events = events;
+    this.follower =
+        new KeyFollower(store, loop, format.commonPrefix(), random, new KeyListener(), events);
   }
 
   /** Begins to follow; does nothing if it follows already. */
@@ -95,12 +104,16 @@
                   new VersionedObject(
                       read.document().id(), entry.revision(), Optional.of(read.document()))));
       if (newer) {
-        Logger.info(
-            "configuration {} of revision {} is in force", read.version(), entry.revision());
+        events.note(
+            Event.of(EventKind.CONFIG_TAKEN)
+                .with("config", read.version())
+                .with("revision", entry.revision()));
       }
     } else if (result instanceof DocumentReadResult.Unreadable unreadable) {
-      Logger.error(
-          "the document of revision {} is unreadable: {}", entry.revision(), unreadable.detail());
+      events.note(
+          Event.of(EventKind.CONFIG_REFUSED)
+              .with("revision", entry.revision())
+              .with("detail", unreadable.detail()));
     }
   }
 
@@ -117,10 +130,16 @@
     }
   }
 
+  /** Returns when a call of the store was answered last, by the steady clock; for all threads. */
+  public long heardMillis() {
+    return heardMillis;
+  }
+
   private void lost(String detail) {
     if (!away) {
       away = true;
-      Logger.warn("the store is lost: {}", detail);
+      lostMillis = clock.millis();
+      events.note(Event.of(EventKind.STORE_LOST).with("detail", detail));
     }
   }
 
@@ -164,10 +183,12 @@
 
     @Override
     public void answered() {
+      heardMillis = clock.millis();
       if (away) {
         away = false;
         returnedMillis = clock.millis();
-        Logger.info("the store answers again");
+        long awayMillis = returnedMillis - lostMillis;
+        events.note(Event.of(EventKind.STORE_REGAINED).with("awayMillis", awayMillis));
       }
     }
   }
@@ -197,14 +218,14 @@
     ServerReadResult result = format.readServer(name.get(), entry.value());
     if (result instanceof ServerReadResult.Read read) {
       RegisteredServer newest = newer(read.server(), registered.get(name.get()));
-      logChange(newest, registered.put(name.get(), newest));
+      noteChange(newest, registered.put(name.get(), newest), entry.revision());
       states.add(stateOf(name.get(), entry.revision(), Optional.of(newest)));
     } else if (result instanceof ServerReadResult.Unreadable unreadable) {
-      Logger.warn(
-          "registration {} of revision {} names no server: {}",
-          entry.key(),
-          entry.revision(),
-          unreadable.detail());
+      events.note(
+          Event.of(EventKind.SERVER_REFUSED)
+              .with("server", name.get())
+              .with("revision", entry.revision())
+              .with("detail", unreadable.detail()));
       registered.remove(name.get());
       states.add(stateOf(name.get(), entry.revision(), Optional.empty()));
     }
@@ -215,17 +236,18 @@
     return known != null && read.isOlderThan(known) ? known : read;
   }
 
-  private static void logChange(RegisteredServer now, RegisteredServer before) {
+  private void noteChange(RegisteredServer now, RegisteredServer before, long revision) {
     ConfigServer server = now.server();
-    if (before == null || before.server().leaving() != server.leaving()) {
-      Logger.info(
-          "server {} of {} at {}:{} is {}",
-          server.name(),
-          now.service(),
-          server.address(),
-          server.port(),
-          server.leaving() ? "leaving" : "registered");
+    if (before != null && before.server().leaving() == server.leaving()) {
+      return;
     }
+    Event event =
+        Event.of(server.leaving() ? EventKind.SERVER_LEAVING : EventKind.SERVER_SEEN)
+            .with("server", server.name())
+            .with("service", now.service())
+            .with("revision", revision);
+    events.note(
+        server.leaving() ? event : event.with("address", server.address() + ":" + server.port()));
   }
 
   private void remove(String name, long revision, List<VersionedObject> states) {
@@ -250,7 +272,7 @@
     boolean back = merger.merged().object(id).map(held -> held.ticket() > revision).orElse(false);
     if (!back) {
       registered.remove(name);
-      Logger.info("server {} is gone as of revision {}", name, revision);
+      events.note(Event.of(EventKind.SERVER_GONE).with("server", name).with("revision", revision));
       states.add(stateOf(name, revision, Optional.empty()));
     }
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/LoggedPlacementObserver.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/LoggedPlacementObserver.java
@@ -1,86 +1,63 @@
 package org.wagtailpin.routing;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.error.Fault;
+import org.wagtailpin.eventlog.Event;
+import org.wagtailpin.eventlog.EventKind;
+import org.wagtailpin.eventlog.EventLog;
 
-/** Offers a JSON log line for each decision, whose text is made by the taker's thread. */
+/** Notes each decision, and each server that changes its part in placement, in the event log. */
 public final class LoggedPlacementObserver implements PlacementObserver {
 
-  private final ObjectMapper mapper = new ObjectMapper();
-  private final Clock clock;
-  private final DecisionLines lines;
+  private final EventLog events;
 
   /**
    * Creates an observer.
    *
-   * @param clock the clock of the lines' times
-   * @param lines takes the lines
+   * @param events takes the events
    */
-  public LoggedPlacementObserver(Clock clock, DecisionLines lines) {
-    this.clock = clock;
-    this.lines = lines;
+  public LoggedPlacementObserver(EventLog events) {
+    this.events = events;
   }
 
   @Override
   public void granted(CallDescriptor call, ConfigServer server, PlacementReason reason) {
-    long wallMillis = clock.wallMillis();
-    lines.offer(() -> grantLine(wallMillis, call, server, reason));
-  }
-
-  private String grantLine(
-      long wallMillis, CallDescriptor call, ConfigServer server, PlacementReason reason) {
-    ObjectNode line = line("placed", wallMillis, call, reason);
-    line.put("server", server.name());
-    line.put("candidates", reason.candidates());
-    line.put("inFlight", reason.inFlight());
-    line.put("estimatedLoad", reason.estimatedLoad());
-    line.put("reportAgeMillis", reason.reportAgeMillis());
-    return line.toString();
+    events.note(
+        decision(EventKind.PLACED, call, reason)
+            .with("server", server.name())
+            .with("candidates", reason.candidates())
+            .with("inFlight", reason.inFlight())
+            .with("estimatedLoad", reason.estimatedLoad())
+            .with("reportAgeMillis", reason.reportAgeMillis()));
   }
 
   @Override
   public void refused(CallDescriptor call, Fault fault, PlacementReason reason) {
-    long wallMillis = clock.wallMillis();
-    lines.offer(() -> refusalLine(wallMillis, call, fault, reason));
+    events.note(
+        decision(EventKind.REFUSED, call, reason)
+            .with("step", fault.step().label())
+            .with("detail", fault.detail()));
   }
 
-  private String refusalLine(
-      long wallMillis, CallDescriptor call, Fault fault, PlacementReason reason) {
-    ObjectNode line = line("refused", wallMillis, call, reason);
-    line.put("step", fault.step().label());
-    line.put("detail", fault.detail());
-    return line.toString();
+  private static Event decision(EventKind kind, CallDescriptor call, PlacementReason reason) {
+    return Event.of(kind, call.requestId())
+        .with("route", call.route().name())
+        .with("service", call.route().service())
+        .with("rule", reason.rule().label())
+        .with("queuedMillis", reason.queuedMillis());
   }
 
   @Override
   public void serverChanged(ConfigServer server, ServerChange change) {
-    long wallMillis = clock.wallMillis();
-    lines.offer(() -> changeLine(wallMillis, server, change));
-  }
-
-  private String changeLine(long wallMillis, ConfigServer server, ServerChange change) {
-    ObjectNode line = mapper.createObjectNode();
-    line.put("event", "server-" + change.label());
-    line.put("time", wallMillis);
-    line.put("server", server.name());
-    return line.toString();
+    switch (change) {
+      case EJECTED -> events.note(changed(EventKind.SERVER_EJECTED, server));
+      case RETURNED -> events.note(changed(EventKind.SERVER_RETURNED, server));
+      // What leaves and stays is noted where it is learnt.
+      case LEAVING, STAYING -> {}
+    }
   }
 
-  private ObjectNode line(
-      String event, long wallMillis, CallDescriptor call, PlacementReason reason) {
-    ObjectNode line = mapper.createObjectNode();
-    line.put("event", event);
-    line.put("time", wallMillis);
-    line.put("request", call.requestId());
-    line.put("service", call.route().service());
-    line.put("route", call.route().name());
-    line.put("callerGroup", call.callerGroup());
-    line.put("depth", call.depth());
-    line.put("rule", reason.rule().label());
-    line.put("queuedMillis", reason.queuedMillis());
-    return line;
+  private static Event changed(EventKind kind, ConfigServer server) {
+    return Event.of(kind).with("server", server.name());
   }
 }
--- a/wagtailpin/src/test/java/org/wagtailpin/call/CountingMetrics.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/CountingMetrics.java
@@ -2,23 +2,44 @@
 
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.wagtailpin.routing.CallDescriptor;
 
 /** Counts of calls and attempts by outcome. */
 public final class CountingMetrics implements CallMetrics {
 
   private final Map<String, Integer> calls = new ConcurrentHashMap<>();
   private final Map<String, Integer> attempts = new ConcurrentHashMap<>();
+  private final Map<String, Integer> decisions = new ConcurrentHashMap<>();
+  private final Map<Integer, Integer> unread = new ConcurrentHashMap<>();
 
   @Override
-  public void callEnded(String service, String outcome, double latencyMillis) {
+  public void callEnded(CallDescriptor call, String outcome, double latencyMillis) {
     calls.merge(outcome, 1, Integer::sum);
   }
 
   @Override
-  public void attemptEnded(String service, String outcome) {
+  public void attemptEnded(String service, String outcome, double latencyMillis) {
     attempts.merge(outcome, 1, Integer::sum);
   }
 
+  @Override
+  public void retryDecided(String service, String rule) {
+    decisions.merge(rule, 1, Integer::sum);
+  }
+
+  @Override
+  public void unread(int status) {
+    unread.merge(status, 1, Integer::sum);
+  }
+
+  public int decisions(String rule) {
+    return decisions.getOrDefault(rule, 0);
+  }
+
+  public int unreadWith(int status) {
+    return unread.getOrDefault(status, 0);
+  }
+
   public int calls(String outcome) {
     return calls.getOrDefault(outcome, 0);
   }
--- a/wagtailpin/src/test/java/org/wagtailpin/call/OutcomeTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/OutcomeTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import org.junit.jupiter.api.Test;
+import org.wagtailpin.eventlog.EventKind;
 
 class OutcomeTest {
 
@@ -183,7 +184,10 @@
             new TestEntry.Builder().server(first.port()).server(second.port()).start()) {
       entry.call("POST", "", "order");
 
-      assertThat(entry.decisions().stream().map(Decision::outcome).toList())
+      assertThat(
+              entry.events().of(EventKind.ATTEMPT).stream()
+                  .map(event -> event.value("outcome").orElseThrow())
+                  .toList())
           .containsExactly("not-run", "answered")
           .inOrder();
       assertThat(entry.placement().reports()).hasSize(2);
--- a/wagtailpin/src/test/java/org/wagtailpin/call/TestEntry.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/TestEntry.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CopyOnWriteArrayList;
 import org.wagtailpin.backend.BackendClient;
 import org.wagtailpin.backend.BackendSettings;
 import org.wagtailpin.caller.CallerLimits;
@@ -36,7 +35,7 @@
   private final InOrderPlacement placement;
   private final HeldClaims claims = new HeldClaims();
   private final CountingMetrics metrics = new CountingMetrics();
-  private final List<Decision> decisions = new CopyOnWriteArrayList<>();
+  private final GatheringEventLog events = new GatheringEventLog();
   private final BackendClient backend;
   private final CallEnvironment environment;
   private final CallerListener listener;
@@ -106,7 +105,7 @@
             claims,
             backend,
             clock,
-            decisions::add,
+            events,
             metrics);
     listener =
         new CallerListener(
@@ -169,8 +168,8 @@
     return metrics;
   }
 
-  public List<Decision> decisions() {
-    return decisions;
+  public GatheringEventLog events() {
+    return events;
   }
 
   public BackendClient backend() {
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/RegistryWatcherTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/RegistryWatcherTest.java
@@ -13,6 +13,7 @@
 import org.wagtailpin.config.MergedConfig;
 import org.wagtailpin.config.PublishedConfig;
 import org.wagtailpin.control.ManualControlLoop;
+import org.wagtailpin.eventlog.SilentEventLog;
 import org.wagtailpin.routing.SharedRandom;
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.WriteCondition;
@@ -37,7 +38,14 @@
   void start() {
     Store client = faulty.client("entry");
     watcher =
-        new RegistryWatcher(client, loop, clock, merger, new SharedRandom(2), new TextFormat());
+        new RegistryWatcher(
+            client,
+            loop,
+            clock,
+            merger,
+            new SharedRandom(2),
+            new TextFormat(),
+            new SilentEventLog());
     watcher.start();
     loop.advance(SOON_MILLIS);
   }
@@ -174,7 +182,14 @@
     watcher.stop();
     CutWatchStore cutting = new CutWatchStore(faulty.client("other"));
     watcher =
-        new RegistryWatcher(cutting, loop, clock, merger, new SharedRandom(3), new TextFormat());
+        new RegistryWatcher(
+            cutting,
+            loop,
+            clock,
+            merger,
+            new SharedRandom(3),
+            new TextFormat(),
+            new SilentEventLog());
     watcher.start();
     loop.advance(SOON_MILLIS);
     cutting.cut();
