Bind the callers' port before the entry is made

The port is bound first. Connections wait in the system's queue until the first configuration is in force, for half a second at most; an entry without one refuses as before.

--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
@@ -14,6 +14,7 @@
 import org.tinylog.Logger;
 import org.wagtailpin.caller.CallerLimits;
 import org.wagtailpin.caller.CallerListener;
+import org.wagtailpin.caller.CallerPort;
 import org.wagtailpin.caller.CallerSettings;
 import org.wagtailpin.caller.ListenerKind;
 import org.wagtailpin.clock.Clock;
@@ -45,6 +46,11 @@
 
   private static final long CLOSE_WAIT_MILLIS = 2_000;
 
+  /** Half of the second for which callers wait until a connection is accepted and read. */
+  private static final long FIRST_CONFIG_WAIT_MILLIS = 500;
+
+  private static final long FIRST_CONFIG_POLL_MILLIS = 5;
+
   /** How long peers and the store are told of the end; some trips to the farthest region. */
   private static final long GOODBYE_MILLIS = 200;
 
@@ -59,8 +65,10 @@
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final AdminListener admin;
   private final Optional<AdminListener> metrics;
+  private final CallerPort callerPort;
   private final CallerListener callers;
   private final Optional<CallerListener> internal;
+  private final AtomicBoolean accepting = new AtomicBoolean();
   private final AtomicBoolean closed = new AtomicBoolean();
   private volatile boolean leaving;
 
@@ -68,8 +76,9 @@
    * Wires an entry that is not started, with the project's own protocols.
    *
    * @param settings its settings
+   * @throws IOException if the callers' address can't be listened on
    */
-  public EntryNode(EntrySettings settings) {
+  public EntryNode(EntrySettings settings) throws IOException {
     this(settings, new OwnPlatform());
   }
 
@@ -78,8 +87,9 @@
    *
    * @param settings its settings
    * @param platform what it runs on
+   * @throws IOException if the callers' address can't be listened on
    */
-  public EntryNode(EntrySettings settings, EntryPlatform platform) {
+  public EntryNode(EntrySettings settings, EntryPlatform platform) throws IOException {
     this(settings, platform, line -> Logger.tag(JsonConsoleWriter.RAW_TAG).info("{}", line));
   }
 
@@ -89,13 +99,18 @@
    * @param settings its settings
    * @param platform what it runs on
    * @param eventLines takes each line of the event log, on a thread that may be blocked
+   * @throws IOException if the callers' address can't be listened on
    */
-  public EntryNode(EntrySettings settings, EntryPlatform platform, Consumer<String> eventLines) {
+  public EntryNode(EntrySettings settings, EntryPlatform platform, Consumer<String> eventLines)
+      throws IOException {
     this.settings = settings;
     this.platform = platform;
     this.loop = new ThreadControlLoop(settings.id() + "-control");
     this.trafficLoops =
         EventLoops.createAffine(settings.trafficThreads(), settings.id() + "-traffic");
+    // Bound before all else is made, so that callers wait for the entry instead of being refused.
+    CallerSettings callerSettings = callerSettings(ListenerKind.PUBLIC, settings.callers());
+    this.callerPort = new CallerPort(callerSettings, trafficLoops);
     this.events = new BoundedEventLog(settings.id(), settings.eventLog(), clock, eventLines);
     long seed = settings.seed().orElseGet(System::nanoTime);
     this.control = new ControlParts(settings, platform, clock, loop, events, seed);
@@ -103,7 +118,7 @@
         new TrafficParts(
             settings, platform, clock, loop, trafficLoops, control, registry, events, seed);
     EntryGauges.register(registry, this);
-    this.callers = listener(ListenerKind.PUBLIC, settings.callers());
+    this.callers = new CallerListener(callerSettings, trafficLoops, traffic.environment());
     this.internal = settings.internal().map(address -> listener(ListenerKind.INTERNAL, address));
     this.admin = adminListener();
     this.metrics = settings.metrics().map(this::metricsListener);
@@ -133,10 +148,12 @@
   }
 
   private CallerListener listener(ListenerKind kind, ListenAddress address) {
-    CallerSettings callerSettings =
-        new CallerSettings(
-            kind, address.address(), address.port(), settings.id(), CallerLimits.defaults());
-    return new CallerListener(callerSettings, trafficLoops, traffic.environment());
+    return new CallerListener(callerSettings(kind, address), trafficLoops, traffic.environment());
+  }
+
+  private CallerSettings callerSettings(ListenerKind kind, ListenAddress address) {
+    return new CallerSettings(
+        kind, address.address(), address.port(), settings.id(), CallerLimits.defaults());
   }
 
   /**
@@ -152,16 +169,31 @@
     }
     admin.start();
     metrics.ifPresent(AdminListener::start);
-    callers.start();
+    acceptWhenConfigured(clock.millis() + FIRST_CONFIG_WAIT_MILLIS);
     if (internal.isPresent()) {
       internal.get().start();
     }
     events.note(
         Event.of(EventKind.ENTRY_STARTED)
-            .with("callers", callers.address().toString())
+            .with("callers", callerPort.address().toString())
             .with("incarnation", control.incarnation()));
   }
 
+  /** Callers that come before the first configuration would only be refused. */
+  private void acceptWhenConfigured(long untilMillis) {
+    if (ready() || leaving || clock.millis() >= untilMillis) {
+      accept();
+    } else {
+      loop.schedule(FIRST_CONFIG_POLL_MILLIS, () -> acceptWhenConfigured(untilMillis));
+    }
+  }
+
+  private void accept() {
+    if (!accepting.getAndSet(true)) {
+      callers.start(callerPort);
+    }
+  }
+
   /** Tells whether the entry has a configuration and is not leaving. */
   public boolean ready() {
     return hindrance().isEmpty();
@@ -207,7 +239,7 @@
 
   /** Returns the address on which callers are served. */
   public InetSocketAddress callerAddress() {
-    return callers.address();
+    return callerPort.address();
   }
 
   /** Returns the address on which calls of backend servers are served, if there is one. */
@@ -255,6 +287,7 @@
   }
 
   private void drain(CompletableFuture<Integer> done) {
+    accept();
     CompletableFuture<Integer> outer = callers.drain(settings.graceMillis());
     CompletableFuture<Integer> inner =
         internal
@@ -283,6 +316,7 @@
     if (closed.getAndSet(true)) {
       return;
     }
+    callerPort.close();
     admin.close();
     metrics.ifPresent(AdminListener::close);
     control.close();
