Put a list's document and servers in force together

Cause: an entry that starts put the document in force before the servers of the same list. Calls that came between made the service known without servers, so that all of its servers counted as newly added and took a tenth of their share, rising over 3 s. Ruled out: too few slots (the same load is served before), connection shares (placement never named them).

The list is merged as one, and the first servers of a service take work at once also if the service was known. Both tests failed before.

--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -92,18 +92,16 @@
     follower.stop();
   }
 
-  private void takeDocument(StoreEntry entry) {
+  private void takeDocument(StoreEntry entry, List<VersionedObject> states) {
     if (!entry.key().equals(format.documentKey())) {
       return;
     }
     DocumentReadResult result = format.readDocument(entry.value());
     if (result instanceof DocumentReadResult.Read read) {
-      boolean newer =
-          merger.mergeFromStore(
-              List.of(
-                  new VersionedObject(
-                      read.document().id(), entry.revision(), Optional.of(read.document()))));
-      if (newer) {
+      VersionedObject document =
+          new VersionedObject(read.document().id(), entry.revision(), Optional.of(read.document()));
+      states.add(document);
+      if (isNews(document)) {
         events.note(
             Event.of(EventKind.CONFIG_TAKEN)
                 .with("config", read.version())
@@ -117,6 +115,14 @@
     }
   }
 
+  private boolean isNews(VersionedObject object) {
+    return merger
+        .merged()
+        .object(object.id())
+        .map(held -> held.ticket() < object.ticket())
+        .orElse(true);
+  }
+
   /**
    * Notes what other calls of the store show, which are more frequent than those of a long watch.
    *
@@ -151,7 +157,7 @@
       Set<String> present = new HashSet<>();
       for (StoreEntry entry : entries) {
         nameOf(entry.key()).ifPresent(present::add);
-        takeDocument(entry);
+        takeDocument(entry, states);
         takeServer(entry, states);
       }
       for (String name : heldServers()) {
@@ -167,7 +173,7 @@
       List<VersionedObject> states = new ArrayList<>();
       for (StoreChange change : changes) {
         if (change.entry().isPresent()) {
-          takeDocument(change.entry().get());
+          takeDocument(change.entry().get(), states);
           takeServer(change.entry().get(), states);
         } else {
           nameOf(change.key()).ifPresent(name -> remove(name, change.revision(), states));
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
@@ -102,7 +102,7 @@
   private ServiceView view(
       ConfigSnapshot snapshot, String service, Map<String, ServerState> servers) {
     RoutingSettings settings = new RoutingSettings(snapshot, service);
-    boolean newService = !tables.services().containsKey(service);
+    boolean newService = !hasServers(tables.services().get(service));
     List<ServerState> near = new ArrayList<>();
     List<ServerState> far = new ArrayList<>();
     for (ConfigServer server : snapshot.servers(service)) {
@@ -116,6 +116,10 @@
     return new ServiceView(near, far, settings, probePath);
   }
 
+  private static boolean hasServers(ServiceState known) {
+    return known != null && known.view().size() > 0;
+  }
+
   /** Servers that a new service starts with are not new themselves, so they take work at once. */
   private ServerState serverState(ConfigServer server, double tripMillis, boolean newService) {
     ServerState known = tables.servers().get(server.name());
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/RegistryWatcherTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/RegistryWatcherTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
@@ -94,6 +96,35 @@
     assertThat(server("a")).isEmpty();
   }
 
+  @Test
+  void theDocumentAndTheServersOfAListComeInForceTogether() {
+    register("a", "staying 1 1");
+    put(TextFormat.DOCUMENT, "work");
+    PublishedConfig restarted = new PublishedConfig();
+    ConfigMerger itsMerger = new ConfigMerger(clock, new MergedConfig(), restarted);
+    List<Integer> serversWithService = new ArrayList<>();
+    itsMerger.addListener(
+        merged ->
+            restarted
+                .current()
+                .service("work")
+                .ifPresent(
+                    known -> serversWithService.add(restarted.current().servers("work").size())));
+
+    new RegistryWatcher(
+            store,
+            loop,
+            clock,
+            itsMerger,
+            new SharedRandom(4),
+            new TextFormat(),
+            new SilentEventLog())
+        .start();
+    loop.advance(SOON_MILLIS);
+
+    assertThat(serversWithService).containsExactly(1);
+  }
+
   @Test
   void aServerThatIsRemovedWithoutNoticeIsGoneAtOnce() {
     register("a", "staying 1 1");
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/RoutingTableTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/RoutingTableTest.java
@@ -45,6 +45,22 @@
     }
   }
 
+  @Test
+  void theFirstServersOfAServiceTakeWorkAtOnceAlsoIfTheServiceWasKnownBefore() {
+    ManualClock clock = new ManualClock(100_000);
+    RoutingTable table =
+        new RoutingTable(current::get, new Locality("north", "north-a"), clock, links(clock));
+    ConfigService service = new ConfigService("work", false, List.of(), Optional.empty());
+    current.set(new ConfigSnapshot(1, List.of(service)));
+    assertWithMessage("servers").that(table.service("work").get().view().size()).isEqualTo(0);
+
+    current.set(
+        new ConfigSnapshot(2, List.of(service, new ConfigServerSet("w", "work", servers("work")))));
+    ServerState first = table.service("work").get().view().at(0);
+
+    assertWithMessage("ramp").that(first.health().rampShare(clock.millis(), 3_000)).isEqualTo(1.0);
+  }
+
   private static RegionLinks links(ManualClock clock) {
     LimitShares all =
         new LimitShares() {
