Give no queued call a slot of a server that is gone

Cause: a call that waits takes the first slot that an answer frees. A server without a registration keeps running its calls, and the slot of such a call was given away, as only servers marked as leaving were left out.

Servers that a new configuration lacks are marked, and the queue looks for a newer configuration before it is served. The test failed before.

--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -246,6 +246,7 @@
   }
 
   private void serveQueue(ServiceState service) {
+    table.refresh();
     if (service.queue().takeSweep()) {
       sweepQueue(service);
     }
@@ -256,7 +257,6 @@
   }
 
   private void sweepQueue(ServiceState service) {
-    table.service(service.name());
     for (QueuedCall late : service.queue().removeLate(clock.millis())) {
       refuse(late, Step.ADMIT, PlacementRule.QUEUE_TIME_OVER);
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
@@ -65,19 +65,31 @@
     return tables.groupWeights().getOrDefault(callerGroup, USUAL_WEIGHT);
   }
 
-  private void refresh() {
+  /** Takes over a configuration that is newer; costs a comparison if there is none. */
+  void refresh() {
     ConfigSnapshot newest = config.current();
     if (newest == tables.snapshot() || !rebuilding.compareAndSet(false, true)) {
       return;
     }
     try {
+      Tables before = tables;
       tables = rebuilt(newest);
+      markGone(before, tables);
       links.update(newest);
     } finally {
       rebuilding.set(false);
     }
   }
 
+  /** Calls may still run on a server that is gone, and their ends must not free it for others. */
+  private static void markGone(Tables before, Tables now) {
+    for (ServerState server : before.servers().values()) {
+      if (now.servers().get(server.server().name()) != server) {
+        server.markGone();
+      }
+    }
+  }
+
   private Tables rebuilt(ConfigSnapshot snapshot) {
     Map<String, ServiceState> services = new HashMap<>();
     Map<String, ServerState> servers = new HashMap<>();
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
@@ -26,7 +26,8 @@
 
   /** Tells whether a server may get new work at all. */
   boolean staying(ServerState server) {
-    return !server.server().leaving()
+    return !server.gone()
+        && !server.server().leaving()
         && !server.saysLeaving()
         && !departures.leaving(server.server().address());
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerState.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerState.java
@@ -9,6 +9,7 @@
   private volatile double tripMillis;
   private volatile double distanceMillisPerKib;
   private volatile boolean saysLeaving;
+  private volatile boolean gone;
   private final LoadEstimate load = new LoadEstimate();
   private final ServerHealth health;
 
@@ -49,6 +50,15 @@
     return health;
   }
 
+  /** Tells whether the configuration no longer has the server; calls may still run on it. */
+  boolean gone() {
+    return gone;
+  }
+
+  void markGone() {
+    gone = true;
+  }
+
   boolean saysLeaving() {
     return saysLeaving;
   }
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/QueueingPlacementTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/QueueingPlacementTest.java
@@ -60,6 +60,24 @@
     assertThat(second.server()).isEqualTo("s0");
   }
 
+  @Test
+  void aQueuedCallDoesNotTakeTheSlotThatFreesUpAtAServerThatIsGone() {
+    Placement placement = fixture.servers(2, 1).tune(Tunable.SERVER_QUEUE, 0).publish().placement();
+    RecordingListener first = ask(placement, fixture.call(10_000));
+    RecordingListener second = ask(placement, fixture.call(10_000));
+    RecordingListener queued = ask(placement, fixture.call(10_000));
+    assertThat(queued.undecided()).isTrue();
+
+    fixture.servers.removeIf(server -> server.name().equals(first.server()));
+    fixture.publish();
+    fixture.loop.advance(5);
+    first.grant().get().finished(PlacementFixture.answered(5));
+    assertThat(queued.undecided()).isTrue();
+
+    second.grant().get().finished(PlacementFixture.answered(5));
+    assertThat(queued.server()).isEqualTo(second.server());
+  }
+
   @Test
   void aQueuedCallIsRefusedWhenItCannotFinishInTime() {
     Placement placement = fixture.servers(1, 1).tune(Tunable.SERVER_QUEUE, 0).publish().placement();
