--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
@@ -14,7 +14,6 @@
 import org.tinylog.Logger;
 import org.wagtailpin.caller.CallerLimits;
 import org.wagtailpin.caller.CallerListener;
-import org.wagtailpin.caller.CallerPort;
 import org.wagtailpin.caller.CallerSettings;
 import org.wagtailpin.caller.ListenerKind;
 import org.wagtailpin.clock.Clock;
@@ -46,11 +45,6 @@
 
   private static final long CLOSE_WAIT_MILLIS = 2_000;
 
-  /** Half of the second for which callers wait until a connection is accepted and read. */
-  private static final long FIRST_CONFIG_WAIT_MILLIS = 500;
-
-  private static final long FIRST_CONFIG_POLL_MILLIS = 5;
-
   /** How long peers and the store are told of the end; some trips to the farthest region. */
   private static final long GOODBYE_MILLIS = 200;
 
@@ -65,10 +59,8 @@
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final AdminListener admin;
   private final Optional<AdminListener> metrics;
-  private final CallerPort callerPort;
   private final CallerListener callers;
   private final Optional<CallerListener> internal;
-  private final AtomicBoolean accepting = new AtomicBoolean();
   private final AtomicBoolean closed = new AtomicBoolean();
   private volatile boolean leaving;
 
@@ -76,9 +68,8 @@
    * Wires an entry that is not started, with the project's own protocols.
    *
    * @param settings its settings
-   * @throws IOException if the callers' address can't be listened on
    */
-  public EntryNode(EntrySettings settings) throws IOException {
+  public EntryNode(EntrySettings settings) {
     this(settings, new OwnPlatform());
   }
 
@@ -87,9 +78,8 @@
    *
    * @param settings its settings
    * @param platform what it runs on
-   * @throws IOException if the callers' address can't be listened on
    */
-  public EntryNode(EntrySettings settings, EntryPlatform platform) throws IOException {
+  public EntryNode(EntrySettings settings, EntryPlatform platform) {
     this(settings, platform, line -> Logger.tag(JsonConsoleWriter.RAW_TAG).info("{}", line));
   }
 
@@ -99,18 +89,13 @@
    * @param settings its settings
    * @param platform what it runs on
    * @param eventLines takes each line of the event log, on a thread that may be blocked
-   * @throws IOException if the callers' address can't be listened on
    */
-  public EntryNode(EntrySettings settings, EntryPlatform platform, Consumer<String> eventLines)
-      throws IOException {
+  public EntryNode(EntrySettings settings, EntryPlatform platform, Consumer<String> eventLines) {
     this.settings = settings;
     this.platform = platform;
     this.loop = new ThreadControlLoop(settings.id() + "-control");
     this.trafficLoops =
         EventLoops.createAffine(settings.trafficThreads(), settings.id() + "-traffic");
-    // Bound before all else is made, so that callers wait for the entry instead of being refused.
-    CallerSettings callerSettings = callerSettings(ListenerKind.PUBLIC, settings.callers());
-    this.callerPort = new CallerPort(callerSettings, trafficLoops);
     this.events = new BoundedEventLog(settings.id(), settings.eventLog(), clock, eventLines);
     long seed = settings.seed().orElseGet(System::nanoTime);
     this.control = new ControlParts(settings, platform, clock, loop, events, seed);
@@ -118,7 +103,7 @@
         new TrafficParts(
             settings, platform, clock, loop, trafficLoops, control, registry, events, seed);
     EntryGauges.register(registry, this);
-    this.callers = new CallerListener(callerSettings, trafficLoops, traffic.environment());
+    this.callers = listener(ListenerKind.PUBLIC, settings.callers());
     this.internal = settings.internal().map(address -> listener(ListenerKind.INTERNAL, address));
     this.admin = adminListener();
     this.metrics = settings.metrics().map(this::metricsListener);
@@ -148,12 +133,10 @@
   }
 
   private CallerListener listener(ListenerKind kind, ListenAddress address) {
-    return new CallerListener(callerSettings(kind, address), trafficLoops, traffic.environment());
-  }
-
-  private CallerSettings callerSettings(ListenerKind kind, ListenAddress address) {
-    return new CallerSettings(
-        kind, address.address(), address.port(), settings.id(), CallerLimits.defaults());
+    CallerSettings callerSettings =
+        new CallerSettings(
+            kind, address.address(), address.port(), settings.id(), CallerLimits.defaults());
+    return new CallerListener(callerSettings, trafficLoops, traffic.environment());
   }
 
   /**
@@ -169,31 +152,16 @@
     }
     admin.start();
     metrics.ifPresent(AdminListener::start);
-    acceptWhenConfigured(clock.millis() + FIRST_CONFIG_WAIT_MILLIS);
+    callers.start();
     if (internal.isPresent()) {
       internal.get().start();
     }
     events.note(
         Event.of(EventKind.ENTRY_STARTED)
-            .with("callers", callerPort.address().toString())
+            .with("callers", callers.address().toString())
             .with("incarnation", control.incarnation()));
   }
 
-  /** Callers that come before the first configuration would only be refused. */
-  private void acceptWhenConfigured(long untilMillis) {
-    if (ready() || leaving || clock.millis() >= untilMillis) {
-      accept();
-    } else {
-      loop.schedule(FIRST_CONFIG_POLL_MILLIS, () -> acceptWhenConfigured(untilMillis));
-    }
-  }
-
-  private void accept() {
-    if (!accepting.getAndSet(true)) {
-      callers.start(callerPort);
-    }
-  }
-
   /** Tells whether the entry has a configuration and is not leaving. */
   public boolean ready() {
     return hindrance().isEmpty();
@@ -239,7 +207,7 @@
 
   /** Returns the address on which callers are served. */
   public InetSocketAddress callerAddress() {
-    return callerPort.address();
+    return callers.address();
   }
 
   /** Returns the address on which calls of backend servers are served, if there is one. */
@@ -287,7 +255,6 @@
   }
 
   private void drain(CompletableFuture<Integer> done) {
-    accept();
     CompletableFuture<Integer> outer = callers.drain(settings.graceMillis());
     CompletableFuture<Integer> inner =
         internal
@@ -316,7 +283,6 @@
     if (closed.getAndSet(true)) {
       return;
     }
-    callerPort.close();
     admin.close();
     metrics.ifPresent(AdminListener::close);
     control.close();
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/CallerListener.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/CallerListener.java
@@ -1,7 +1,11 @@
 package org.wagtailpin.caller;
 
+import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
@@ -16,10 +20,14 @@
 /** A TCP port on which callers are served over HTTP/1.1. */
 public final class CallerListener {
 
+  private static final int BACKLOG = 1_024;
+  private static final int LOW_SHARE = 2;
+
   private final CallerSettings settings;
   private final EventLoopGroup loops;
+  private final EventLoopGroup acceptor;
   private final ListenerContext context;
-  private CallerPort port;
+  private Channel server;
   private Optional<CompletableFuture<Integer>> drained = Optional.empty();
 
   /**
@@ -33,6 +41,7 @@
       CallerSettings settings, EventLoopGroup loops, CallEnvironment environment) {
     this.settings = settings;
     this.loops = loops;
+    this.acceptor = EventLoops.create(1, "acceptor");
     RequestIds ids =
         new RequestIds(settings.entry(), RandomSource.createLong() & Integer.MAX_VALUE);
     RequestHeadReader heads =
@@ -42,44 +51,56 @@
   }
 
   /**
-   * Binds its port and begins to serve.
+   * Begins to listen.
    *
    * @throws IOException if the address can't be listened on
    */
   public void start() throws IOException {
-    start(new CallerPort(settings, loops));
-  }
-
-  /**
-   * Begins to serve the connections of a port.
-   *
-   * @param bound the port, bound with the settings and event loops of this listener
-   */
-  public void start(CallerPort bound) {
-    port = bound;
-    bound.accept(this::setUp);
+    int unsentBytes = settings.limits().unsentBytes();
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(acceptor, loops)
+            .channel(EventLoops.serverChannelType())
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.AUTO_READ, false)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(
+                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                new WriteBufferWaterMark(unsentBytes / LOW_SHARE, unsentBytes))
+            .childHandler(new Connections());
+    InetSocketAddress address = new InetSocketAddress(settings.address(), settings.port());
+    var bound = bootstrap.bind(address).awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new IOException("cannot listen on " + address, bound.cause());
+    }
+    server = bound.channel();
   }
 
-  private void setUp(SocketChannel channel) {
-    context.connections().incrementAndGet();
-    channel.closeFuture().addListener(closed -> context.connections().decrementAndGet());
-    context.channels().add(channel);
-    AnswerEncoder encoder = new AnswerEncoder();
-    CallerConnection connection = new CallerConnection(context, encoder);
-    channel
-        .pipeline()
-        .addLast(
-            new StrictRequestDecoder(
-                settings.limits().maxRequestLineBytes(),
-                context.maxHeadBytes(),
-                connection::headBegan))
-        .addLast(encoder)
-        .addLast(connection);
+  /** Sets up the handlers of each connection. */
+  private final class Connections extends ChannelInitializer<SocketChannel> {
+    @Override
+    protected void initChannel(SocketChannel channel) {
+      context.connections().incrementAndGet();
+      channel.closeFuture().addListener(closed -> context.connections().decrementAndGet());
+      context.channels().add(channel);
+      AnswerEncoder encoder = new AnswerEncoder();
+      CallerConnection connection = new CallerConnection(context, encoder);
+      channel
+          .pipeline()
+          .addLast(
+              new StrictRequestDecoder(
+                  settings.limits().maxRequestLineBytes(),
+                  context.maxHeadBytes(),
+                  connection::headBegan))
+          .addLast(encoder)
+          .addLast(connection);
+    }
   }
 
   /** Returns the address that is listened on. */
   public InetSocketAddress address() {
-    return port.address();
+    return (InetSocketAddress) server.localAddress();
   }
 
   /** Returns how many connections are open. */
@@ -110,13 +131,13 @@
     CompletableFuture<Integer> done = new CompletableFuture<>();
     drained = Optional.of(done);
     context.startDraining(graceMillis);
-    port.stopListening().addListener(closed -> drainConnections(graceMillis, done));
-    return done.whenComplete((cut, failure) -> port.close());
+    server.close().addListener(closed -> drainConnections(graceMillis, done));
+    return done.whenComplete((cut, failure) -> acceptor.shutdownGracefully());
   }
 
   /** Tells whether the thread that accepts connections has ended. */
   boolean acceptorEnded() {
-    return port.acceptorEnded();
+    return acceptor.isTerminated();
   }
 
   private void drainConnections(long graceMillis, CompletableFuture<Integer> done) {
