--- a/wagtailpin/src/main/java/org/wagtailpin/eventlog/BoundedEventLog.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/BoundedEventLog.java
@@ -149,8 +149,11 @@
   }
 
   private void writeWaiting() {
-    // A second round finds important lines that came while ordinary ones were written.
-    while (important.writeAll(output) + ordinary.writeOne(output) > 0) {}
+    boolean written = true;
+    while (written) {
+      // Important lines that came while an ordinary one was written go before the next.
+      written = important.writeAll(output) + ordinary.writeOne(output) > 0;
+    }
     tellDropped();
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/LoggedPlacementObserver.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/LoggedPlacementObserver.java
@@ -54,6 +54,7 @@
       case RETURNED -> events.note(changed(EventKind.SERVER_RETURNED, server));
       // What leaves and stays is noted where it is learnt.
       case LEAVING, STAYING -> {}
+      default -> throw new IllegalArgumentException("unknown change " + change);
     }
   }
 
