Read the event log over once more: one place for each thing

The field was called like the operator's number. - Requests refused before they are calls were noted in two of four places. - Page mappers were made for each answer; one is made for the first. - Three ways to say 'no retry' and an exception wrapped twice are one each. - An answer that is no HTTP was logged with a stack trace as our error.

--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -12,6 +12,7 @@
 import org.wagtailpin.claims.ClaimSettings;
 import org.wagtailpin.claims.ShardedClaims;
 import org.wagtailpin.clock.Clock;
+import org.wagtailpin.config.ConfigChanges;
 import org.wagtailpin.config.ConfigLimit;
 import org.wagtailpin.config.ConfigMerger;
 import org.wagtailpin.config.ConfigReport;
@@ -50,9 +51,6 @@
 
   private static final long FLUSH_WAIT_MILLIS = 2_000;
 
-  /** How late the log may learn of a change among the other entries. */
-  private static final long PEERS_PERIOD_MILLIS = 1_000;
-
   private final long incarnation;
   private final StoreHttpClient storeClient;
   private final Store store;
@@ -66,7 +64,6 @@
   private final ShardedClaims claims;
   private final ControlLoop loop;
   private final Clock clock;
-  private final PeerChanges peers;
   private final Optional<HostListPoller> hosts;
 
   ControlParts(
@@ -115,7 +112,9 @@
             platform.membership(),
             seeds(settings));
     registry.ifPresent(watcher -> membership.onStoreReachability(watcher::storeReachable));
-    peers = new PeerChanges(events, platform.membership().silenceMillis());
+    PeerChanges peers = new PeerChanges(events, platform.membership().silenceMillis());
+    membership.onStatus(status -> peers.update(status.peers()));
+    merger.addListener(new ConfigChanges(events, merger::origin));
     claims =
         new ShardedClaims(
             ClaimSettings.defaults(),
@@ -199,15 +198,9 @@
     }
     loop.execute(membership::start);
     registry.ifPresent(watcher -> loop.execute(watcher::start));
-    loop.execute(this::followPeers);
     hosts.ifPresent(poller -> loop.execute(poller::start));
   }
 
-  private void followPeers() {
-    peers.update(membership.status().peers());
-    loop.schedule(PEERS_PERIOD_MILLIS, this::followPeers);
-  }
-
   CompletableFuture<Void> leave() {
     CompletableFuture<Void> left = new CompletableFuture<>();
     loop.execute(
--- a/tools/src/main/java/org/wagtailpin/tools/explain/Beliefs.java
+++ b/tools/src/main/java/org/wagtailpin/tools/explain/Beliefs.java
@@ -38,7 +38,7 @@
     if (line.is("store-lost", "store-regained")) {
       return Optional.of("store");
     }
-    if (line.is("config-taken", "config-refused")) {
+    if (line.is("config-read", "config-taken", "config-refused")) {
       return Optional.of("config");
     }
     return line.event().startsWith("entry-") ? Optional.of("entry") : Optional.empty();
@@ -96,7 +96,7 @@
   }
 
   private static String subject(LogLine line) {
-    for (String field : new String[] {"server", "peer", "config"}) {
+    for (String field : new String[] {"server", "revision", "peer"}) {
       if (line.fields().has(field)) {
         return " " + line.text(field);
       }
--- a/tools/src/main/java/org/wagtailpin/tools/explain/LogReader.java
+++ b/tools/src/main/java/org/wagtailpin/tools/explain/LogReader.java
@@ -33,7 +33,7 @@
     boolean tooLong = false;
     for (int c = log.read(); c >= 0; c = log.read()) {
       if (c == '\n') {
-        take(line, tooLong, taker);
+        take(line.toString(), tooLong, taker);
         line.setLength(0);
         tooLong = false;
       } else if (line.length() < MAX_LINE_CHARS) {
@@ -43,15 +43,15 @@
       }
     }
     if (line.length() > 0) {
-      take(line, tooLong, taker);
+      take(line.toString(), tooLong, taker);
     }
   }
 
-  private void take(CharSequence text, boolean tooLong, Consumer<LogLine> taker) {
-    if (text.toString().isBlank()) {
+  private void take(String text, boolean tooLong, Consumer<LogLine> taker) {
+    if (text.isBlank()) {
       return;
     }
-    Optional<JsonNode> read = tooLong ? Optional.empty() : object(text.toString());
+    Optional<JsonNode> read = tooLong ? Optional.empty() : object(text);
     if (read.isEmpty()) {
       unreadable++;
       return;
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
@@ -287,7 +287,10 @@
 
   private static void logIfOwn(Throwable cause) {
     boolean expected = cause instanceof CancellationException || cause instanceof CodecException;
-    if (cause instanceof RuntimeException && !expected) {
+    if (cause instanceof IllegalArgumentException) {
+      // The decoder tells numbers that it can't read so; the failed attempt has its event.
+      Logger.warn("an answer of a backend server is malformed: {}", cause.toString());
+    } else if (cause instanceof RuntimeException && !expected) {
       Logger.error(cause, "exchange with a backend server failed");
     }
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
@@ -10,9 +10,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.wagtailpin.backend.RequestBody;
-import org.wagtailpin.claims.ClaimKey;
-import org.wagtailpin.claims.ClaimResult;
-import org.wagtailpin.claims.ClaimSettlement;
 import org.wagtailpin.claims.HeldAnswer;
 import org.wagtailpin.claims.HeldHeader;
 import org.wagtailpin.config.ConfigService;
@@ -39,12 +36,6 @@
  */
 public final class Call {
 
-  private static final int BAD_GATEWAY = 502;
-  private static final int SERVICE_UNAVAILABLE = 503;
-  private static final int GATEWAY_TIMEOUT = 504;
-  private static final int CONFLICT = 409;
-  private static final int UNPROCESSABLE = 422;
-
   private final CallEnvironment environment;
   private final IncomingRequest request;
   private final CallDescriptor descriptor;
@@ -53,6 +44,7 @@
   private final AnswerSink sink;
   private final AnswerRelay relay;
   private final CallRecorder recorder;
+  private final CallProblems problems;
   private final EventLoop loop;
   private Future<?> timer;
   private AttemptRequests requests;
@@ -94,8 +86,9 @@
             environment.dialect().wholeAnswers(),
             environment.settings().collectedAnswerBytes());
     this.recorder = new CallRecorder(environment.events(), environment.metrics(), descriptor);
+    this.problems = new CallProblems(environment.settings(), environment.dialect());
     this.loop = loop;
-    recorder.admitted(remainingMillis(), environment.config().current().version());
+    recorder.admitted(remainingMillis(), admission.snapshot());
     this.timer = loop.schedule(this::expire, remainingMillis(), TimeUnit.MILLISECONDS);
   }
 
@@ -126,49 +119,29 @@
     }
     requests = new AttemptRequests(request, service, body, environment.dialect());
     if (key.isPresent()) {
-      claim(key.get(), body);
+      new KeyClaim(environment, new Claimed())
+          .ask(key.get(), descriptor, request, body, this::onLoop, () -> ended);
     } else {
       firstAttempt();
     }
   }
 
-  private void claim(String value, RequestBody body) {
-    String scope = service.name() + "/" + request.callerGroup();
-    var unused =
-        environment
-            .claims()
-            .claim(
-                new ClaimKey(scope, value),
-                KeyedWork.fingerprint(request, body),
-                descriptor.deadlineMillis())
-            .thenAccept(result -> onLoop(() -> claimed(result)));
-  }
-
-  private void claimed(ClaimResult result) {
-    if (ended) {
-      giveBack(result);
-      return;
-    }
-    if (result instanceof ClaimResult.Granted granted) {
-      keyed =
-          Optional.of(
-              new KeyedWork(
-                  environment.claims(), granted.token(), environment.settings().heldAnswerBytes()));
+  /** Goes on with what came of the claim. */
+  private final class Claimed implements KeyClaim.Listener {
+    @Override
+    public void claimed(KeyedWork work) {
+      keyed = Optional.of(work);
       firstAttempt();
-    } else if (result instanceof ClaimResult.Replayed replayed) {
-      replay(replayed.answer());
-    } else if (result instanceof ClaimResult.AlreadyDispatched dispatched) {
-      refuse(CONFLICT, Outcome.UNKNOWN, dispatched.fault());
-    } else if (result instanceof ClaimResult.KeyReused reused) {
-      refuse(UNPROCESSABLE, Outcome.NOT_RUN, reused.fault());
-    } else if (result instanceof ClaimResult.Unavailable unavailable) {
-      refuse(SERVICE_UNAVAILABLE, Outcome.NOT_RUN, unavailable.fault());
     }
-  }
 
-  private void giveBack(ClaimResult result) {
-    if (result instanceof ClaimResult.Granted granted) {
-      environment.claims().settle(granted.token(), new ClaimSettlement.NotRun());
+    @Override
+    public void replayed(HeldAnswer answer) {
+      replay(answer);
+    }
+
+    @Override
+    public void refused(int status, Outcome outcome, Fault fault) {
+      refuse(problems.of(status, outcome, fault));
     }
   }
 
@@ -230,14 +203,10 @@
   private void notPlaced(Fault fault) {
     waiting = Optional.empty();
     if (!ended) {
-      refuse(failedStatus(), outcome(), lastFault.orElse(fault));
+      refuse(problems.failed(mayHaveRun, lastFault.orElse(fault)));
     }
   }
 
-  private int failedStatus() {
-    return mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE;
-  }
-
   void answerBegan(int status, HttpHeaders headers) {
     progressMillis = nowMillis();
     HttpDialect dialect = environment.dialect();
@@ -307,7 +276,7 @@
       retryIn(decision.delayMillis());
       return;
     }
-    refuse(failedStatus(), outcome(), AttemptLabels.fault(outcome));
+    refuse(problems.failed(mayHaveRun, AttemptLabels.fault(outcome)));
   }
 
   private void retryIn(long delayMillis) {
@@ -321,15 +290,11 @@
   /** Work that may not be repeated is sent again only after proof that it was not run. */
   private RetryDecision retryDecision(AttemptOutcome outcome) {
     if (!(outcome instanceof AttemptOutcome.NotRun || descriptor.repeatable())) {
-      return new RetryDecision(false, "may-have-run", 0);
+      return RetryDecision.no("may-have-run");
     }
     return requests.body().replayable()
         ? environment.retryPolicy().decide(descriptor, history, outcome)
-        : new RetryDecision(false, "body-not-held", 0);
-  }
-
-  private Outcome outcome() {
-    return mayHaveRun ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+        : RetryDecision.no("body-not-held");
   }
 
   private void expire() {
@@ -347,16 +312,10 @@
       settleFailed();
       end(CallEnd.left(Optional.of(fault)));
     } else {
-      refuse(expiredStatus(), outcome(), fault);
+      refuse(problems.expired(mayHaveRun, fault));
     }
   }
 
-  /** Where callers read statuses only, a request that was not run must not be told as unknown. */
-  private int expiredStatus() {
-    boolean told = environment.dialect().notRunStatuses().contains(SERVICE_UNAVAILABLE);
-    return told && !mayHaveRun ? SERVICE_UNAVAILABLE : GATEWAY_TIMEOUT;
-  }
-
   private Fault expiry() {
     if (attempt.isPresent()) {
       String server = attempt.get().grant().server().name();
@@ -390,22 +349,15 @@
   }
 
   private void settleFailed() {
-    keyed.ifPresent(work -> work.failed(outcome()));
+    keyed.ifPresent(work -> work.failed(CallProblems.outcome(mayHaveRun)));
   }
 
-  private void refuse(int status, Outcome outcome, Fault fault) {
+  private void refuse(Problem problem) {
     settleFailed();
-    Problem problem = new Problem(status, outcome, fault, retryAfter(status));
     end(CallEnd.refused(problem));
     sink.problem(problem);
   }
 
-  private Optional<Long> retryAfter(int status) {
-    return status == SERVICE_UNAVAILABLE
-        ? Optional.of(environment.settings().retryAfterMillis())
-        : Optional.empty();
-  }
-
   /**
    * Tells the call that its caller left. Work in flight is cancelled, unless a claimed key lets the
    * caller ask for the answer later.
@@ -437,7 +389,7 @@
     if (relay.began()) {
       breakOff();
     } else {
-      refuse(status, outcome(), fault);
+      refuse(problems.of(status, CallProblems.outcome(mayHaveRun), fault));
     }
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallAdmission.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallAdmission.java
@@ -38,8 +38,10 @@
    * @param descriptor what placement needs to know
    * @param service the service
    * @param key the idempotency key to claim, empty if the work is not claimed
+   * @param snapshot the number of the snapshot of the configuration that decided
    */
-  record Admitted(CallDescriptor descriptor, ConfigService service, Optional<String> key)
+  record Admitted(
+      CallDescriptor descriptor, ConfigService service, Optional<String> key, long snapshot)
       implements CallAdmission {}
 
   /**
@@ -81,7 +83,7 @@
           Step.MATCH_ROUTE,
           "service " + route.get().service() + " is unknown");
     }
-    return withKey(route.get(), service.get(), request, clock);
+    return withKey(snapshot.version(), route.get(), service.get(), request, clock);
   }
 
   /** Spreads identifiers evenly over 0 to 1, the same way on all entries. */
@@ -91,7 +93,11 @@
   }
 
   private static CallAdmission withKey(
-      ConfigRoute route, ConfigService service, IncomingRequest request, Clock clock) {
+      long snapshot,
+      ConfigRoute route,
+      ConfigService service,
+      IncomingRequest request,
+      Clock clock) {
     Optional<String> key =
         Optional.ofNullable(request.headers().get(WagtailpinHeaders.IDEMPOTENCY_KEY));
     if (route.keyRule() == KeyRule.REQUIRED && key.isEmpty()) {
@@ -117,7 +123,7 @@
             request.callerGroup(),
             request.depth(),
             clock.millis() + waitMillis);
-    return new Admitted(descriptor, service, key);
+    return new Admitted(descriptor, service, key, snapshot);
   }
 
   private static Refused refused(HttpResponseStatus status, Step step, String detail) {
--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallRecorder.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallRecorder.java
@@ -26,16 +26,16 @@
    * The call was admitted.
    *
    * @param leftMillis how long its caller and its route let it take, in milliseconds
-   * @param config the number of the configuration that gave its route
+   * @param snapshot the number of the snapshot of the configuration that gave its route
    */
-  void admitted(long leftMillis, long config) {
+  void admitted(long leftMillis, long snapshot) {
     events.begin(call.requestId());
     events.note(
         event(EventKind.ADMITTED)
             .with("route", call.route().name())
             .with("service", call.route().service())
             .with("deadlineMillis", leftMillis)
-            .with("config", config));
+            .with("snapshot", snapshot));
   }
 
   void attemptEnded(Attempt attempt, int number, AttemptOutcome outcome, double latencyMillis) {
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/CallerConnection.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/CallerConnection.java
@@ -20,11 +20,7 @@
 import org.wagtailpin.call.Call;
 import org.wagtailpin.call.CallAdmission;
 import org.wagtailpin.call.IncomingRequest;
-import org.wagtailpin.call.Outcome;
 import org.wagtailpin.call.Problem;
-import org.wagtailpin.error.Fault;
-import org.wagtailpin.error.Peer;
-import org.wagtailpin.error.Step;
 
 /**
  * One connection of a caller: its requests, one at a time and answered in their order.
@@ -37,11 +33,6 @@
   /** Event that asks a connection to end as soon as it is idle. */
   static final Object DRAIN = new Object();
 
-  private static final int BAD_REQUEST = 400;
-  private static final int REQUEST_TIMEOUT = 408;
-  private static final int CONTENT_TOO_LARGE = 413;
-  private static final int SERVICE_UNAVAILABLE = 503;
-
   private final ListenerContext listener;
   private final AnswerEncoder encoder;
   private final Queue<Object> sentAhead = new ArrayDeque<>();
@@ -96,7 +87,7 @@
     answerDone = false;
     keepAlive = false;
     writer.beginWithoutRequest();
-    writer.problem(problem(REQUEST_TIMEOUT, "the request's head did not end in time"));
+    refuse(Optional.empty(), RequestProblems.headTooLate());
   }
 
   @Override
@@ -168,46 +159,29 @@
       admit(sound.request(), length, continues);
     } else if (read instanceof RequestHead.Unsound unsound) {
       keepAlive = false;
-      listener.environment().unread(Optional.empty(), unsound.problem());
-      writer.problem(unsound.problem());
+      refuse(Optional.empty(), unsound.problem());
     }
   }
 
   private void admit(IncomingRequest request, long length, boolean continues) {
     writer.identify(request.id());
-    if (length > listener.maxBodyBytes()) {
-      keepAlive = false;
-      refuse(request, problem(CONTENT_TOO_LARGE, "the request's body is too long"));
-      return;
-    }
-    CallAdmission admission =
-        CallAdmission.of(
-            listener.environment().config().current(), request, listener.environment().clock());
-    if (admission instanceof CallAdmission.Refused refused) {
-      // A caller that waits for leave to send its body may never send it.
-      keepAlive = keepAlive && !continues;
-      refuse(request, refused.problem());
-    } else if (admission instanceof CallAdmission.Admitted admitted) {
-      if (listener.cutsBefore(admitted.descriptor().deadlineMillis())) {
-        refuse(request, leaving());
-      } else {
-        start(request, admitted, length, continues);
-      }
+    CallAdmission admission = listener.admit(request, length);
+    if (admission instanceof CallAdmission.Admitted admitted) {
+      start(request, admitted, length, continues);
+    } else if (admission instanceof CallAdmission.Refused refused) {
+      // A caller that waits for leave to send its body may never send it, and a long one is not
+      // read to its end.
+      boolean tooLong = refused.problem().status() == RequestProblems.CONTENT_TOO_LARGE;
+      keepAlive = keepAlive && !continues && !tooLong;
+      refuse(Optional.of(request.id()), refused.problem());
     }
   }
 
-  private void refuse(IncomingRequest request, Problem problem) {
-    listener.environment().unread(Optional.of(request.id()), problem);
+  private void refuse(Optional<String> request, Problem problem) {
+    listener.environment().unread(request, problem);
     writer.problem(problem);
   }
 
-  private Problem leaving() {
-    Fault fault =
-        new Fault(Step.ADMIT, Peer.SELF, "", "the entry leaves before the request's deadline");
-    long retryAfterMillis = listener.environment().settings().retryAfterMillis();
-    return new Problem(SERVICE_UNAVAILABLE, Outcome.NOT_RUN, fault, Optional.of(retryAfterMillis));
-  }
-
   private void start(
       IncomingRequest request, CallAdmission.Admitted admitted, long length, boolean continues) {
     listener.calls().incrementAndGet();
@@ -227,7 +201,7 @@
   private void readContent(HttpContent content) {
     if (content.decoderResult().isFailure()) {
       requestDone = true;
-      breakRequest(BAD_REQUEST, "the request's body is not valid HTTP");
+      breakRequest(RequestProblems.BAD_REQUEST, "the request's body is not valid HTTP");
       return;
     }
     if (call.isPresent()) {
@@ -247,7 +221,7 @@
     RequestBodyReader reader = body.get();
     reader.add(content.content()).ifPresent(current::begin);
     if (reader.received() > listener.maxBodyBytes()) {
-      breakRequest(CONTENT_TOO_LARGE, "the request's body is too long");
+      breakRequest(RequestProblems.CONTENT_TOO_LARGE, "the request's body is too long");
     } else if (content instanceof LastHttpContent) {
       reader.end().ifPresent(current::begin);
     }
@@ -298,7 +272,7 @@
     if (answerDone) {
       context.close();
     } else {
-      breakRequest(REQUEST_TIMEOUT, "the request's body did not come in time");
+      breakRequest(RequestProblems.REQUEST_TIMEOUT, "the request's body did not come in time");
     }
   }
 
@@ -306,7 +280,7 @@
     keepAlive = false;
     body.ifPresent(RequestBodyReader::abort);
     if (call.isPresent()) {
-      call.get().requestBroke(status, fault(detail));
+      call.get().requestBroke(status, RequestProblems.fault(detail));
     } else if (answerDone) {
       linger();
     }
@@ -418,12 +392,4 @@
     }
     ctx.close();
   }
-
-  private static Problem problem(int status, String detail) {
-    return new Problem(status, Outcome.NOT_RUN, fault(detail));
-  }
-
-  private static Fault fault(String detail) {
-    return new Fault(Step.READ_REQUEST, Peer.CALLER, "", detail);
-  }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/ListenerContext.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/ListenerContext.java
@@ -4,7 +4,9 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.wagtailpin.call.CallAdmission;
 import org.wagtailpin.call.CallEnvironment;
+import org.wagtailpin.call.IncomingRequest;
 import org.wagtailpin.config.Tunable;
 
 /** What the connections of a listener share. */
@@ -89,11 +91,27 @@
   }
 
   /**
-   * Tells whether connections are cut before a call must have ended.
+   * Decides on a request by its head.
    *
-   * @param deadlineMillis the call's deadline
+   * @param request the request
+   * @param length the length of its body, below 0 if its head does not tell
    */
-  boolean cutsBefore(long deadlineMillis) {
+  CallAdmission admit(IncomingRequest request, long length) {
+    if (length > maxBodyBytes()) {
+      return new CallAdmission.Refused(RequestProblems.bodyTooLong());
+    }
+    CallAdmission admission =
+        CallAdmission.of(environment.config().current(), request, environment.clock());
+    if (admission instanceof CallAdmission.Admitted admitted
+        && cutsBefore(admitted.descriptor().deadlineMillis())) {
+      return new CallAdmission.Refused(
+          RequestProblems.leaving(environment.settings().retryAfterMillis()));
+    }
+    return admission;
+  }
+
+  /** Tells whether connections are cut before a call must have ended. */
+  private boolean cutsBefore(long deadlineMillis) {
     return draining && deadlineMillis > drainEndMillis;
   }
 }
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigChanges.java
@@ -0,0 +1,48 @@
+package org.wagtailpin.config;
+
+import java.util.function.Supplier;
+import org.wagtailpin.eventlog.Event;
+import org.wagtailpin.eventlog.EventKind;
+import org.wagtailpin.eventlog.EventLog;
+
+/** Notes in the log each configuration that comes in force, wherever it came from. */
+public final class ConfigChanges implements ConfigListener {
+
+  private final EventLog events;
+  private final Supplier<ConfigOrigin> origin;
+  private long newest;
+
+  /**
+   * Creates a listener.
+   *
+   * @param events takes the events
+   * @param origin tells where the newest state came from
+   */
+  public ConfigChanges(EventLog events, Supplier<ConfigOrigin> origin) {
+    this.events = events;
+    this.origin = origin;
+  }
+
+  @Override
+  public void configChanged(MergedConfig merged) {
+    long revision =
+        merged.objects().stream()
+            .filter(object -> isConfiguration(object.id().kind()))
+            .mapToLong(VersionedObject::ticket)
+            .max()
+            .orElse(0);
+    if (revision > newest) {
+      newest = revision;
+      events.note(
+          Event.of(EventKind.CONFIG_TAKEN)
+              .with("revision", revision)
+              .with("source", origin.get().source().label())
+              .with("peer", origin.get().peerName()));
+    }
+  }
+
+  /** Servers come and go by themselves, and have events of their own. */
+  private static boolean isConfiguration(ConfigKind kind) {
+    return kind != ConfigKind.SERVER_SET && kind != ConfigKind.TICKET_FLOOR;
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigOrigin.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigOrigin.java
@@ -1,5 +1,7 @@
 package org.wagtailpin.config;
 
+import java.util.Locale;
+
 /**
  * Where the configuration in force came from.
  *
@@ -14,7 +16,12 @@
     /** There is no configuration yet. */
     NONE,
     STORE,
-    PEER
+    PEER;
+
+    /** Returns the name used in log lines and pages. */
+    public String label() {
+      return name().toLowerCase(Locale.ROOT);
+    }
   }
 
   /** Returns the origin of an entry that has no configuration yet. */
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigReport.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigReport.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 
 /**
  * What an entry tells operators about the configuration that it has in force.
@@ -56,7 +55,7 @@
         digestText(merged),
         merged.highestTicket(),
         merged.floor(),
-        origin.source().name().toLowerCase(Locale.ROOT),
+        origin.source().label(),
         origin.peerName(),
         origin.sinceWallMillis(),
         objects);
--- a/wagtailpin/src/main/java/org/wagtailpin/eventlog/Event.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/Event.java
@@ -1,9 +1,8 @@
 package org.wagtailpin.eventlog;
 
-import java.util.ArrayList;
-import java.util.List;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
-import java.util.function.BiConsumer;
 
 /**
  * Something that an entry decided or came to believe. Filled by one thread before it is handed to
@@ -13,7 +12,7 @@
 
   private final EventKind kind;
   private final Optional<String> request;
-  private final List<Object> namesAndValues = new ArrayList<>();
+  private final Map<String, Object> fields = new LinkedHashMap<>();
 
   private Event(EventKind kind, Optional<String> request) {
     this.kind = kind;
@@ -42,8 +41,7 @@
     if (!kind.fields().contains(field)) {
       throw new IllegalArgumentException(kind.label() + " has no field " + field);
     }
-    namesAndValues.add(field);
-    namesAndValues.add(value);
+    fields.put(field, value);
     return this;
   }
 
@@ -57,15 +55,12 @@
     return request;
   }
 
-  void forEach(BiConsumer<String, Object> taker) {
-    for (int i = 0; i < namesAndValues.size(); i += 2) {
-      taker.accept((String) namesAndValues.get(i), namesAndValues.get(i + 1));
-    }
+  Map<String, Object> fields() {
+    return fields;
   }
 
   /** Returns the value of a field. */
   public Optional<Object> value(String field) {
-    int at = namesAndValues.indexOf(field);
-    return at < 0 ? Optional.empty() : Optional.of(namesAndValues.get(at + 1));
+    return Optional.ofNullable(fields.get(field));
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
@@ -4,7 +4,7 @@
 
 /** The events that an entry logs, with the fields of each; the operations page lists the same. */
 public enum EventKind {
-  ADMITTED("admitted", true, "route", "service", "deadlineMillis", "config"),
+  ADMITTED("admitted", true, "route", "service", "deadlineMillis", "snapshot"),
   UNREAD("unread", true, "status", "step", "detail"),
   PLACED(
       "placed",
@@ -54,7 +54,8 @@
   STORE_REGAINED("store-regained", false, "awayMillis"),
   HISTORY_LOST("history-lost", false, "revision"),
   LIST_OLDER("list-older", false, "revision", "known"),
-  CONFIG_TAKEN("config-taken", false, "config", "revision"),
+  CONFIG_READ("config-read", false, "config", "revision"),
+  CONFIG_TAKEN("config-taken", false, "revision", "source", "peer"),
   CONFIG_REFUSED("config-refused", false, "revision", "detail"),
   SERVER_SEEN("server-seen", false, "server", "service", "address", "revision"),
   SERVER_LEAVING("server-leaving", false, "server", "service", "revision"),
--- a/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventLine.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventLine.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
+import java.util.Map;
 
 /** Form of an event as a line of JSON: time, event, entry, request and the kind's fields. */
 final class EventLine {
@@ -23,7 +24,10 @@
       if (event.request().isPresent()) {
         json.writeStringField("request", event.request().get());
       }
-      event.forEach((name, value) -> write(json, name, value));
+      for (Map.Entry<String, Object> field : event.fields().entrySet()) {
+        json.writeFieldName(field.getKey());
+        write(json, field.getValue());
+      }
       json.writeEndObject();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
@@ -31,21 +35,16 @@
     return text.toString();
   }
 
-  private static void write(JsonGenerator json, String name, Object value) {
-    try {
-      json.writeFieldName(name);
-      if (value instanceof Integer || value instanceof Long) {
-        json.writeNumber(((Number) value).longValue());
-      } else if (value instanceof Double real) {
-        // A tenth of a microsecond is as fine as the clock.
-        json.writeNumber(Math.round(real * 10_000) / 10_000.0);
-      } else if (value instanceof Boolean truth) {
-        json.writeBoolean(truth);
-      } else {
-        json.writeString(String.valueOf(value));
-      }
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
+  private static void write(JsonGenerator json, Object value) throws IOException {
+    if (value instanceof Integer || value instanceof Long) {
+      json.writeNumber(((Number) value).longValue());
+    } else if (value instanceof Double real) {
+      // A tenth of a microsecond is as fine as the clock.
+      json.writeNumber(Math.round(real * 10_000) / 10_000.0);
+    } else if (value instanceof Boolean truth) {
+      json.writeBoolean(truth);
+    } else {
+      json.writeString(String.valueOf(value));
     }
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/BudgetedRetryPolicy.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/BudgetedRetryPolicy.java
@@ -88,16 +88,16 @@
   @Override
   public RetryDecision decide(CallDescriptor call, AttemptHistory history, AttemptOutcome outcome) {
     if (outcome instanceof AttemptOutcome.Answered) {
-      return refusal("answered");
+      return RetryDecision.no("answered");
     }
     if (outcome instanceof AttemptOutcome.Cancelled) {
-      return refusal("cancelled");
+      return RetryDecision.no("cancelled");
     }
     if (!call.repeatable() && !(outcome instanceof AttemptOutcome.NotRun)) {
-      return refusal("may-have-run");
+      return RetryDecision.no("may-have-run");
     }
     if (call.depth() > 0) {
-      return refusal("outer-level-retries");
+      return RetryDecision.no("outer-level-retries");
     }
     return withinLimits(call, history, outcome);
   }
@@ -112,16 +112,16 @@
             .map(Integer::doubleValue)
             .orElseGet(() -> snapshot.tunable(Tunable.MAX_ATTEMPTS, service));
     if (history.attempts() >= mostAttempts) {
-      return refusal("attempts-spent");
+      return RetryDecision.no("attempts-spent");
     }
     boolean atOnce = outcome instanceof AttemptOutcome.NotRun && history.attempts() <= 1;
     long delay = atOnce ? 0 : backoffMillis(snapshot, service, history.attempts());
     double expected = times.expectedMillis(service, call.route().name());
     if (clock.millis() + delay + expected > call.deadlineMillis()) {
-      return refusal("deadline");
+      return RetryDecision.no("deadline");
     }
     if (!budget(service).spend()) {
-      return refusal("budget-spent");
+      return RetryDecision.no("budget-spent");
     }
     return new RetryDecision(true, "retry", delay);
   }
@@ -135,8 +135,4 @@
   private RetryBudget budget(String service) {
     return budgets.of(service);
   }
-
-  private static RetryDecision refusal(String rule) {
-    return new RetryDecision(false, rule, 0);
-  }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/Membership.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/Membership.java
@@ -44,6 +44,7 @@
   private final long electionFromMillis;
   private volatile MembershipView view;
   private volatile MembershipStatus status;
+  private Consumer<MembershipStatus> statusListener = told -> {};
   private boolean leaving;
   private boolean stopped;
 
@@ -129,6 +130,15 @@
     lease.onReachability(listener);
   }
 
+  /**
+   * Has each new state told, before the start.
+   *
+   * @param listener takes the state, on the control loop
+   */
+  public void onStatus(Consumer<MembershipStatus> listener) {
+    statusListener = listener;
+  }
+
   /** Begins to join the fleet. */
   public void start() {
     heartbeats.listen();
@@ -216,6 +226,7 @@
       view = new MembershipView(view.version() + 1, self.id(), members);
     }
     status = currentStatus();
+    statusListener.accept(status);
   }
 
   private MembershipStatus currentStatus() {
--- a/wagtailpin/src/main/java/org/wagtailpin/operator/ConfigPage.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/operator/ConfigPage.java
@@ -1,7 +1,5 @@
 package org.wagtailpin.operator;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.function.Supplier;
 import org.wagtailpin.config.ConfigReport;
 
@@ -29,11 +27,6 @@
 
   @Override
   public AdminAnswer answer() {
-    try {
-      // Made here, as an entry that is starting has no use for it yet.
-      return AdminAnswer.json(new ObjectMapper().writeValueAsBytes(reports.get()));
-    } catch (JsonProcessingException e) {
-      throw new IllegalStateException("a report has no JSON form", e);
-    }
+    return PageJson.compact(reports.get());
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/operator/StatusPage.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/operator/StatusPage.java
@@ -1,10 +1,8 @@
 package org.wagtailpin.operator;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.SerializationFeature;
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /** Page of the entry's state in JSON, one key for each part. */
 public final class StatusPage implements AdminPage {
@@ -27,16 +25,10 @@
 
   @Override
   public AdminAnswer answer() {
-    // Made here, as an entry that is starting has no use for it yet.
-    ObjectMapper mapper = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
-    ObjectNode status = mapper.createObjectNode();
+    Map<String, Object> status = new LinkedHashMap<>();
     for (StatusPart part : parts) {
-      status.set(part.name(), mapper.valueToTree(part.current()));
-    }
-    try {
-      return AdminAnswer.json(mapper.writeValueAsBytes(status));
-    } catch (JsonProcessingException e) {
-      throw new IllegalStateException("a status part has no JSON form", e);
+      status.put(part.name(), part.current());
     }
+    return PageJson.indented(status);
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -49,6 +49,7 @@
   private final EventLog events;
   private final KeyFollower follower;
   private final Map<String, RegisteredServer> registered = new HashMap<>();
+  private long documentRevision;
   private boolean away;
   private long returnedMillis = NEVER;
   private long lostMillis = NEVER;
@@ -101,9 +102,10 @@
       VersionedObject document =
           new VersionedObject(read.document().id(), entry.revision(), Optional.of(read.document()));
       states.add(document);
-      if (isNews(document)) {
+      if (entry.revision() > documentRevision) {
+        documentRevision = entry.revision();
         events.note(
-            Event.of(EventKind.CONFIG_TAKEN)
+            Event.of(EventKind.CONFIG_READ)
                 .with("config", read.version())
                 .with("revision", entry.revision()));
       }
@@ -115,14 +117,6 @@
     }
   }
 
-  private boolean isNews(VersionedObject object) {
-    return merger
-        .merged()
-        .object(object.id())
-        .map(held -> held.ticket() < object.ticket())
-        .orElse(true);
-  }
-
   /**
    * Notes what other calls of the store show, which are more frequent than those of a long watch.
    *
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RetryDecision.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RetryDecision.java
@@ -7,4 +7,10 @@
  * @param rule the name of the rule that decided, for log lines
  * @param delayMillis how long to wait before the attempt, in milliseconds, at least 0
  */
-public record RetryDecision(boolean retry, String rule, long delayMillis) {}
+public record RetryDecision(boolean retry, String rule, long delayMillis) {
+
+  /** Returns the decision that no other attempt is made. */
+  public static RetryDecision no(String rule) {
+    return new RetryDecision(false, rule, 0);
+  }
+}
