Take the time to stop from the settings, and serve what arrives until the end of a drain

During the notice requests were taken whatever their deadline, and the listening socket closed before the calls in flight had ended.

--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
@@ -258,6 +258,9 @@
             .with("noticeMillis", settings.noticeMillis())
             .with("graceMillis", settings.graceMillis()));
     loop.execute(control.membership()::announceLeaving);
+    long untilEndMillis = settings.noticeMillis() + settings.graceMillis();
+    callers.announceDrain(untilEndMillis);
+    internal.ifPresent(listener -> listener.announceDrain(untilEndMillis));
     CompletableFuture<Integer> done = new CompletableFuture<>();
     loop.schedule(settings.noticeMillis(), () -> drain(done));
     return done;
--- a/daemon/src/main/java/org/wagtailpin/daemon/SettingsReader.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/SettingsReader.java
@@ -21,6 +21,7 @@
   private static final int MAX_TRAFFIC_THREADS = 64;
   private static final long MAX_DURATION_MILLIS = 3_600_000;
   private static final int MAX_LOG_LINES = 1_000_000;
+  private static final double MILLIS_PER_SECOND = 1_000;
 
   private static final String ADDRESS_EXPECTED =
       "an object with address and port, or a text such as 10.0.0.1:7400";
@@ -54,6 +55,7 @@
   }
 
   private static EntrySettings settings(JsonObjectReader in) {
+    StopTimes stopTimes = stopTimes(in);
     return new EntrySettings(
         in.name("id"),
         in.name("region"),
@@ -67,14 +69,34 @@
         uri(in, "store").orElse(URI.create("http://127.0.0.1")),
         in.has("hostList") ? uri(in, "hostList") : Optional.empty(),
         (int) in.integer("trafficThreads", 1, MAX_TRAFFIC_THREADS, DEFAULT_TRAFFIC_THREADS),
-        in.integer("noticeMillis", 0, MAX_DURATION_MILLIS, DEFAULT_NOTICE_MILLIS),
-        in.integer("graceMillis", 0, MAX_DURATION_MILLIS, DEFAULT_GRACE_MILLIS),
+        stopTimes.noticeMillis(),
+        stopTimes.graceMillis(),
         eventLog(in),
         failureDomains(in),
         constants(in),
         seed(in));
   }
 
+  /** Either both times are given, or the time until the process would be killed. */
+  private static StopTimes stopTimes(JsonObjectReader in) {
+    if (!in.has("stopWithinSeconds")) {
+      return new StopTimes(
+          in.integer("noticeMillis", 0, MAX_DURATION_MILLIS, DEFAULT_NOTICE_MILLIS),
+          in.integer("graceMillis", 0, MAX_DURATION_MILLIS, DEFAULT_GRACE_MILLIS));
+    }
+    double seconds =
+        in.number(
+            "stopWithinSeconds",
+            StopTimes.MIN_STOP_MILLIS / MILLIS_PER_SECOND,
+            MAX_DURATION_MILLIS / MILLIS_PER_SECOND);
+    for (String key : List.of("noticeMillis", "graceMillis")) {
+      if (in.has(key)) {
+        in.addProblem(key, "either stopWithinSeconds or noticeMillis and graceMillis");
+      }
+    }
+    return StopTimes.within((long) (seconds * MILLIS_PER_SECOND));
+  }
+
   private static EventLogSettings eventLog(JsonObjectReader in) {
     EventLogSettings defaultSettings = EventLogSettings.defaults();
     int lineCapacity =
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/CallerConnection.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/CallerConnection.java
@@ -69,12 +69,14 @@
       ctx.close();
       return;
     }
-    awaitRequest();
+    timer.set(idleTimeoutMillis(), context::close);
+    requestRead();
   }
 
-  private void awaitRequest() {
-    timer.set(listenerContext.idleTimeoutMillis(), context::close);
-    requestRead();
+  private long idleTimeoutMillis() {
+    return listenerContext.draining()
+        ? listenerContext.limits().lingerMillis()
+        : listenerContext.idleTimeoutMillis();
   }
 
   /** Called by the decoder when it has received the start of a head, but not yet its end. */
@@ -175,7 +177,8 @@
       // The connection cannot be reused: a caller that waits for 100 Continue may never send its
       // body, and a body that is too long is not read to its end.
       boolean tooLong = refused.problem().status() == RequestProblems.CONTENT_TOO_LARGE;
-      keepAlive = keepAlive && !expectsContinue && !tooLong;
+      boolean leaving = listenerContext.endAnnounced();
+      keepAlive = keepAlive && !expectsContinue && !tooLong && !leaving;
       refuse(Optional.of(request.id()), refused.problem());
     }
   }
@@ -335,10 +338,7 @@
     if (lingering || !keepAlive) {
       return;
     }
-    timer.set(listenerContext.idleTimeoutMillis(), context::close);
-    if (listenerContext.draining()) {
-      scheduleDrainClose();
-    }
+    timer.set(idleTimeoutMillis(), context::close);
     if (pipelined.isEmpty()) {
       requestRead();
     } else {
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/CallerListener.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/CallerListener.java
@@ -118,9 +118,20 @@
   }
 
   /**
-   * Shuts the listener down gracefully: no further connections are accepted, answers carry {@code
-   * Connection: close}, and idle connections are closed. A request that still arrives is refused if
-   * its deadline lies after the end of the grace period. At that time the remaining connections are
+   * Announces that {@link #drain} will follow. Requests whose deadline lies after its end are
+   * refused from now on; all others are served as before.
+   *
+   * @param untilEndMillis the time from now to the end of the drain, in milliseconds
+   */
+  public void announceDrain(long untilEndMillis) {
+    context.announceEnd(untilEndMillis);
+  }
+
+  /**
+   * Shuts the listener down gracefully: answers carry {@code Connection: close}, and idle
+   * connections are closed. Connections that still arrive are accepted until no other connection is
+   * left, so that none is reset that a balancer had already sent here. A request is refused if its
+   * deadline lies after the end of the grace period. At that time the remaining connections are
    * closed. A further call can only shorten the grace period.
    *
    * @param graceMillis how long calls in flight may continue, in milliseconds
@@ -128,7 +139,6 @@
    */
   public synchronized CompletableFuture<Integer> drain(long graceMillis) {
     if (drainResult.isPresent()) {
-      // The acceptor thread may have ended already, and would then not run its close listeners.
       CompletableFuture<Integer> result = drainResult.get();
       GlobalEventExecutor.INSTANCE.schedule(
           () -> closeRemaining(result), graceMillis, TimeUnit.MILLISECONDS);
@@ -137,7 +147,7 @@
     CompletableFuture<Integer> result = new CompletableFuture<>();
     drainResult = Optional.of(result);
     context.startDraining(graceMillis);
-    serverChannel.close().addListener(closed -> drainConnections(graceMillis, result));
+    drainConnections(graceMillis, result);
     return result.whenComplete((aborted, failure) -> acceptor.shutdownGracefully());
   }
 
@@ -155,18 +165,36 @@
     var expiry =
         GlobalEventExecutor.INSTANCE.schedule(
             () -> closeRemaining(result), graceMillis, TimeUnit.MILLISECONDS);
+    result.whenComplete((aborted, failure) -> expiry.cancel(false));
+    onceNoConnectionIsLeft(() -> stopAccepting(result));
+  }
+
+  private void stopAccepting(CompletableFuture<Integer> result) {
+    serverChannel.close().addListener(closed -> onceNoConnectionIsLeft(() -> result.complete(0)));
+  }
+
+  /** Runs a task once the open connections, and those accepted meanwhile, have closed. */
+  private void onceNoConnectionIsLeft(Runnable task) {
     context
         .channels()
         .newCloseFuture()
         .addListener(
             closed -> {
-              expiry.cancel(false);
-              result.complete(0);
+              if (context.channels().isEmpty()) {
+                task.run();
+              } else {
+                onceNoConnectionIsLeft(task);
+              }
             });
   }
 
   private void closeRemaining(CompletableFuture<Integer> result) {
+    // The acceptor thread ends with the drain, and then no longer calls listeners.
+    if (result.isDone()) {
+      return;
+    }
     int calls = context.callCount().get();
+    serverChannel.close();
     context.channels().close().addListener(closed -> result.complete(calls));
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/ListenerContext.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/ListenerContext.java
@@ -19,7 +19,7 @@
   private final AtomicInteger connectionCount = new AtomicInteger();
   private final AtomicInteger callCount = new AtomicInteger();
   private volatile boolean draining;
-  private volatile long drainEndMillis = Long.MAX_VALUE;
+  private volatile long endMillis = Long.MAX_VALUE;
 
   ListenerContext(CallEnvironment environment, CallerLimits limits, RequestHeadReader headReader) {
     this.environment = environment;
@@ -85,19 +85,34 @@
     return draining;
   }
 
+  /**
+   * Sets when the listener will have closed all its connections. Requests whose deadline lies later
+   * are refused from now on. A further call can only make the end earlier.
+   *
+   * @param millis the time from now, in milliseconds
+   */
+  void announceEnd(long millis) {
+    endMillis = Math.min(endMillis, environment.clock().millis() + millis);
+  }
+
+  /** Returns whether an end was announced. */
+  boolean endAnnounced() {
+    return endMillis != Long.MAX_VALUE;
+  }
+
   /**
    * Marks the listener as draining.
    *
    * @param graceMillis how long calls in flight may continue, in milliseconds
    */
   void startDraining(long graceMillis) {
-    drainEndMillis = environment.clock().millis() + graceMillis;
+    announceEnd(graceMillis);
     draining = true;
   }
 
   /**
-   * Decides whether a request is admitted. During a drain, requests are refused whose deadline lies
-   * after its end.
+   * Decides whether a request is admitted. Once an end was announced, requests are refused whose
+   * deadline lies after it.
    *
    * @param request the head of the request
    * @param length the stated length of the body in bytes, negative if none is stated
@@ -109,15 +124,10 @@
     CallAdmission admission =
         CallAdmission.of(environment.config().current(), request, environment.clock());
     if (admission instanceof CallAdmission.Admitted admitted
-        && drainEndsBefore(admitted.descriptor().deadlineMillis())) {
+        && admitted.descriptor().deadlineMillis() > endMillis) {
       return new CallAdmission.Refused(
           RequestProblems.leaving(environment.settings().retryAfterMillis()));
     }
     return admission;
   }
-
-  /** Returns whether a drain is in progress and ends before the given deadline. */
-  private boolean drainEndsBefore(long deadlineMillis) {
-    return draining && deadlineMillis > drainEndMillis;
-  }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/operator/PageJson.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/operator/PageJson.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 
 /**
  * Serializes the content of pages to JSON. The class is loaded with the first page that needs it,
@@ -10,9 +11,11 @@
  */
 final class PageJson {
 
-  private static final ObjectMapper COMPACT = new ObjectMapper();
+  private static final ObjectMapper COMPACT = new ObjectMapper().registerModule(new Jdk8Module());
   private static final ObjectMapper INDENTED =
-      new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+      new ObjectMapper()
+          .registerModule(new Jdk8Module())
+          .enable(SerializationFeature.INDENT_OUTPUT);
 
   private PageJson() {}
 
--- a/wagtailpin/src/test/java/org/wagtailpin/caller/DrainTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/caller/DrainTest.java
@@ -144,6 +144,64 @@
     }
   }
 
+  @Test
+  void fromTheAnnouncementOnARequestThatMayOutlastTheEndIsRefusedAsNotRun() throws Exception {
+    AtomicInteger ran = new AtomicInteger();
+    try (RawServer server =
+            new RawServer(
+                (request, to) -> {
+                  ran.incrementAndGet();
+                  return to.answer(request, "", "x");
+                });
+        TestEntry entry = new TestEntry.Builder().server(server.port()).start();
+        RawCaller caller = entry.caller()) {
+      entry.listener().announceDrain(GRACE_MILLIS);
+      RawHttpMessage inTime = caller.call("POST", "/x", "", "1");
+      // The deadline of the test route is longer than the time that is left now.
+      entry.listener().announceDrain(1_000);
+      RawHttpMessage answer = caller.call("POST", "/x", "", "2");
+
+      assertThat(inTime.status()).isEqualTo(200);
+      assertThat(answer.status()).isEqualTo(503);
+      assertThat(answer.header("connection")).isEqualTo("close");
+      assertThat(ran.get()).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void aConnectionThatArrivesWhileCallsAreStillInFlightIsServed() throws Exception {
+    CountDownLatch mayAnswer = new CountDownLatch(1);
+    CountDownLatch arrived = new CountDownLatch(1);
+    try (RawServer server =
+            new RawServer(
+                (request, to) -> {
+                  if (request.text().equals("slow")) {
+                    arrived.countDown();
+                    try {
+                      mayAnswer.await(GRACE_MILLIS, TimeUnit.MILLISECONDS);
+                    } catch (InterruptedException e) {
+                      throw new IOException(e);
+                    }
+                  }
+                  return to.answer(request, "", request.text());
+                });
+        TestEntry entry = new TestEntry.Builder().server(server.port()).start();
+        RawCaller slow = entry.caller()) {
+      slow.send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nslow");
+      arrived.await();
+      CompletableFuture<Integer> cut = entry.listener().drain(GRACE_MILLIS);
+      try (RawCaller late = entry.caller()) {
+        RawHttpMessage answer = late.call("POST", "/x", "", "late");
+        assertThat(answer.text()).isEqualTo("late");
+        assertThat(answer.header("connection")).isEqualTo("close");
+      }
+      mayAnswer.countDown();
+      assertThat(slow.read().text()).isEqualTo("slow");
+      slow.socket().shutdownOutput();
+      assertThat(cut.get()).isEqualTo(0);
+    }
+  }
+
   @Test
   void aSecondDrainCompletesAfterTheAcceptorHasEnded() throws Exception {
     try (RawServer server = new RawServer((request, connection) -> true);
--- a/wagtailpin/src/test/java/org/wagtailpin/operator/AdminListenerTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/operator/AdminListenerTest.java
@@ -39,6 +39,20 @@
     }
   }
 
+  private record Unknowns(Optional<String> known, Optional<Long> unknown) {}
+
+  private static final class UnknownsPart implements StatusPart {
+    @Override
+    public String name() {
+      return "unknowns";
+    }
+
+    @Override
+    public Record current() {
+      return new Unknowns(Optional.of("a"), Optional.empty());
+    }
+  }
+
   private static final class BrokenPage implements AdminPage {
     @Override
     public String path() {
@@ -63,7 +77,9 @@
               new HealthPage(),
               new ReadyPage(() -> notReadyReason),
               new MetricsPage(registry),
-              new StatusPage(List.of(new NumbersPart(), new ConfigStatusPart(merger::report))),
+              new StatusPage(
+                  List.of(
+                      new NumbersPart(), new ConfigStatusPart(merger::report), new UnknownsPart())),
               new ConfigPage(merger::report),
               new BrokenPage()));
 
@@ -120,6 +136,13 @@
                 + "\"peer\":\"entry-2\",\"sinceWallMillis\":5000");
   }
 
+  @Test
+  void theStatusWritesWhatIsNotKnownAsNull() throws Exception {
+    String body = call("GET", "/status").body().replaceAll("\\s", "");
+
+    assertThat(body).contains("\"unknowns\":{\"known\":\"a\",\"unknown\":null}");
+  }
+
   @Test
   void theConfigurationPageNamesTheTicketOfEachObject() throws Exception {
     ConfigService service = new ConfigService("s", false, List.of(), Optional.empty());
