Let one entry of each failure domain watch the store, and the others follow it

Change: fleet.DomainFleet. A watcher pushes changes to the entries of its failure domain; followers take over in rank order when it is silent, leaves or loses the store. Entries find one another by the seeds. States are complete as of a store revision, so that an object that a restarted entry never held does not come back from one that missed its removal; registrations carry their sequence, so that a new watcher does not take an older one.

--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -27,6 +27,8 @@
 import org.wagtailpin.entrypeer.NettyPeerSettings;
 import org.wagtailpin.entrypeer.PeerIdentity;
 import org.wagtailpin.eventlog.EventLog;
+import org.wagtailpin.fleet.DomainFleet;
+import org.wagtailpin.fleet.FleetTiming;
 import org.wagtailpin.hostlist.Host;
 import org.wagtailpin.hostlist.HostListPoller;
 import org.wagtailpin.hostlist.HostListSettings;
@@ -35,12 +37,12 @@
 import org.wagtailpin.hostlist.HttpHostList;
 import org.wagtailpin.membership.ConfigWatchController;
 import org.wagtailpin.membership.EqualShares;
+import org.wagtailpin.membership.FleetMembership;
 import org.wagtailpin.membership.LimitShares;
 import org.wagtailpin.membership.Member;
 import org.wagtailpin.membership.Membership;
 import org.wagtailpin.membership.PeerEventRecorder;
 import org.wagtailpin.membership.PullConfigSync;
-import org.wagtailpin.membership.WatcherElectionListener;
 import org.wagtailpin.registry.RegistryWatcher;
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreHttpClient;
@@ -60,7 +62,8 @@
   private final StoreConfigWatcher configWatcher;
   private final Optional<RegistryWatcher> registryWatcher;
   private final NettyPeerMessenger messenger;
-  private final Membership membership;
+  private final FleetMembership membership;
+  private final LimitShares shares;
   private final ShardedClaims claims;
   private final ControlLoop loop;
   private final Clock clock;
@@ -82,10 +85,17 @@
     published = new PublishedConfig(List.of(tunableDefaults(settings.constants())));
     merger = new ConfigMerger(clock, merged, published);
     configWatcher = new StoreConfigWatcher(store, loop, merger, random);
+    FleetTiming timing =
+        FleetTiming.within(
+            Math.min(settings.propagationMillis(), settings.withdrawalMillis()),
+            settings.firstStart());
     registryWatcher =
         platform
             .registryFormat(settings)
-            .map(format -> new RegistryWatcher(store, loop, clock, merger, random, format, events));
+            .map(
+                format ->
+                    new RegistryWatcher(
+                        store, loop, clock, merger, random, format, timing.batchMillis(), events));
     MutableAddressBook addresses = new MutableAddressBook();
     messenger =
         new NettyPeerMessenger(
@@ -97,22 +107,43 @@
             RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 1),
             NettyPeerSettings.defaults(settings.peers().address(), settings.peers().port()));
     hostListPoller = createHostListPoller(settings, clock, random);
-    membership =
-        new Membership(
-            selfMember(settings, incarnation),
-            messenger,
-            addresses,
-            store,
-            hostStates(),
-            watcherElectionListener(),
-            new PullConfigSync(merger, messenger),
-            loop,
-            clock,
-            random,
-            platform.membershipSettings(),
-            seedNames(settings));
-    registryWatcher.ifPresent(
-        watcher -> membership.setStoreReachabilityListener(watcher::storeReachabilityChanged));
+    if (registryWatcher.isPresent()) {
+      DomainFleet fleet =
+          new DomainFleet(
+              selfMember(settings, incarnation),
+              settings.failureDomains().keySet(),
+              messenger,
+              addresses,
+              store,
+              registryWatcher.get(),
+              merger,
+              new PullConfigSync(merger, messenger),
+              loop,
+              clock,
+              random,
+              timing,
+              seedNames(settings),
+              events);
+      membership = fleet;
+      shares = new EqualShares(fleet::fleetSize);
+    } else {
+      Membership mesh =
+          new Membership(
+              selfMember(settings, incarnation),
+              messenger,
+              addresses,
+              store,
+              hostStates(),
+              new ConfigWatchController(merger, configWatcher),
+              new PullConfigSync(merger, messenger),
+              loop,
+              clock,
+              random,
+              platform.membershipSettings(),
+              seedNames(settings));
+      membership = mesh;
+      shares = mesh;
+    }
     PeerEventRecorder peerEventRecorder =
         new PeerEventRecorder(events, platform.membershipSettings().suspicionTimeoutMillis());
     membership.setStatusListener(status -> peerEventRecorder.update(status.peers()));
@@ -137,13 +168,6 @@
     published.changeDefaults(List.of(tunableDefaults(tunables)), merger.merged());
   }
 
-  // With a registry each entry watches the store itself, whichever entry is elected.
-  private WatcherElectionListener watcherElectionListener() {
-    return registryWatcher.isPresent()
-        ? elected -> {}
-        : new ConfigWatchController(merger, configWatcher);
-  }
-
   private static Member selfMember(EntrySettings settings, long incarnation) {
     return new Member(
         settings.id(),
@@ -201,7 +225,6 @@
       throw new IOException(failed.fault().toString());
     }
     loop.execute(membership::start);
-    registryWatcher.ifPresent(watcher -> loop.execute(watcher::start));
     hostListPoller.ifPresent(poller -> loop.execute(poller::start));
   }
 
@@ -248,13 +271,13 @@
   }
 
   /** Returns this entry's view of the fleet's membership. */
-  public Membership membership() {
+  public FleetMembership membership() {
     return membership;
   }
 
   /** Returns this entry's shares of fleet-wide limits. */
   public LimitShares shares() {
-    return registryWatcher.isPresent() ? new EqualShares(membership) : membership;
+    return shares;
   }
 
   /** Returns the claims of idempotency keys. */
@@ -271,7 +294,6 @@
   public void close() {
     loop.execute(membership::stop);
     loop.execute(configWatcher::stop);
-    registryWatcher.ifPresent(watcher -> loop.execute(watcher::stop));
     hostListPoller.ifPresent(poller -> loop.execute(poller::stop));
     messenger.close();
     storeClient.close();
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntrySettings.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntrySettings.java
@@ -26,6 +26,12 @@
  * @param noticeMillis how long a leaving entry still accepts calls after it has reported that it is
  *     not ready, in milliseconds
  * @param graceMillis how long calls in flight may continue after that, in milliseconds
+ * @param propagationMillis how soon a change of the configuration must be in force at all entries,
+ *     in milliseconds
+ * @param withdrawalMillis how soon a backend server that leaves must get no new work from any
+ *     entry, in milliseconds
+ * @param firstStart whether all entries are started for the first time, so that no one has a
+ *     configuration yet
  * @param eventLog the limits of the event log
  * @param failureDomains the region of each failure domain, for servers that register only their
  *     failure domain
@@ -47,11 +53,17 @@
     int trafficThreads,
     long noticeMillis,
     long graceMillis,
+    long propagationMillis,
+    long withdrawalMillis,
+    boolean firstStart,
     EventLogSettings eventLog,
     Map<String, String> failureDomains,
     Map<Tunable, Double> constants,
     Optional<Long> seed) {
 
+  /** Default of {@link #propagationMillis} and {@link #withdrawalMillis}. */
+  public static final long DEFAULT_PROPAGATION_MILLIS = 2_000;
+
   /** Makes immutable copies of the collections. */
   public EntrySettings {
     seeds = List.copyOf(seeds);
@@ -91,6 +103,9 @@
         trafficThreads,
         noticeMillis,
         graceMillis,
+        DEFAULT_PROPAGATION_MILLIS,
+        DEFAULT_PROPAGATION_MILLIS,
+        false,
         eventLog,
         Map.of(),
         Map.of(),
--- a/daemon/src/main/java/org/wagtailpin/daemon/MembershipStatusPart.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/MembershipStatusPart.java
@@ -1,15 +1,15 @@
 package org.wagtailpin.daemon;
 
-import org.wagtailpin.membership.Membership;
+import org.wagtailpin.membership.FleetMembership;
 import org.wagtailpin.membership.MembershipStatus;
 import org.wagtailpin.operator.StatusPart;
 
 /** Part of the status page that shows the other entries and this entry's shares. */
 final class MembershipStatusPart implements StatusPart {
 
-  private final Membership membership;
+  private final FleetMembership membership;
 
-  MembershipStatusPart(Membership membership) {
+  MembershipStatusPart(FleetMembership membership) {
     this.membership = membership;
   }
 
--- a/daemon/src/main/java/org/wagtailpin/daemon/SettingsReader.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/SettingsReader.java
@@ -20,6 +20,7 @@
   private static final int MAX_PORT = 65_535;
   private static final int MAX_TRAFFIC_THREADS = 64;
   private static final long MAX_DURATION_MILLIS = 3_600_000;
+  private static final long MIN_PROPAGATION_MILLIS = 100;
   private static final int MAX_LOG_LINES = 1_000_000;
   private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -71,6 +72,17 @@
         (int) in.integer("trafficThreads", 1, MAX_TRAFFIC_THREADS, DEFAULT_TRAFFIC_THREADS),
         stopTimes.noticeMillis(),
         stopTimes.graceMillis(),
+        in.integer(
+            "propagationMillis",
+            MIN_PROPAGATION_MILLIS,
+            MAX_DURATION_MILLIS,
+            EntrySettings.DEFAULT_PROPAGATION_MILLIS),
+        in.integer(
+            "withdrawalMillis",
+            MIN_PROPAGATION_MILLIS,
+            MAX_DURATION_MILLIS,
+            EntrySettings.DEFAULT_PROPAGATION_MILLIS),
+        in.bool("firstStart", false),
         eventLog(in),
         failureDomains(in),
         constants(in),
--- a/daemon/src/test/java/org/wagtailpin/daemon/StopTimesTest.java
+++ b/daemon/src/test/java/org/wagtailpin/daemon/StopTimesTest.java
@@ -10,10 +10,10 @@
   private static final String SETTINGS =
       "{\"id\": \"e1\", \"region\": \"r\", \"failureDomain\": \"d\","
           + " \"callers\": \"127.0.0.1:1\", \"admin\": \"127.0.0.1:2\","
-          + " \"peers\": \"127.0.0.1:3\", \"store\": \"http://127.0.0.1:4\"%s}";
+          + " \"peers\": \"127.0.0.1:3\", \"store\": \"http://127.0.0.1:4\"";
 
   private static SettingsReadResult read(String more) {
-    String text = String.format(SETTINGS, more);
+    String text = SETTINGS + more + "}";
     return new SettingsReader().read("entry.json", text.getBytes(StandardCharsets.UTF_8));
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigMerger.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigMerger.java
@@ -77,6 +77,15 @@
     return true;
   }
 
+  /**
+   * Marks the merged states as complete: an object that is not held did not exist at a number.
+   *
+   * @param ticket the number
+   */
+  public void markCompleteAsOf(long ticket) {
+    merged.markCompleteAsOf(ticket);
+  }
+
   /** Returns the merged states, which the caller must not modify. */
   public MergedConfig merged() {
     return merged;
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigServer.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigServer.java
@@ -14,6 +14,8 @@
  * @param startedMillis when it was started, in milliseconds since 1970-01-01T00:00:00Z, 0 if
  *     unknown; nothing is carried over from an earlier start under the same name
  * @param slowStartMillis how long it is slow after its start, in milliseconds, 0 if it is not
+ * @param sequence the number of the registration that this was read from, which rises from its
+ *     start on; 0 if the server does not register itself
  */
 public record ConfigServer(
     String name,
@@ -25,7 +27,8 @@
     int connections,
     boolean leaving,
     long startedMillis,
-    int slowStartMillis) {
+    int slowStartMillis,
+    long sequence) {
 
   /**
    * Returns a copy of this server whose maximum number of connections is reduced to a bound.
@@ -43,7 +46,8 @@
         Math.min(maxConnections, connections),
         leaving,
         startedMillis,
-        slowStartMillis);
+        slowStartMillis,
+        sequence);
   }
 
   /** Value of {@link #connections} for a server that states no maximum of its own. */
@@ -59,6 +63,6 @@
       int slots,
       int connections,
       boolean leaving) {
-    this(name, address, port, region, failureDomain, slots, connections, leaving, 0, 0);
+    this(name, address, port, region, failureDomain, slots, connections, leaving, 0, 0, 0);
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/config/MergedConfig.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/MergedConfig.java
@@ -35,6 +35,7 @@
   private final NavigableMap<ObjectId, VersionedObject> objects = new TreeMap<>();
   private long digest;
   private long highestTicket;
+  private long completeTicket;
 
   /**
    * Merges the state of one object, or the ticket floor.
@@ -46,6 +47,9 @@
     if (object.id().equals(FLOOR_ID)) {
       return mergeFloor(object);
     }
+    if (object.ticket() <= completeTicket && !objects.containsKey(object.id())) {
+      return false;
+    }
     long floor = floor();
     if (object.ticket() < floor || (object.ticket() == floor && object.value().isEmpty())) {
       return false;
@@ -100,17 +104,37 @@
   private void put(VersionedObject object) {
     drop(object.id());
     objects.put(object.id(), object);
-    digest += hash(object);
+    digest += digestPart(object);
     highestTicket = Math.max(highestTicket, object.ticket());
   }
 
   private void drop(ObjectId id) {
     VersionedObject held = objects.remove(id);
     if (held != null) {
-      digest -= hash(held);
+      digest -= digestPart(held);
     }
   }
 
+  /**
+   * Marks the states as complete: an object that is not held did not exist at the given number. A
+   * state of such an object with a number up to it is obsolete, and is not merged.
+   *
+   * @param ticket the number; a lower one than before has no effect
+   */
+  public void markCompleteAsOf(long ticket) {
+    completeTicket = Math.max(completeTicket, ticket);
+  }
+
+  /** Returns the number up to which the states are complete, 0 if that is not known. */
+  public long completeTicket() {
+    return completeTicket;
+  }
+
+  // Removals do not count, since a replica that never held an object lacks its removal.
+  private static long digestPart(VersionedObject object) {
+    return object.value().isPresent() || object.id().equals(FLOOR_ID) ? hash(object) : 0;
+  }
+
   // The digest is the sum of these hashes: independent of order, and updated in constant time.
   private static long hash(VersionedObject object) {
     return HASHER
@@ -151,7 +175,10 @@
     return floor == null ? 0 : floor.ticket();
   }
 
-  /** Returns a 64-bit hash of all states held, independent of the order of merging. */
+  /**
+   * Returns a 64-bit hash of the objects that are not removed and of the floor, independent of the
+   * order of merging.
+   */
   public long digest() {
     return digest;
   }
@@ -189,7 +216,8 @@
    * Returns the states that another replica lacks.
    *
    * @param heldTickets the ticket number of each state that the other replica holds
-   * @return the states that are newer or that it does not hold, in the order in which to merge them
+   * @return the states that are newer or that it does not hold, in the order in which to merge
+   *     them, followed by removals of objects that are known not to exist any more
    */
   public List<VersionedObject> newerThan(Map<ObjectId, Long> heldTickets) {
     List<VersionedObject> newer = new ArrayList<>();
@@ -198,6 +226,12 @@
         newer.add(object);
       }
     }
+    heldTickets.forEach(
+        (id, ticket) -> {
+          if (ticket <= completeTicket && !objects.containsKey(id)) {
+            newer.add(new VersionedObject(id, completeTicket, Optional.empty()));
+          }
+        });
     return newer;
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ObjectFieldsReader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ObjectFieldsReader.java
@@ -196,6 +196,7 @@
     boolean leaving = in.bool("leaving", false);
     long startedMillis = in.integer("startedMillis", 0, Long.MAX_VALUE, 0);
     int slowStartMillis = (int) in.integer("slowStartMillis", 0, MAX_DEADLINE_MILLIS, 0);
+    long sequence = in.integer("sequence", 0, Long.MAX_VALUE, 0);
     in.endObject();
     return new ConfigServer(
         name,
@@ -207,7 +208,8 @@
         connections,
         leaving,
         startedMillis,
-        slowStartMillis);
+        slowStartMillis,
+        sequence);
   }
 
   private static ConfigLink link(JsonObjectReader in) {
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ObjectWriter.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ObjectWriter.java
@@ -125,6 +125,9 @@
       if (server.slowStartMillis() != 0) {
         out.writeNumberField("slowStartMillis", server.slowStartMillis());
       }
+      if (server.sequence() != 0) {
+        out.writeNumberField("sequence", server.sequence());
+      }
       out.writeEndObject();
     }
     out.writeEndArray();
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/StorePing.java
@@ -0,0 +1,93 @@
+package org.wagtailpin.fleet;
+
+import org.wagtailpin.clock.Clock;
+import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.store.ReadResult;
+import org.wagtailpin.store.Store;
+import org.wagtailpin.store.StoreWatch;
+
+/**
+ * Tests whether the store answers while a watch waits, by a cheap read. A watch that waits does not
+ * show that its connection or the store was lost. Confined to the control loop.
+ */
+final class StorePing {
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  /** A key that no one writes; what is read does not matter. */
+  private static final String KEY = "ping";
+
+  private final Store store;
+  private final StoreWatch watch;
+  private final ControlLoop loop;
+  private final Clock clock;
+  private final FleetTiming timing;
+  private long lastAnswerMillis = NEVER;
+  private long sequence;
+  private boolean pending;
+  private boolean lost;
+
+  StorePing(Store store, StoreWatch watch, ControlLoop loop, Clock clock, FleetTiming timing) {
+    this.store = store;
+    this.watch = watch;
+    this.loop = loop;
+    this.clock = clock;
+    this.timing = timing;
+  }
+
+  /** Returns whether the last test failed. */
+  boolean lost() {
+    return lost;
+  }
+
+  /** Sends a test if one is due. */
+  void run() {
+    long heardMillis = Math.max(lastAnswerMillis, watch.lastAnswerMillis());
+    long dueMillis = lost ? timing.pingTimeoutMillis() : timing.pingMillis();
+    if (pending || clock.millis() - heardMillis < dueMillis) {
+      return;
+    }
+    pending = true;
+    long current = ++sequence;
+    var unused =
+        store.readStale(KEY).thenAccept(result -> loop.execute(() -> answered(current, result)));
+    loop.schedule(timing.pingTimeoutMillis(), () -> timedOut(current));
+  }
+
+  private void answered(long answeredSequence, ReadResult result) {
+    if (answeredSequence != sequence) {
+      return;
+    }
+    pending = false;
+    if (result instanceof ReadResult.Failed) {
+      recordLost();
+      return;
+    }
+    lastAnswerMillis = clock.millis();
+    if (lost) {
+      lost = false;
+      watch.storeReachabilityChanged(true);
+    }
+  }
+
+  private void timedOut(long sentSequence) {
+    if (pending && sentSequence == sequence) {
+      recordLost();
+    }
+  }
+
+  private void recordLost() {
+    if (!lost) {
+      lost = true;
+      watch.storeReachabilityChanged(false);
+    }
+  }
+
+  /** Forgets earlier results, when the watch is started or stopped. */
+  void reset() {
+    sequence++;
+    pending = false;
+    lost = false;
+    lastAnswerMillis = clock.millis();
+  }
+}
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/EntryKeys.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/EntryKeys.java
@@ -6,7 +6,7 @@
 import org.wagtailpin.store.StoreEntry;
 
 /** Store keys of entries, and the encoding of their values. */
-final class EntryKeys {
+public final class EntryKeys {
 
   /** Common prefix of lease keys and registration keys. */
   static final String PREFIX = "entries";
@@ -40,7 +40,8 @@
     return toRecord(member).toByteArray();
   }
 
-  static EntryRecord toRecord(Member member) {
+  /** Returns the message that describes a member. */
+  public static EntryRecord toRecord(Member member) {
     return EntryRecord.newBuilder()
         .setId(member.id())
         .setIncarnation(member.incarnation())
@@ -51,7 +52,8 @@
         .build();
   }
 
-  static Member toMember(EntryRecord record) {
+  /** Returns the member that a message describes. */
+  public static Member toMember(EntryRecord record) {
     return new Member(
         record.getId(),
         record.getIncarnation(),
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/EqualShares.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/EqualShares.java
@@ -1,5 +1,7 @@
 package org.wagtailpin.membership;
 
+import java.util.function.IntSupplier;
+
 /**
  * Splits each limit evenly over the entries known to be live. A share in whole units is at least 1.
  *
@@ -8,15 +10,16 @@
  */
 public final class EqualShares implements LimitShares {
 
-  private final MembershipSource membership;
+  private final IntSupplier entryCount;
 
   /**
-   * Creates shares that follow the newest view of the live entries.
+   * Creates shares that follow the number of live entries.
    *
-   * @param membership source of the live entries, read on each call
+   * @param entryCount returns the number of live entries, this one included; called for each share,
+   *     on any thread
    */
-  public EqualShares(MembershipSource membership) {
-    this.membership = membership;
+  public EqualShares(IntSupplier entryCount) {
+    this.entryCount = entryCount;
   }
 
   @Override
@@ -30,6 +33,6 @@
   }
 
   private int entryCount() {
-    return Math.max(1, membership.current().members().size());
+    return Math.max(1, entryCount.getAsInt());
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/Membership.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/Membership.java
@@ -22,7 +22,7 @@
  * methods of {@link MembershipSource} and {@link LimitShares} and {@link #status} are thread-safe;
  * all others are called before the start or on the control loop.
  */
-public final class Membership implements MembershipSource, LimitShares {
+public final class Membership implements FleetMembership, LimitShares {
 
   private static final double HEARTBEAT_JITTER = 0.05;
 
@@ -129,16 +129,12 @@
     leaseManager.setReachabilityListener(listener);
   }
 
-  /**
-   * Sets the listener for the status. Called before the start.
-   *
-   * @param listener called on the control loop at each publication, also when nothing changed
-   */
+  @Override
   public void setStatusListener(Consumer<MembershipStatus> listener) {
     statusListener = listener;
   }
 
-  /** Starts to join the fleet. */
+  @Override
   public void start() {
     heartbeats.registerHandler();
     leaseManager.start();
@@ -260,7 +256,8 @@
     }
   }
 
-  /** Announces to the other entries that this one is about to leave. It keeps its shares. */
+  /** {@inheritDoc} It keeps its shares. */
+  @Override
   public void announceLeaving() {
     leaving = true;
     heartbeats.setLeaving();
@@ -274,6 +271,7 @@
    * @return completes when each entry has answered or timed out and the deletion of the keys has
    *     been requested; the store's answer is not awaited
    */
+  @Override
   public CompletableFuture<Void> leave() {
     leaving = true;
     fleet.shareTracker().release();
@@ -287,7 +285,8 @@
     registration.deregister();
   }
 
-  /** Stops all activity without notifying other entries; keys in the store stay. */
+  /** {@inheritDoc} Keys in the store stay. */
+  @Override
   public void stop() {
     stopped = true;
     leaseManager.stop();
@@ -300,7 +299,7 @@
     return view;
   }
 
-  /** Returns the status published last, for operators. */
+  @Override
   public MembershipStatus status() {
     return status;
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/PullConfigSync.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/PullConfigSync.java
@@ -1,28 +1,20 @@
 package org.wagtailpin.membership;
 
-import com.google.protobuf.ByteString;
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import org.tinylog.Logger;
-import org.wagtailpin.config.ConfigJson;
 import org.wagtailpin.config.ConfigKind;
 import org.wagtailpin.config.ConfigMerger;
 import org.wagtailpin.config.MergedConfig;
 import org.wagtailpin.config.ObjectId;
-import org.wagtailpin.config.ObjectReadResult;
 import org.wagtailpin.config.VersionedObject;
 import org.wagtailpin.entrypeer.PeerMessenger;
 import org.wagtailpin.entrypeer.PeerReply;
 import org.wagtailpin.entrypeer.generated.ConfigObjects;
 import org.wagtailpin.entrypeer.generated.ConfigPull;
-import org.wagtailpin.entrypeer.generated.ObjectState;
 import org.wagtailpin.entrypeer.generated.ObjectVersion;
 import org.wagtailpin.entrypeer.generated.PeerFrame;
 
@@ -43,7 +35,7 @@
 
   private final ConfigMerger merger;
   private final PeerMessenger messenger;
-  private final ConfigJson json = new ConfigJson();
+  private final ConfigObjectCodec codec = new ConfigObjectCodec();
   private final Set<String> pendingPulls = new HashSet<>();
   private final Map<String, EmptyPull> emptyPulls = new HashMap<>();
 
@@ -107,76 +99,20 @@
     if (!(reply instanceof PeerReply.Answered answered) || !answered.frame().hasConfigObjects()) {
       return;
     }
-    List<VersionedObject> objects = decode(entry, answered.frame().getConfigObjects());
+    List<VersionedObject> objects =
+        codec.decode(entry, answered.frame().getConfigObjects().getObjectsList());
     if (!merger.mergeFromPeer(objects, entry)) {
       emptyPulls.put(entry, new EmptyPull(merger.merged().digest(), receivedDigest));
     }
   }
 
-  private List<VersionedObject> decode(String entry, ConfigObjects objects) {
-    List<VersionedObject> states = new ArrayList<>();
-    for (ObjectState state : objects.getObjectsList()) {
-      Optional<VersionedObject> object = decode(state);
-      object.ifPresent(states::add);
-      if (object.isEmpty()) {
-        Logger.warn(
-            "ignored configuration object {}/{} from entry {}: unknown kind or invalid content",
-            state.getKind(),
-            state.getName(),
-            entry);
-      }
-    }
-    return states;
-  }
-
-  private Optional<VersionedObject> decode(ObjectState state) {
-    Optional<ConfigKind> kind = ConfigKind.ofLabel(state.getKind());
-    if (kind.isEmpty()) {
-      return Optional.empty();
-    }
-    ObjectId id = new ObjectId(kind.get(), state.getName());
-    if (state.getRemoved()) {
-      return Optional.of(new VersionedObject(id, state.getTicket(), Optional.empty()));
-    }
-    ObjectReadResult result = json.read(kind.get(), state.getJson().toByteArray());
-    if (result instanceof ObjectReadResult.Read read) {
-      return Optional.of(new VersionedObject(id, state.getTicket(), Optional.of(read.object())));
-    }
-    return Optional.empty();
-  }
-
   private CompletableFuture<PeerFrame.Builder> onPull(PeerFrame request) {
     Map<ObjectId, Long> have = new HashMap<>();
     for (ObjectVersion version : request.getConfigPull().getHaveList()) {
       ConfigKind.ofLabel(version.getKind())
           .ifPresent(kind -> have.put(new ObjectId(kind, version.getName()), version.getTicket()));
     }
-    ConfigObjects objects = encode(merger.merged().newerThan(have));
+    ConfigObjects objects = codec.encode(merger.merged().newerThan(have), MAX_ANSWER_BYTES);
     return CompletableFuture.completedFuture(PeerFrame.newBuilder().setConfigObjects(objects));
   }
-
-  private ConfigObjects encode(Collection<VersionedObject> states) {
-    ConfigObjects.Builder objects = ConfigObjects.newBuilder();
-    int bytes = 0;
-    for (VersionedObject state : states) {
-      ObjectState encoded = encode(state);
-      bytes += encoded.getSerializedSize();
-      if (bytes > MAX_ANSWER_BYTES && objects.getObjectsCount() > 0) {
-        break;
-      }
-      objects.addObjects(encoded);
-    }
-    return objects.build();
-  }
-
-  private ObjectState encode(VersionedObject state) {
-    ObjectState.Builder encoded =
-        ObjectState.newBuilder()
-            .setKind(state.id().kind().label())
-            .setName(state.id().name())
-            .setTicket(state.ticket())
-            .setRemoved(state.value().isEmpty());
-    state.value().ifPresent(object -> encoded.setJson(ByteString.copyFrom(json.write(object))));
-    return encoded.build();
-  }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
@@ -36,8 +36,13 @@
      */
     void listed(List<StoreEntry> entries, long revision);
 
-    /** Called with a batch of changes in the order of their revisions. */
-    void changed(List<StoreChange> changes);
+    /**
+     * Called with a batch of changes in the order of their revisions.
+     *
+     * @param changes the changes, none if the watch ended without any
+     * @param revision the store revision up to which all changes were passed on
+     */
+    void changed(List<StoreChange> changes, long revision);
 
     /** Called when a store call failed. */
     void callFailed(Fault fault);
@@ -47,19 +52,17 @@
   }
 
   /** Below the maximum wait of stores, 30 s; dead connections are detected by other means. */
-  private static final long WATCH_WAIT_MILLIS = 15_000;
+  private static final long WATCH_WAIT_MILLIS = 28_000;
 
-  private static final long FIRST_RETRY_MILLIS = 50;
+  private static final long FIRST_RETRY_MILLIS = 150;
   private static final long MAX_RETRY_MILLIS = 800;
 
-  /** Changes come in bursts, such as a release of a service; the delay batches them. */
-  private static final long BATCH_DELAY_MILLIS = 400;
-
   private final Store store;
   private final ControlLoop loop;
   private final String prefix;
   private final Listener listener;
   private final Backoff backoff;
+  private final long batchMillis;
   private final EventLog events;
 
   // Incremented by start, restart and stop; answers to calls of an earlier generation are ignored.
@@ -72,11 +75,13 @@
       ControlLoop loop,
       String prefix,
       UniformRandomProvider random,
+      long batchMillis,
       Listener listener,
       EventLog events) {
     this.store = store;
     this.loop = loop;
     this.prefix = prefix;
+    this.batchMillis = batchMillis;
     this.listener = listener;
     this.events = events;
     this.backoff = new Backoff(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, random);
@@ -91,6 +96,10 @@
     }
   }
 
+  boolean running() {
+    return running;
+  }
+
   /** Abandons the outstanding call, if any, and lists the keys again; no effect if stopped. */
   void restart() {
     if (running) {
@@ -136,11 +145,12 @@
       backoff.reset();
       listener.callSucceeded();
       revision = changed.storeRevision();
+      listener.changed(changed.changes(), revision);
       if (changed.changes().isEmpty()) {
         watch();
       } else {
-        listener.changed(changed.changes());
-        scheduleNext(BATCH_DELAY_MILLIS, this::watch);
+        // Changes come in bursts, such as a release of a service.
+        scheduleNext(batchMillis, this::watch);
       }
     } else if (result instanceof WatchResult.Failed failed) {
       listener.callFailed(failed.fault());
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegisteredServer.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegisteredServer.java
@@ -7,15 +7,14 @@
  *
  * @param service the name of the service that it belongs to
  * @param server the server
- * @param sequence a number that increases with each registration since the start of the server
  */
-public record RegisteredServer(String service, ConfigServer server, long sequence) {
+public record RegisteredServer(String service, ConfigServer server) {
 
   /** Returns whether this was issued before another registration of the same server. */
   boolean isOlderThan(RegisteredServer other) {
     if (server.startedMillis() != other.server.startedMillis()) {
       return server.startedMillis() < other.server.startedMillis();
     }
-    return sequence < other.sequence;
+    return server.sequence() < other.server.sequence();
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -1,10 +1,8 @@
 package org.wagtailpin.registry;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -23,6 +21,7 @@
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreChange;
 import org.wagtailpin.store.StoreEntry;
+import org.wagtailpin.store.StoreWatch;
 
 /**
  * Watches server registrations and the operator's document in the store, and merges them into the
@@ -34,7 +33,7 @@
  * because the server could not reach the store either. Runs on the control loop only, except for
  * {@link #lastAnswerMillis}.
  */
-public final class RegistryWatcher {
+public final class RegistryWatcher implements StoreWatch {
 
   /**
    * Time after a store outage within which servers may register again, in milliseconds. The
@@ -50,8 +49,8 @@
   private final RegistryFormat format;
   private final EventLog events;
   private final PrefixWatcher prefixWatcher;
-  private final Map<String, RegisteredServer> registered = new HashMap<>();
   private long documentRevision;
+  private boolean listed;
   private boolean storeUnreachable;
   private long storeRegainedMillis = NEVER;
   private long storeLostMillis = NEVER;
@@ -66,6 +65,8 @@
    * @param merger merges the states that were read
    * @param random source of the backoff jitter
    * @param format keys and values of the registrations and the document
+   * @param batchMillis the pause after a change, in which further changes are gathered, in
+   *     milliseconds
    * @param events receives an event for each change
    */
   public RegistryWatcher(
@@ -75,6 +76,7 @@
       ConfigMerger merger,
       UniformRandomProvider random,
       RegistryFormat format,
+      long batchMillis,
       EventLog events) {
     this.loop = loop;
     this.clock = clock;
@@ -82,17 +84,32 @@
     this.format = format;
     this.events = events;
     this.prefixWatcher =
-        new PrefixWatcher(store, loop, format.commonPrefix(), random, new StoreListener(), events);
+        new PrefixWatcher(
+            store, loop, format.commonPrefix(), random, batchMillis, new StoreListener(), events);
   }
 
-  /** Starts watching; has no effect if the watcher is running. */
+  @Override
   public void start() {
-    prefixWatcher.start();
+    if (!prefixWatcher.running()) {
+      listed = false;
+      prefixWatcher.start();
+    }
   }
 
-  /** Stops watching; the answer to an outstanding call is ignored. */
+  @Override
   public void stop() {
     prefixWatcher.stop();
+    listed = false;
+  }
+
+  @Override
+  public boolean running() {
+    return prefixWatcher.running();
+  }
+
+  @Override
+  public boolean current() {
+    return listed && !storeUnreachable;
   }
 
   private void addDocumentState(StoreEntry entry, List<VersionedObject> states) {
@@ -119,21 +136,18 @@
     }
   }
 
-  /**
-   * Called when other store calls, which are more frequent than long watches, detect the loss or
-   * the return of the store.
-   *
-   * @param reachable whether the store answers
-   */
+  @Override
   public void storeReachabilityChanged(boolean reachable) {
-    if (reachable) {
+    if (reachable && prefixWatcher.running()) {
       prefixWatcher.restart();
+    } else if (reachable) {
+      recordStoreRegained();
     } else {
       recordStoreLost("no answer to a renewal");
     }
   }
 
-  /** Returns when a store call last succeeded, by the monotonic clock. Thread-safe. */
+  @Override
   public long lastAnswerMillis() {
     return lastAnswerMillis;
   }
@@ -146,6 +160,15 @@
     }
   }
 
+  private void recordStoreRegained() {
+    if (storeUnreachable) {
+      storeUnreachable = false;
+      storeRegainedMillis = clock.millis();
+      long awayMillis = storeRegainedMillis - storeLostMillis;
+      events.recordEvent(Event.of(EventKind.STORE_REGAINED).with("awayMillis", awayMillis));
+    }
+  }
+
   /** Converts the content of the store into object states. */
   private final class StoreListener implements PrefixWatcher.Listener {
     @Override
@@ -162,11 +185,13 @@
           removeAfterGracePeriod(name, revision, states);
         }
       }
+      listed = true;
       merger.mergeFromStore(states);
+      merger.markCompleteAsOf(revision);
     }
 
     @Override
-    public void changed(List<StoreChange> changes) {
+    public void changed(List<StoreChange> changes, long revision) {
       List<VersionedObject> states = new ArrayList<>();
       for (StoreChange change : changes) {
         if (change.entry().isPresent()) {
@@ -178,6 +203,7 @@
         }
       }
       merger.mergeFromStore(states);
+      merger.markCompleteAsOf(revision);
     }
 
     @Override
@@ -188,12 +214,7 @@
     @Override
     public void callSucceeded() {
       lastAnswerMillis = clock.millis();
-      if (storeUnreachable) {
-        storeUnreachable = false;
-        storeRegainedMillis = clock.millis();
-        long awayMillis = storeRegainedMillis - storeLostMillis;
-        events.recordEvent(Event.of(EventKind.STORE_REGAINED).with("awayMillis", awayMillis));
-      }
+      recordStoreRegained();
     }
   }
 
@@ -221,8 +242,10 @@
     }
     ServerReadResult result = format.readServer(name.get(), entry.value());
     if (result instanceof ServerReadResult.Read read) {
-      RegisteredServer newest = newer(read.server(), registered.get(name.get()));
-      logChange(newest, registered.put(name.get(), newest), entry.revision());
+      Optional<RegisteredServer> known = registered(name.get());
+      RegisteredServer newest =
+          known.filter(before -> read.server().isOlderThan(before)).orElse(read.server());
+      logChange(newest, known, entry.revision());
       states.add(stateOf(name.get(), entry.revision(), Optional.of(newest)));
     } else if (result instanceof ServerReadResult.Unreadable unreadable) {
       events.recordEvent(
@@ -230,19 +253,27 @@
               .with("server", name.get())
               .with("revision", entry.revision())
               .with("detail", unreadable.detail()));
-      registered.remove(name.get());
       states.add(stateOf(name.get(), entry.revision(), Optional.empty()));
     }
   }
 
-  /** Registrations of a server can reach the store out of order. */
-  private static RegisteredServer newer(RegisteredServer read, RegisteredServer known) {
-    return known != null && read.isOlderThan(known) ? known : read;
+  /**
+   * Returns the newest registration of a server that this entry knows, from the store or from other
+   * entries. Registrations of a server can reach the store out of order.
+   */
+  private Optional<RegisteredServer> registered(String name) {
+    return merger
+        .merged()
+        .object(new ObjectId(ConfigKind.SERVER_SET, name))
+        .flatMap(VersionedObject::value)
+        .map(ConfigServerSet.class::cast)
+        .filter(set -> !set.servers().isEmpty())
+        .map(set -> new RegisteredServer(set.service(), set.servers().get(0)));
   }
 
-  private void logChange(RegisteredServer now, RegisteredServer before, long revision) {
+  private void logChange(RegisteredServer now, Optional<RegisteredServer> before, long revision) {
     ConfigServer server = now.server();
-    if (before != null && before.server().leaving() == server.leaving()) {
+    if (before.isPresent() && before.get().server().leaving() == server.leaving()) {
       return;
     }
     Event event =
@@ -255,9 +286,8 @@
   }
 
   private void removeAfterGracePeriod(String name, long revision, List<VersionedObject> states) {
-    RegisteredServer known = registered.get(name);
     long waitMillis = storeRegainedMillis + REREGISTRATION_GRACE_MILLIS - clock.millis();
-    boolean leaving = known != null && known.server().leaving();
+    boolean leaving = registered(name).map(known -> known.server().leaving()).orElse(false);
     if (waitMillis <= 0 || leaving) {
       removeUnlessReregistered(name, revision, states);
       return;
@@ -276,7 +306,6 @@
     boolean reregistered =
         merger.merged().object(id).map(held -> held.ticket() > revision).orElse(false);
     if (!reregistered) {
-      registered.remove(name);
       events.recordEvent(
           Event.of(EventKind.SERVER_GONE).with("server", name).with("revision", revision));
       states.add(stateOf(name, revision, Optional.empty()));
--- a/wagtailpin/src/main/java/org/wagtailpin/store/Store.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/Store.java
@@ -20,6 +20,16 @@
    */
   CompletableFuture<ReadResult> read(String key);
 
+  /**
+   * Reads a key, for which a store may answer with a state that is seconds old. A store that offers
+   * such reads charges less for them.
+   *
+   * @param key the full key
+   */
+  default CompletableFuture<ReadResult> readStale(String key) {
+    return read(key);
+  }
+
   /**
    * Reads all keys that start with a prefix.
    *
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/StoreWatch.java
@@ -0,0 +1,28 @@
+package org.wagtailpin.store;
+
+/** A watch of keys in the store that can be started and stopped. Runs on the control loop. */
+public interface StoreWatch {
+
+  /** Starts to list and watch the keys; has no effect while it is running. */
+  void start();
+
+  /** Stops watching; the answer to an outstanding call is ignored. */
+  void stop();
+
+  /** Returns whether the watch was started and not stopped since. */
+  boolean running();
+
+  /** Returns whether the keys were listed since the start, and the store answers. */
+  boolean current();
+
+  /**
+   * Called when other store calls, which are more frequent than long watches, detect the loss or
+   * the return of the store.
+   *
+   * @param reachable whether the store answers
+   */
+  void storeReachabilityChanged(boolean reachable);
+
+  /** Returns when a call last succeeded, by the monotonic clock. Thread-safe. */
+  long lastAnswerMillis();
+}
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/RegistryWatcherTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/RegistryWatcherTest.java
@@ -25,6 +25,7 @@
 
 class RegistryWatcherTest {
 
+  private static final long BATCH_MILLIS = 400;
   private static final long SHORT_WAIT_MILLIS = 1_000;
   private static final long LONG_WAIT_MILLIS = 60_000;
 
@@ -47,6 +48,7 @@
             merger,
             new SharedRandom(2),
             new TestRegistryFormat(),
+            BATCH_MILLIS,
             new NoOpEventLog());
     watcher.start();
     loop.advance(SHORT_WAIT_MILLIS);
@@ -118,6 +120,7 @@
             restartedMerger,
             new SharedRandom(4),
             new TestRegistryFormat(),
+            BATCH_MILLIS,
             new NoOpEventLog())
         .start();
     loop.advance(SHORT_WAIT_MILLIS);
@@ -220,6 +223,7 @@
             merger,
             new SharedRandom(3),
             new TestRegistryFormat(),
+            BATCH_MILLIS,
             new NoOpEventLog());
     watcher.start();
     loop.advance(SHORT_WAIT_MILLIS);
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/TestRegistryFormat.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/TestRegistryFormat.java
@@ -55,8 +55,8 @@
             10,
             words[0].equals("leaving"),
             Long.parseLong(words[1]),
-            0);
-    return new ServerReadResult.Read(
-        new RegisteredServer("work", server, Long.parseLong(words[2])));
+            0,
+            Long.parseLong(words[2]));
+    return new ServerReadResult.Read(new RegisteredServer("work", server));
   }
 }
