Play the following of watchers in controlled time, and mend what it showed

Change: watchers send beats to others of their domain; a follower tests the store with a cheap read before it takes over; what the watcher confirms by an equal digest counts as heard.

--- a/wagtailpin/src/main/java/org/wagtailpin/config/IpAddressSyntax.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/IpAddressSyntax.java
@@ -3,18 +3,22 @@
 import io.netty.util.NetUtil;
 
 /** Syntax checks of IP addresses and address blocks, without any name resolution. */
-final class IpAddressSyntax {
+public final class IpAddressSyntax {
 
   private static final int BITS_PER_BYTE = 8;
 
   private IpAddressSyntax() {}
 
-  static boolean isIpAddress(String text) {
+  /** Returns whether a text is an IPv4 or IPv6 address. */
+  public static boolean isIpAddress(String text) {
     return NetUtil.isValidIpV4Address(text) || NetUtil.isValidIpV6Address(text);
   }
 
-  // CIDR notation of RFC 4632 section 3.1: an address, a slash and the prefix length in bits.
-  static boolean isAddressBlock(String text) {
+  /**
+   * Returns whether a text is an address block in the notation of RFC 4632 section 3.1: an address,
+   * a slash and the prefix length in bits.
+   */
+  public static boolean isAddressBlock(String text) {
     int slash = text.indexOf('/');
     if (slash < 0 || !isIpAddress(text.substring(0, slash))) {
       return false;
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,6 +13,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigMerger;
+import org.wagtailpin.config.IpAddressSyntax;
 import org.wagtailpin.control.ControlLoop;
 import org.wagtailpin.entrypeer.MutableAddressBook;
 import org.wagtailpin.entrypeer.PeerMessenger;
@@ -23,6 +25,7 @@
 import org.wagtailpin.entrypeer.generated.DomainMember;
 import org.wagtailpin.entrypeer.generated.DomainState;
 import org.wagtailpin.entrypeer.generated.PeerFrame;
+import org.wagtailpin.entrypeer.generated.WatcherRecord;
 import org.wagtailpin.eventlog.Event;
 import org.wagtailpin.eventlog.EventKind;
 import org.wagtailpin.eventlog.EventLog;
@@ -36,6 +39,7 @@
 import org.wagtailpin.membership.MembershipStatus;
 import org.wagtailpin.membership.MembershipView;
 import org.wagtailpin.membership.PeerStatus;
+import org.wagtailpin.store.ReadResult;
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreWatch;
 
@@ -57,7 +61,7 @@
   /** After how long a watcher whose first list of the store fails gives way to the one before. */
   private static final long CHALLENGE_MILLIS = 600;
 
-  private static final long CHALLENGE_PAUSE_MILLIS = 6_000;
+  private static final long CHALLENGE_PAUSE_MILLIS = 5_000;
   private static final long STORELESS_EXCHANGE_MILLIS = 1_000;
   private static final long SUCCESSOR_CHECK_MILLIS = 500;
   private static final int MAX_CONTACTS = 4;
@@ -65,6 +69,7 @@
   private final Member self;
   private final PeerMessenger messenger;
   private final MutableAddressBook addresses;
+  private final Store store;
   private final StoreWatch watch;
   private final ConfigMerger merger;
   private final ConfigSync configSync;
@@ -81,6 +86,8 @@
   private final FollowedWatcher followed;
   private final WatcherDirectory directory;
   private final Map<String, DomainMembers> membersByDomain = new HashMap<>();
+  private final Set<String> namedRivals = new HashSet<>();
+  private final Map<String, Member> addressed = new HashMap<>();
   private Consumer<MembershipStatus> statusListener = newStatus -> {};
   private volatile MembershipView view;
   private volatile MembershipStatus status;
@@ -131,6 +138,7 @@
     this.self = self;
     this.messenger = messenger;
     this.addresses = addresses;
+    this.store = store;
     this.watch = watch;
     this.merger = merger;
     this.configSync = configSync;
@@ -206,12 +214,38 @@
     OptionalLong wait = succession.waitMillis(standing, rank);
     if (wait.isPresent() && mayChallenge && !leaving) {
       long elapsed = now - followed.sinceMillis(now);
-      if (elapsed >= wait.getAsLong()) {
+      if (elapsed >= wait.getAsLong() && standing == WatcherStanding.STORE_LOST) {
+        challenge(rank, now);
+      } else if (elapsed >= wait.getAsLong()) {
         startWatching(standing, rank, now);
       }
     }
   }
 
+  /** Replaces a watcher that has lost the store, if the store answers this entry. */
+  private void challenge(int rank, long now) {
+    lastFailedChallengeMillis = now;
+    var unused =
+        store
+            .readStale(StorePing.KEY)
+            .thenAccept(
+                result ->
+                    loop.execute(
+                        () -> {
+                          if (!(result instanceof ReadResult.Failed)) {
+                            endChallenge(rank);
+                          }
+                        }));
+  }
+
+  private void endChallenge(int rank) {
+    long now = clock.millis();
+    boolean stillLost = followed.standing(now) == WatcherStanding.STORE_LOST;
+    if (stillLost && !watch.running() && !leaving && !stopped) {
+      startWatching(WatcherStanding.STORE_LOST, rank, now);
+    }
+  }
+
   private void contactAnyone() {
     seeds.forEach(this::beat);
     liveOthers(clock.millis()).stream().limit(MAX_CONTACTS).forEach(this::beat);
@@ -258,12 +292,15 @@
     boolean failedChallenge =
         challenged.isPresent() && !watch.current() && now - watchingSinceMillis >= CHALLENGE_MILLIS;
     if (failedChallenge) {
-      lastFailedChallengeMillis = now;
       stopWatching(challenged.get(), now);
       followed.record(WatcherStanding.STORE_LOST, now);
       return;
     }
     ping.run();
+    if (now - lastBeatMillis >= timing.beatMillis() * (1 - TICK_JITTER)) {
+      lastBeatMillis = now;
+      rivals(now).forEach(this::beat);
+    }
     long period = watch.current() ? timing.exchangeMillis() : STORELESS_EXCHANGE_MILLIS;
     if (now - lastExchangeMillis >= period) {
       lastExchangeMillis = now;
@@ -271,6 +308,18 @@
     }
   }
 
+  /** Returns the other entries of the own domain that are known to watch the store. */
+  private Set<String> rivals(long now) {
+    Set<String> rivals = new HashSet<>(namedRivals);
+    namedRivals.clear();
+    for (DomainMembers.Peer peer : ownMembers().live(now)) {
+      if (peer.watching() && !peer.member().id().equals(self.id())) {
+        rivals.add(peer.member().id());
+      }
+    }
+    return rivals;
+  }
+
   /** Returns another watcher of the domain to which this one gives way, if there is any. */
   private Optional<String> betterWatcher(long now) {
     return ownMembers().live(now).stream()
@@ -353,10 +402,13 @@
     DomainBeatAck ack = answered.frame().getDomainBeatAck();
     Member member = learn(ack.getState(), now);
     mergeMembers(ack, now);
-    directory.merge(ack.getWatchersList(), now);
+    mergeWatchers(ack.getWatchersList(), now);
     if (followed.is(sender) && ack.getWatchersCount() == 0) {
       directory.confirmAll(now);
     }
+    if (followed.is(sender) && ack.getMembersCount() == 0) {
+      ownMembers().confirmLive(now);
+    }
     if (isOwn(member)) {
       updateStanding(member, ack.getState(), sentMillis, now);
     } else if (followed.id().isEmpty()) {
@@ -393,7 +445,7 @@
   /** Records what an entry says of itself. */
   private Member learn(DomainState state, long now) {
     Member member = EntryKeys.toMember(state.getSelf());
-    addresses.setAddress(member.id(), member.address(), member.peerPort());
+    rememberAddress(member);
     members(member.failureDomain())
         .heard(member, now, state.getLeaving(), state.getWatching(), state.getCurrent());
     if (state.getWatching()) {
@@ -402,19 +454,35 @@
     return member;
   }
 
+  private void mergeWatchers(List<WatcherRecord> records, long now) {
+    directory.merge(records, now);
+    for (WatcherRecord record : records) {
+      Member member = EntryKeys.toMember(record.getRecord());
+      rememberAddress(member);
+      boolean named = record.getHeardAgoMillis() <= DomainMembers.LIVE_MILLIS;
+      if (named && isOwn(member) && !member.id().equals(self.id())) {
+        namedRivals.add(member.id());
+      }
+    }
+  }
+
+  private void rememberAddress(Member member) {
+    // A name would be looked up, which blocks the control loop.
+    if (!member.equals(addressed.put(member.id(), member))
+        && IpAddressSyntax.isIpAddress(member.address())) {
+      addresses.setAddress(member.id(), member.address(), member.peerPort());
+    }
+  }
+
   private void mergeMembers(DomainBeatAck ack, long now) {
     for (DomainMember named : ack.getMembersList()) {
       Member member = EntryKeys.toMember(named.getRecord());
       if (!member.id().equals(self.id())) {
-        addresses.setAddress(member.id(), member.address(), member.peerPort());
+        rememberAddress(member);
         members(member.failureDomain())
             .named(member, now - named.getHeardAgoMillis(), named.getLeaving());
       }
     }
-    for (WatcherDirectory.Watcher watcher : directory.all()) {
-      Member member = watcher.member();
-      addresses.setAddress(member.id(), member.address(), member.peerPort());
-    }
   }
 
   private void updateStanding(Member sender, DomainState state, long sentMillis, long now) {
@@ -496,7 +564,7 @@
     Member member = EntryKeys.toMember(beat.getState().getSelf());
     if (!sender.equals(self.id()) && !stopped) {
       learn(beat.getState(), now);
-      directory.merge(beat.getWatchersList(), now);
+      mergeWatchers(beat.getWatchersList(), now);
       if (isOwn(member) && beat.getState().getWatching()) {
         updateStanding(member, beat.getState(), now, now);
       }
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainMembers.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainMembers.java
@@ -86,6 +86,11 @@
         .ifPresent(peer -> peer.heardMillis = Math.min(peer.heardMillis, -LIVE_MILLIS));
   }
 
+  /** Records that the live entries are those that the watcher of the domain knows, too. */
+  void confirmLive(long nowMillis) {
+    live(nowMillis).forEach(peer -> peer.heardMillis = nowMillis);
+  }
+
   void forgetOld(long nowMillis) {
     peers.values().removeIf(peer -> nowMillis - peer.heardMillis > FORGET_MILLIS);
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/StorePing.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/StorePing.java
@@ -15,7 +15,7 @@
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** A key that no one writes; what is read does not matter. */
-  private static final String KEY = "ping";
+  static final String KEY = "ping";
 
   private final Store store;
   private final StoreWatch watch;
@@ -35,15 +35,11 @@
     this.timing = timing;
   }
 
-  /** Returns whether the last test failed. */
-  boolean lost() {
-    return lost;
-  }
-
   /** Sends a test if one is due. */
   void run() {
     long heardMillis = Math.max(lastAnswerMillis, watch.lastAnswerMillis());
-    long dueMillis = lost ? timing.pingTimeoutMillis() : timing.pingMillis();
+    boolean unsure = lost || !watch.current();
+    long dueMillis = unsure ? timing.pingTimeoutMillis() : timing.pingMillis();
     if (pending || clock.millis() - heardMillis < dueMillis) {
       return;
     }
@@ -64,7 +60,7 @@
       return;
     }
     lastAnswerMillis = clock.millis();
-    if (lost) {
+    if (lost || !watch.current()) {
       lost = false;
       watch.storeReachabilityChanged(true);
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
@@ -54,8 +54,8 @@
   /** Below the maximum wait of stores, 30 s; dead connections are detected by other means. */
   private static final long WATCH_WAIT_MILLIS = 28_000;
 
-  private static final long FIRST_RETRY_MILLIS = 150;
-  private static final long MAX_RETRY_MILLIS = 800;
+  private static final long FIRST_RETRY_MILLIS = 300;
+  private static final long MAX_RETRY_MILLIS = 3_000;
 
   private final Store store;
   private final ControlLoop loop;
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/fleet/DomainFleetTest.java
@@ -0,0 +1,221 @@
+package org.wagtailpin.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class DomainFleetTest {
+
+  private static final long SETTLE_MILLIS = 15_000;
+  private static final long REST_MILLIS = 30_000;
+  private static final int MAX_CALLS_PER_DOMAIN_AT_REST = 6;
+
+  private static SimulatedDomains started(int domains, int entriesPerDomain) {
+    SimulatedDomains fleet = new SimulatedDomains(1);
+    fleet.start(domains, entriesPerDomain);
+    fleet.changeDocument();
+    fleet.register("a", "staying 1 1");
+    fleet.advance(SETTLE_MILLIS);
+    return fleet;
+  }
+
+  private static SimulatedMember watcher(SimulatedDomains fleet, String domain) {
+    List<SimulatedMember> watchers = fleet.watchers(domain);
+    assertThat(watchers).hasSize(1);
+    return watchers.get(0);
+  }
+
+  /** Changes the document, and checks that all others have it in time. */
+  private static void changeReachesAllBut(SimulatedDomains fleet, SimulatedMember disturbed) {
+    int version = fleet.changeDocument();
+    fleet.advance(SimulatedDomains.BOUND_MILLIS);
+    for (SimulatedMember member : fleet.members()) {
+      if (member != disturbed) {
+        assertWithMessage(member.id()).that(member.version()).isEqualTo(version);
+      }
+    }
+  }
+
+  @Test
+  void oneEntryOfEachDomainWatchesTheStoreAndAllHaveItsState() {
+    SimulatedDomains fleet = started(4, 5);
+
+    for (String domain : fleet.domains()) {
+      assertThat(fleet.watchers(domain)).hasSize(1);
+    }
+    for (SimulatedMember member : fleet.members()) {
+      assertThat(member.version()).isEqualTo(1);
+      assertThat(member.servers()).containsExactly("a");
+    }
+  }
+
+  @Test
+  void storeCallsAtRestGrowWithDomainsAndNotWithEntries() {
+    for (int entriesPerDomain : new int[] {4, 17}) {
+      SimulatedDomains fleet = started(9, entriesPerDomain);
+      int before = fleet.storeCalls();
+      fleet.advance(REST_MILLIS);
+
+      assertThat(fleet.storeCalls() - before).isAtMost(MAX_CALLS_PER_DOMAIN_AT_REST * 9);
+    }
+  }
+
+  @Test
+  void theSizeOfTheFleetIsKnownToAll() {
+    SimulatedDomains fleet = started(9, 17);
+    fleet.advance(REST_MILLIS);
+
+    for (SimulatedMember member : fleet.members()) {
+      assertWithMessage(member.id()).that(member.membership().fleetSize()).isEqualTo(9 * 17);
+    }
+  }
+
+  @Test
+  void aChangeIsInForceInTimeWhenAWatcherWasKilled() {
+    SimulatedDomains fleet = started(3, 5);
+    SimulatedMember watcher = watcher(fleet, "d1");
+    watcher.kill();
+
+    changeReachesAllBut(fleet, watcher);
+    fleet.advance(SETTLE_MILLIS);
+    assertThat(fleet.watchers("d1")).hasSize(1);
+  }
+
+  @Test
+  void aChangeIsInForceInTimeWhenAWatcherIsFrozenAndOnlyOneWatchesAfterIt() {
+    SimulatedDomains fleet = started(3, 5);
+    SimulatedMember watcher = watcher(fleet, "d1");
+    watcher.pause();
+
+    changeReachesAllBut(fleet, watcher);
+    watcher.resume();
+    fleet.advance(SETTLE_MILLIS);
+    assertThat(fleet.watchers("d1")).hasSize(1);
+    assertThat(watcher.version()).isEqualTo(fleet.version());
+  }
+
+  @Test
+  void aChangeIsInForceInTimeWhenAWatcherIsCutOffFromTheOtherEntries() {
+    SimulatedDomains fleet = started(3, 5);
+    SimulatedMember watcher = watcher(fleet, "d1");
+    watcher.cutFromPeers();
+
+    changeReachesAllBut(fleet, watcher);
+  }
+
+  @Test
+  void aChangeIsInForceInTimeWhenAWatcherIsCutOffFromTheStore() {
+    for (long beforeMillis : new long[] {0, 300, 1_000, 5_000}) {
+      SimulatedDomains fleet = started(3, 5);
+      SimulatedMember watcher = watcher(fleet, "d1");
+      fleet.cutFromStore(watcher.id(), true);
+      fleet.advance(beforeMillis);
+
+      changeReachesAllBut(fleet, watcher);
+    }
+  }
+
+  @Test
+  void aWatcherThatLeavesIsReplacedBeforeItEnds() {
+    SimulatedDomains fleet = started(3, 5);
+    SimulatedMember watcher = watcher(fleet, "d1");
+    watcher.membership().announceLeaving();
+    fleet.advance(SimulatedDomains.BOUND_MILLIS);
+
+    assertThat(watcher(fleet, "d1")).isNotEqualTo(watcher);
+    watcher.membership().leave();
+    watcher.kill();
+    changeReachesAllBut(fleet, watcher);
+  }
+
+  @Test
+  void anEntryThatKnowsNobodyWatchesTheStoreItself() {
+    SimulatedDomains fleet = started(3, 3);
+    fleet.seeds().forEach(seed -> fleet.member(seed).kill());
+    SimulatedMember late = fleet.add("d2-9", "d2");
+    fleet.advance(SimulatedDomains.BOUND_MILLIS);
+
+    assertThat(late.version()).isEqualTo(fleet.version());
+    assertThat(late.servers()).containsExactly("a");
+  }
+
+  @Test
+  void aRestartedEntryLearnsFromItsWatcherWithoutACallToTheStore() {
+    SimulatedDomains fleet = started(3, 5);
+    SimulatedMember follower =
+        fleet.members().stream().filter(member -> !member.watching()).findFirst().orElseThrow();
+    follower.kill();
+    fleet.advance(SimulatedDomains.CALM_MILLIS);
+    int before = fleet.storeCalls();
+    follower.start(false);
+    fleet.advance(SimulatedDomains.BOUND_MILLIS);
+
+    assertThat(follower.version()).isEqualTo(fleet.version());
+    assertThat(fleet.storeCalls()).isEqualTo(before);
+  }
+
+  @Test
+  void aServerThatLeftDoesNotComeBackWithAnEntryThatMissedIt() {
+    SimulatedDomains fleet = started(2, 3);
+    SimulatedMember apart = fleet.member("d1-2");
+    apart.cutFromPeers();
+    fleet.cutFromStore(apart.id(), true);
+    fleet.deregister("a");
+    fleet.advance(SETTLE_MILLIS);
+    // No process is left that has seen the server and its removal.
+    for (SimulatedMember member : fleet.members()) {
+      if (member != apart) {
+        member.kill();
+        member.start(false);
+      }
+    }
+    fleet.advance(SETTLE_MILLIS);
+    assertThat(apart.servers()).containsExactly("a");
+    apart.reconnect();
+
+    for (int i = 0; i < SETTLE_MILLIS / SimulatedDomains.BOUND_MILLIS; i++) {
+      fleet.advance(SimulatedDomains.BOUND_MILLIS);
+      for (SimulatedMember member : fleet.members()) {
+        if (member != apart) {
+          assertWithMessage(member.id()).that(member.servers()).isEmpty();
+        }
+      }
+    }
+    assertThat(apart.servers()).isEmpty();
+  }
+
+  @Test
+  void anOlderRegistrationThatArrivesLateIsNotTakenByANewWatcher() {
+    SimulatedDomains fleet = started(1, 3);
+    fleet.register("a", "leaving 1 7");
+    fleet.advance(SimulatedDomains.BOUND_MILLIS);
+    SimulatedMember watcher = watcher(fleet, "d0");
+    watcher.kill();
+    // Written to the store late, by a call that was sent before the server began to leave.
+    fleet.register("a", "staying 1 6");
+    fleet.advance(SETTLE_MILLIS);
+
+    for (SimulatedMember member : fleet.members()) {
+      if (member != watcher) {
+        assertWithMessage(member.id()).that(member.leavingServers()).containsExactly("a");
+      }
+    }
+  }
+
+  @Test
+  void aStoreOutageCausesFewCallsAndIsNoticedWhenItEnds() {
+    SimulatedDomains fleet = started(3, 17);
+    int before = fleet.storeCalls();
+    fleet.setStoreDown(true);
+    fleet.advance(REST_MILLIS);
+    int during = fleet.storeCalls() - before;
+    fleet.setStoreDown(false);
+    fleet.advance(SimulatedDomains.CALM_MILLIS);
+
+    changeReachesAllBut(fleet, null);
+    // An entry of its own retry loop would call more than once a second.
+    assertThat(during).isLessThan((int) (3 * 17 * REST_MILLIS / 1_000 / 4));
+  }
+}
--- a/wagtailpin/src/test/java/org/wagtailpin/membership/PausableControlLoop.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/membership/PausableControlLoop.java
@@ -9,7 +9,7 @@
  * Control loop of one simulated process that can be paused, resumed and killed. Tasks that are due
  * during a pause run after it.
  */
-final class PausableControlLoop implements ControlLoop {
+public final class PausableControlLoop implements ControlLoop {
 
   private final ControlLoop base;
   private final Runnable afterEachTask;
@@ -17,32 +17,32 @@
   private boolean paused;
   private boolean killed;
 
-  PausableControlLoop(ControlLoop base, Runnable afterEachTask) {
+  public PausableControlLoop(ControlLoop base, Runnable afterEachTask) {
     this.base = base;
     this.afterEachTask = afterEachTask;
   }
 
-  void pause() {
+  public void pause() {
     paused = true;
   }
 
-  void resume() {
+  public void resume() {
     paused = false;
     while (!heldTasks.isEmpty()) {
       base.execute(heldTasks.remove());
     }
   }
 
-  void kill() {
+  public void kill() {
     killed = true;
     heldTasks.clear();
   }
 
-  boolean paused() {
+  public boolean paused() {
     return paused;
   }
 
-  boolean killed() {
+  public boolean killed() {
     return killed;
   }
 
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/TestRegistryFormat.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/TestRegistryFormat.java
@@ -8,10 +8,10 @@
 import org.wagtailpin.config.ConfigService;
 
 /** Test format: registrations as {@code state start sequence}, documents as one service name. */
-final class TestRegistryFormat implements RegistryFormat {
+public final class TestRegistryFormat implements RegistryFormat {
 
-  static final String DOCUMENT = "operator/document";
-  static final String SERVERS = "members/";
+  public static final String DOCUMENT = "operator/document";
+  public static final String SERVERS = "members/";
 
   @Override
   public String documentKey() {
