Let an entry whose watcher is silent ask its neighbours as well

Cause: seed 5 of DomainScheduleTest: an entry that was leaving followed a frozen watcher, did not know the one that had replaced it, and was barred from watching itself; it missed a change. Change: while the watcher does not confirm its state, live neighbours and seeds are asked too, and a leaving entry watches last of all rather than never.

--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -66,6 +66,9 @@
   private static final long SUCCESSOR_CHECK_MILLIS = 500;
   private static final int MAX_CONTACTS = 4;
 
+  /** By how many ranks an entry that leaves comes later in the order of succession. */
+  private static final int LEAVING_RANKS = 6;
+
   private final Member self;
   private final PeerMessenger messenger;
   private final MutableAddressBook addresses;
@@ -204,15 +207,18 @@
   private void followStep(long now) {
     if (now - lastBeatMillis >= timing.beatMillis() * (1 - TICK_JITTER)) {
       lastBeatMillis = now;
-      followed.id().ifPresentOrElse(this::beat, this::contactAnyone);
+      followed.id().ifPresent(this::beat);
+      if (!followed.good(now)) {
+        contactAnyone();
+      }
     }
     WatcherStanding standing = followed.standing(now);
     boolean mayChallenge =
         standing != WatcherStanding.STORE_LOST
             || now - lastFailedChallengeMillis >= CHALLENGE_PAUSE_MILLIS;
-    int rank = ownMembers().rank(self.id(), followed.id(), now);
+    int rank = ownMembers().rank(self.id(), followed.id(), now) + (leaving ? LEAVING_RANKS : 0);
     OptionalLong wait = succession.waitMillis(standing, rank);
-    if (wait.isPresent() && mayChallenge && !leaving) {
+    if (wait.isPresent() && mayChallenge) {
       long elapsed = now - followed.sinceMillis(now);
       if (elapsed >= wait.getAsLong() && standing == WatcherStanding.STORE_LOST) {
         challenge(rank, now);
@@ -241,7 +247,7 @@
   private void endChallenge(int rank) {
     long now = clock.millis();
     boolean stillLost = followed.standing(now) == WatcherStanding.STORE_LOST;
-    if (stillLost && !watch.running() && !leaving && !stopped) {
+    if (stillLost && !watch.running() && !stopped) {
       startWatching(WatcherStanding.STORE_LOST, rank, now);
     }
   }
