Probe servers before the first call of a service as well

Cause: an entry probed only after it had seen a load report, so its first call of each service went to any server; a quarter of the machines are slow at any moment. Change: servers are probed unless one has answered without a report.

--- a/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptRecorder.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptRecorder.java
@@ -44,6 +44,9 @@
     double forgetMillis = service.view().settings().value(Tunable.FORGET_MILLIS);
     AttemptOutcome outcome = report.outcome();
     if (outcome instanceof AttemptOutcome.Answered answered) {
+      if (report.load().isEmpty()) {
+        service.recordNoLoad();
+      }
       if (answered.status() >= MIN_SERVER_ERROR_STATUS) {
         recordFailure(service, server, now);
         return;
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
@@ -57,7 +57,7 @@
     double endMillis = clock.exactMillis() + view.settings().value(Tunable.PROBE_MILLIS);
     if (path.isEmpty()
         || view.settings().value(Tunable.PROBES_PER_ROUND) < 1
-        || !service.reportsLoad()) {
+        || !service.mayReportLoad()) {
       callback.run();
       return;
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServiceState.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServiceState.java
@@ -13,6 +13,7 @@
   private final MovingAverage otherLoadPerSlot = new MovingAverage(LOAD_SMOOTHING_FACTOR);
   private final MovingAverage slowness = new MovingAverage(LOAD_SMOOTHING_FACTOR);
   private volatile boolean reportsLoad;
+  private volatile boolean answeredWithoutLoad;
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicInteger longInFlight = new AtomicInteger();
   private final CallQueue queue = new CallQueue();
@@ -70,9 +71,14 @@
     reportsLoad = true;
   }
 
-  /** Returns whether any of its servers has reported its load. */
-  boolean reportsLoad() {
-    return reportsLoad;
+  /** Records an answer of one of the servers that did not carry a load report. */
+  void recordNoLoad() {
+    answeredWithoutLoad = true;
+  }
+
+  /** Returns whether any of its servers has reported its load, or none has answered yet. */
+  boolean mayReportLoad() {
+    return reportsLoad || !answeredWithoutLoad;
   }
 
   /** Returns the moving average of the slowness that its servers report. */
