Serve queued calls by priority, and name a time of return from the backlog

Cause: the priority of a route was read and not used: urgent calls queued behind plain ones and were refused for a queue that would not have delayed them; Retry-After was 100 ms whatever the queue, so that callers refused together came back together. Change: PriorityQueues (a less urgent level gets at least one turn in eight), admission by the calls ahead only, BacklogReturnTime (each refused caller gets a time after those before it, at the pace at which slots become free, within a quarter of its time left).

--- a/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/EntryClient.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/EntryClient.java
@@ -19,6 +19,7 @@
 import org.wagtailpin.routing.LoadReport;
 import org.wagtailpin.routing.Placement;
 import org.wagtailpin.routing.PlacementListener;
+import org.wagtailpin.routing.Refusal;
 import org.wagtailpin.routing.RetryDecision;
 import org.wagtailpin.routing.RetryPolicy;
 
@@ -206,7 +207,7 @@
     }
 
     @Override
-    public void refused(Fault fault) {
+    public void refused(Refusal refusal) {
       countRefusal();
     }
 
--- a/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/baseline/CentralBound.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/baseline/CentralBound.java
@@ -19,6 +19,7 @@
 import org.wagtailpin.routing.Locality;
 import org.wagtailpin.routing.Placement;
 import org.wagtailpin.routing.PlacementListener;
+import org.wagtailpin.routing.Refusal;
 
 /**
  * Reference policy with one scheduler for all entries. It knows at once when a slot becomes free,
@@ -205,7 +206,7 @@
         && clock.millis() + DEADLINE_MARGIN_FACTOR * queue.peek().workMillis()
             > queue.peek().call().deadlineMillis()) {
       PlacementListener listener = queue.poll().listener();
-      notifications.add(() -> listener.refused(expired));
+      notifications.add(() -> listener.refused(new Refusal(expired, 1)));
     }
   }
 }
--- a/benchmark/src/main/java/org/wagtailpin/benchmark/jmh/PlacementBenchmark.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/jmh/PlacementBenchmark.java
@@ -21,7 +21,6 @@
 import org.wagtailpin.config.ConfigService;
 import org.wagtailpin.config.ConfigSnapshot;
 import org.wagtailpin.config.IdempotencyKeyRule;
-import org.wagtailpin.error.Fault;
 import org.wagtailpin.limits.RouteStatistics;
 import org.wagtailpin.membership.LimitShares;
 import org.wagtailpin.routing.AttemptHistory;
@@ -33,6 +32,7 @@
 import org.wagtailpin.routing.LoadReport;
 import org.wagtailpin.routing.Locality;
 import org.wagtailpin.routing.PlacementListener;
+import org.wagtailpin.routing.Refusal;
 import org.wagtailpin.routing.PlacementObserver;
 import org.wagtailpin.routing.QueueingPlacement;
 import org.wagtailpin.routing.SharedRandom;
@@ -138,7 +138,7 @@
     }
 
     @Override
-    public void refused(Fault fault) {
+    public void refused(Refusal refusal) {
       throw new IllegalStateException(fault.toString());
     }
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
@@ -23,6 +23,7 @@
 import org.wagtailpin.routing.Grant;
 import org.wagtailpin.routing.PlacementHandle;
 import org.wagtailpin.routing.PlacementListener;
+import org.wagtailpin.routing.Refusal;
 import org.wagtailpin.routing.RetryDecision;
 import org.wagtailpin.transport.EndToEndHeaders;
 import org.wagtailpin.transport.HttpDialect;
@@ -186,8 +187,8 @@
     }
 
     @Override
-    public void refused(Fault fault) {
-      runOnLoop(() -> placementRefused(fault));
+    public void refused(Refusal refusal) {
+      runOnLoop(() -> placementRefused(refusal));
     }
   }
 
@@ -203,10 +204,10 @@
     next.start(requestFactory.create(grant.server(), history.attempts(), remainingMillis()));
   }
 
-  private void placementRefused(Fault fault) {
+  private void placementRefused(Refusal refusal) {
     pendingPlacement = Optional.empty();
     if (!ended) {
-      answerWithProblem(problems.failed(mayHaveRun, lastFault.orElse(fault)));
+      answerWithProblem(problems.refused(mayHaveRun, lastFault, refusal));
     }
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallProblems.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallProblems.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.wagtailpin.error.Fault;
+import org.wagtailpin.routing.Refusal;
 import org.wagtailpin.transport.HttpDialect;
 
 /** Creates the problems with which calls are answered, by whether the request may have run. */
@@ -28,6 +29,21 @@
     return of(mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE, outcome(mayHaveRun), fault);
   }
 
+  /**
+   * Returns the problem of a call that placement refused. The cause is the failure of the attempt
+   * before, if there was one.
+   */
+  Problem refused(boolean mayHaveRun, Optional<Fault> lastFault, Refusal refusal) {
+    Problem problem = failed(mayHaveRun, lastFault.orElse(refusal.fault()));
+    return problem.retryAfterMillis().isEmpty()
+        ? problem
+        : new Problem(
+            problem.status(),
+            problem.outcome(),
+            problem.fault(),
+            Optional.of(refusal.retryAfterMillis()));
+  }
+
   /**
    * Returns the problem of a call whose deadline has passed. In a dialect whose callers recognize a
    * request that was not run by the status code 503 alone, such a request must not get a 504, which
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/QueuedWork.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/QueuedWork.java
@@ -12,6 +12,9 @@
   /** Returns how many calls led to it, at least 0. */
   int depth();
 
+  /** Returns its priority, 0 for the most urgent. */
+  int priority();
+
   /** Returns whether it may be delayed in favor of work that may not. */
   boolean mayWait();
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
@@ -6,24 +6,29 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicIntegerArray;
 import org.tinylog.Logger;
-import org.wagtailpin.limits.FairQueue;
+import org.wagtailpin.limits.PriorityQueues;
 
 /**
- * The queued calls of one service, with separate fair queues for short and for long work.
+ * The queued calls of one service, with separate queues for short and for long work.
  *
  * <p>Any thread may add a call and request a round over the queue. Rounds run one at a time, on one
- * of the requesting threads, so the fair queues need no lock.
+ * of the requesting threads, so the queues need no lock.
  */
 final class CallQueue {
 
+  /** Priorities that are told apart in the number of calls ahead; later ones count as the last. */
+  private static final int PRIORITIES = 8;
+
   private final ConcurrentLinkedQueue<QueuedCall> arrivals = new ConcurrentLinkedQueue<>();
   private final ConcurrentLinkedQueue<ServerState> freedServers = new ConcurrentLinkedQueue<>();
-  private final FairQueue<QueuedCall> shortWork = new FairQueue<>();
-  private final FairQueue<QueuedCall> longWork = new FairQueue<>();
+  private final PriorityQueues<QueuedCall> shortWork = new PriorityQueues<>();
+  private final PriorityQueues<QueuedCall> longWork = new PriorityQueues<>();
   private final AtomicInteger pendingRounds = new AtomicInteger();
   private final AtomicBoolean tickScheduled = new AtomicBoolean();
   private final AtomicBoolean sweepRequested = new AtomicBoolean();
+  private final AtomicIntegerArray sizeAhead = new AtomicIntegerArray(PRIORITIES);
   private volatile int size;
 
   void add(QueuedCall call) {
@@ -64,6 +69,15 @@
     return size;
   }
 
+  /**
+   * Returns how many calls of a priority or a more urgent one the last round left in the queue.
+   *
+   * @param priority the priority, 0 for the most urgent
+   */
+  int sizeAhead(int priority) {
+    return priority < PRIORITIES ? sizeAhead.get(Math.max(0, priority)) : size;
+  }
+
   boolean isEmpty() {
     return size == 0 && arrivals.isEmpty();
   }
@@ -83,6 +97,9 @@
       addArrivals();
       runGuarded(round);
       size = shortWork.size() + longWork.size();
+      for (int priority = 0; priority < PRIORITIES; priority++) {
+        sizeAhead.set(priority, shortWork.sizeAhead(priority) + longWork.sizeAhead(priority));
+      }
       served = pendingRounds.addAndGet(-served);
     } while (served != 0);
   }
@@ -99,13 +116,13 @@
   private void addArrivals() {
     QueuedCall call = arrivals.poll();
     while (call != null) {
-      fairQueue(call.longWork()).add(call);
+      queueOf(call.longWork()).add(call);
       call = arrivals.poll();
     }
   }
 
-  /** Returns the fair queue of short or of long work. Used in a round only. */
-  FairQueue<QueuedCall> fairQueue(boolean ofLongWork) {
+  /** Returns the queue of short or of long work. Used in a round only. */
+  PriorityQueues<QueuedCall> queueOf(boolean ofLongWork) {
     return ofLongWork ? longWork : shortWork;
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -161,16 +161,31 @@
         <= queueWaitMillis(service);
   }
 
+  /** Returns the expected wait, in milliseconds, of a call that goes after all that are queued. */
+  private double queueWaitMillis(ServiceState service) {
+    return queueWaitMillis(service, Integer.MAX_VALUE);
+  }
+
   /**
    * Returns the expected wait, in milliseconds, of a call that joins the queue now, for a slot that
    * one of this entry's attempts frees; infinite if none is in flight.
+   *
+   * @param service the service
+   * @param priority the priority of the call; less urgent calls do not delay it
    */
-  double queueWaitMillis(ServiceState service) {
+  double queueWaitMillis(ServiceState service, int priority) {
+    return (service.queue().sizeAhead(priority) + 1) * millisPerSlot(service);
+  }
+
+  /**
+   * Returns the expected time, in milliseconds, between two slots that this entry's attempts free;
+   * infinite if none is in flight.
+   */
+  double millisPerSlot(ServiceState service) {
     int inFlight = service.inFlight();
-    if (inFlight == 0) {
-      return Double.POSITIVE_INFINITY;
-    }
-    return (service.queue().size() + 1) * statistics.medianMillis(service.name()) / inFlight;
+    return inFlight == 0
+        ? Double.POSITIVE_INFINITY
+        : statistics.medianMillis(service.name()) / inFlight;
   }
 
   /** Spreads the work over all servers that take work, as no near server is usable. */
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementListener.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementListener.java
@@ -1,7 +1,5 @@
 package org.wagtailpin.routing;
 
-import org.wagtailpin.error.Fault;
-
 /**
  * Receives the decision on a request for a server. Exactly one of the methods is called, once,
  * unless the request is withdrawn.
@@ -18,7 +16,7 @@
   /**
    * Called when no attempt is to be made. The request has dispatched nothing.
    *
-   * @param fault the reason for the refusal
+   * @param refusal the reason, and when to come back
    */
-  void refused(Fault fault);
+  void refused(Refusal refusal);
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueuedCall.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueuedCall.java
@@ -82,6 +82,11 @@
     return call.depth();
   }
 
+  @Override
+  public int priority() {
+    return call.route().priority();
+  }
+
   @Override
   public boolean mayWait() {
     return call.route().mayWait();
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -8,8 +8,10 @@
 import org.wagtailpin.error.Fault;
 import org.wagtailpin.error.Peer;
 import org.wagtailpin.error.Step;
-import org.wagtailpin.limits.FairQueue;
+import org.wagtailpin.limits.BacklogReturnTime;
+import org.wagtailpin.limits.PriorityQueues;
 import org.wagtailpin.limits.ProbeBudget;
+import org.wagtailpin.limits.ReturnTime;
 import org.wagtailpin.limits.RouteStatistics;
 import org.wagtailpin.membership.LimitShares;
 
@@ -18,8 +20,9 @@
  *
  * <p>Compares a few near servers by this entry's own attempts in flight and by the servers' load
  * reports, whose weight decays with their age. A call that finds no free slot is queued here and
- * gets the first slot that becomes free, in the order of weighted fair queueing over the caller
- * groups. A call that cannot complete before its deadline is refused without being dispatched.
+ * gets the first slot that becomes free, by its priority and in the order of weighted fair queueing
+ * over the caller groups. A call that cannot complete before its deadline is refused without being
+ * dispatched.
  */
 public final class QueueingPlacement implements Placement {
 
@@ -31,6 +34,7 @@
   private final Dispatcher dispatcher;
   private final AttemptRecorder recorder;
   private final ProbeRounds probes;
+  private final ReturnTime returnTime;
 
   /**
    * Creates a placement that does not probe servers for their load.
@@ -105,6 +109,7 @@
     this.probes =
         new ProbeRounds(clock, picker, costs, probe, new ProbeBudget(clock, shares), scheduler);
     this.recorder = new AttemptRecorder(clock, statistics, observer);
+    this.returnTime = new BacklogReturnTime(clock, random);
   }
 
   @Override
@@ -185,7 +190,9 @@
       return Optional.of(PlacementRule.DEADLINE);
     }
     boolean checkQueueWait = queued.depth() == 0 && !queued.mayWait();
-    if (checkQueueWait && now + dispatcher.queueWaitMillis(service) > queued.latestStartMillis()) {
+    if (checkQueueWait
+        && now + dispatcher.queueWaitMillis(service, queued.priority())
+            > queued.latestStartMillis()) {
       return Optional.of(PlacementRule.QUEUE_TOO_LONG);
     }
     return Optional.empty();
@@ -226,7 +233,21 @@
     Fault fault = new Fault(step, Peer.SELF, "", "not run: " + rule.label());
     double waitedMillis = Math.max(0, clock.millis() - queued.queuedAtMillis());
     observer.refused(queued.call(), fault, PlacementReason.refusal(rule, waitedMillis));
-    queued.listener().refused(fault);
+    queued.listener().refused(new Refusal(fault, returnTime.millis(backlog(queued))));
+  }
+
+  private ReturnTime.Backlog backlog(QueuedCall queued) {
+    String name = queued.call().route().service();
+    Optional<ServiceState> service = table.service(name);
+    return new ReturnTime.Backlog(
+        name,
+        queued.priority(),
+        service
+            .map(state -> dispatcher.queueWaitMillis(state, queued.priority()))
+            .orElse(Double.POSITIVE_INFINITY),
+        Math.max(0, queued.maxWaitMillis()),
+        service.map(dispatcher::millisPerSlot).orElse(Double.POSITIVE_INFINITY),
+        queued.call().deadlineMillis() - clock.millis());
   }
 
   private void enqueue(ServiceState service, QueuedCall queued) {
@@ -257,8 +278,8 @@
     }
     boolean longFirst = longWorkIsDue(service);
     serveFreedSlots(service, longFirst);
-    serve(service, service.queue().fairQueue(longFirst));
-    serve(service, service.queue().fairQueue(!longFirst));
+    serve(service, service.queue().queueOf(longFirst));
+    serve(service, service.queue().queueOf(!longFirst));
   }
 
   private void refuseExpired(ServiceState service) {
@@ -272,7 +293,7 @@
     long now = clock.millis();
     return service
         .queue()
-        .fairQueue(true)
+        .queueOf(true)
         .peek(now, 0)
         .map(call -> 2 * (now - call.queuedAtMillis()) > call.maxWaitMillis())
         .orElse(false);
@@ -281,24 +302,24 @@
   private void serveFreedSlots(ServiceState service, boolean longFirst) {
     Optional<ServerState> freed = service.queue().pollFreed();
     while (freed.isPresent()) {
-      if (!serveHead(service, service.queue().fairQueue(longFirst), freed)) {
-        serveHead(service, service.queue().fairQueue(!longFirst), freed);
+      if (!serveHead(service, service.queue().queueOf(longFirst), freed)) {
+        serveHead(service, service.queue().queueOf(!longFirst), freed);
       }
       freed = service.queue().pollFreed();
     }
   }
 
-  private void serve(ServiceState service, FairQueue<QueuedCall> fairQueue) {
+  private void serve(ServiceState service, PriorityQueues<QueuedCall> callQueue) {
     boolean served = true;
     while (served) {
-      served = serveHead(service, fairQueue, Optional.empty());
+      served = serveHead(service, callQueue, Optional.empty());
     }
   }
 
   private boolean serveHead(
-      ServiceState service, FairQueue<QueuedCall> fairQueue, Optional<ServerState> freed) {
+      ServiceState service, PriorityQueues<QueuedCall> callQueue, Optional<ServerState> freed) {
     double urgentMillis = statistics.medianMillis(service.name());
-    Optional<QueuedCall> head = fairQueue.peek(clock.millis(), urgentMillis);
+    Optional<QueuedCall> head = callQueue.peek(clock.millis(), urgentMillis);
     if (head.isEmpty()) {
       return false;
     }
@@ -310,7 +331,7 @@
     if (dispatch.isEmpty()) {
       return false;
     }
-    fairQueue.remove(head.get());
+    callQueue.remove(head.get());
     grant(service, head.get(), dispatch.get());
     return true;
   }
--- a/wagtailpin/src/test/java/org/wagtailpin/call/InOrderPlacement.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/InOrderPlacement.java
@@ -13,6 +13,7 @@
 import org.wagtailpin.routing.Placement;
 import org.wagtailpin.routing.PlacementHandle;
 import org.wagtailpin.routing.PlacementListener;
+import org.wagtailpin.routing.Refusal;
 
 /** Placement that immediately grants the first server that the call has not tried yet. */
 public final class InOrderPlacement implements Placement {
@@ -37,7 +38,8 @@
         return () -> {};
       }
     }
-    listener.refused(new Fault(Step.PICK_SERVER, Peer.SELF, "", "no server is left"));
+    Fault fault = new Fault(Step.PICK_SERVER, Peer.SELF, "", "no server is left");
+    listener.refused(new Refusal(fault, 1));
     return () -> {};
   }
 
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
@@ -141,6 +141,27 @@
     return call("short", "group", 0, false, deadlineMillis);
   }
 
+  /** Returns a call of a priority, 0 for the most urgent. */
+  CallDescriptor call(int priority, long deadlineMillis) {
+    ConfigRoute route = call("p" + priority, "group", 0, false, deadlineMillis).route();
+    ConfigRoute ranked =
+        new ConfigRoute(
+            route.name(),
+            route.host(),
+            route.pathPrefix(),
+            route.methods(),
+            route.service(),
+            route.repeatable(),
+            route.deadlineMillis(),
+            route.keyRule(),
+            route.mayWait(),
+            route.split(),
+            route.maxAttempts(),
+            route.targetLatencyMillis(),
+            priority);
+    return new CallDescriptor("r", ranked, true, "group", 0, clock.millis() + deadlineMillis);
+  }
+
   CallDescriptor call(String route, String group, int depth, boolean mayWait, long deadlineMillis) {
     ConfigRoute configRoute =
         new ConfigRoute(
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/ProbeRoundsTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/ProbeRoundsTest.java
@@ -54,7 +54,7 @@
           }
 
           @Override
-          public void refused(org.wagtailpin.error.Fault fault) {}
+          public void refused(Refusal refusal) {}
         });
     return grants.stream().findFirst();
   }
@@ -169,7 +169,7 @@
           }
 
           @Override
-          public void refused(org.wagtailpin.error.Fault fault) {}
+          public void refused(Refusal refusal) {}
         });
     assertThat(grants).isEmpty();
 
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/RecordingListener.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/RecordingListener.java
@@ -7,7 +7,7 @@
 final class RecordingListener implements PlacementListener {
 
   private Grant grant;
-  private Fault fault;
+  private Refusal refusal;
 
   @Override
   public void granted(Grant newGrant) {
@@ -16,13 +16,13 @@
   }
 
   @Override
-  public void refused(Fault newFault) {
+  public void refused(Refusal newRefusal) {
     checkFirst();
-    fault = newFault;
+    refusal = newRefusal;
   }
 
   private void checkFirst() {
-    if (grant != null || fault != null) {
+    if (grant != null || refusal != null) {
       throw new AssertionError("more than one decision on a request");
     }
   }
@@ -32,7 +32,11 @@
   }
 
   Optional<Fault> fault() {
-    return Optional.ofNullable(fault);
+    return refusal().map(Refusal::fault);
+  }
+
+  Optional<Refusal> refusal() {
+    return Optional.ofNullable(refusal);
   }
 
   String server() {
@@ -40,6 +44,6 @@
   }
 
   boolean undecided() {
-    return grant == null && fault == null;
+    return grant == null && refusal == null;
   }
 }
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/SharedServersTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/SharedServersTest.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.wagtailpin.config.Tunable;
-import org.wagtailpin.error.Fault;
 
 /** Tests entries that share servers with fewer slots than there are entries. */
 class SharedServersTest {
@@ -147,7 +146,7 @@
       }
 
       @Override
-      public void refused(Fault fault) {}
+      public void refused(Refusal refusal) {}
     };
   }
 
