Bound what a backend server may send before and after its answer

Cause: interim answers and surplus answers were skipped without a bound: a server that sends 1xx answers without end was read for the whole deadline, 112 MB in 2 s on loopback; copies of an earlier answer 150 MB. Change: AnswerHeadGuard ends a connection with more than 128 KiB before the head of an answer has ended, or with any input while no answer is due; an answer longer than maxAnswerBytes is cut off. Result: EndlessAnswerTest (11 places, fast and slow; a late copy of an answer split over reads and without an identifier); its two cases named above failed with the bound set to 2 GB. An answer without a length that is reset reads 502 (PlatformEntryTest; held before, too).

--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClientConfig.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClientConfig.java
@@ -32,7 +32,7 @@
         .setEventLoopGroup(loops)
         .setTcpNoDelay(true)
         .setSslEngineFactory(new PlainTextSslEngineFactory())
-        .setHttpAdditionalChannelInitializer(channel -> addConnectionHandler(channel, clock))
+        .setHttpAdditionalChannelInitializer(channel -> addHandlers(channel, settings, clock))
         .build();
   }
 
@@ -88,11 +88,17 @@
         .setShutdownQuietPeriod(Duration.ZERO);
   }
 
-  private static void addConnectionHandler(Channel channel, Clock clock) {
+  private static void addHandlers(Channel channel, BackendSettings settings, Clock clock) {
     // AsyncHttpClient requests each read, and the handler may defer it.
     channel.config().setAutoRead(false);
     BackendConnectionHandler handler = new BackendConnectionHandler(clock);
     handler.attach(channel);
     channel.pipeline().addAfter(HTTP_CODEC_NAME, "gate", handler);
+    channel
+        .pipeline()
+        .addBefore(
+            HTTP_CODEC_NAME,
+            "head-guard",
+            new AnswerHeadGuard(handler, settings.maxBytesBeforeAnswer()));
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
@@ -46,6 +46,7 @@
   private boolean requestRefused;
   private boolean requestWritten = true;
   private boolean awaitingAnswer;
+  private boolean headReceived;
   private boolean interimAnswer;
   private boolean staleAnswer;
   private boolean usedBefore;
@@ -116,6 +117,7 @@
     }
     requestWritten = false;
     awaitingAnswer = true;
+    headReceived = false;
     return true;
   }
 
@@ -146,6 +148,7 @@
       skipStaleAnswer(message);
       return;
     }
+    headReceived = true;
     if (message instanceof LastHttpContent) {
       answerEnded();
     }
@@ -204,12 +207,27 @@
     reusable = reusable && requestWritten;
   }
 
-  private void rejectAndClose(Object message) {
-    ReferenceCountUtil.release(message);
+  /** Returns whether the head of an answer is due. Called on the connection's event loop. */
+  boolean awaitsHead() {
+    return awaitingAnswer && !headReceived;
+  }
+
+  /** Returns whether no input is due. Called on the connection's event loop. */
+  boolean awaitsNothing() {
+    return !awaitingAnswer;
+  }
+
+  /** Closes the connection, as its input belongs to no answer. */
+  void rejectInput() {
     reusable = false;
     context.close();
   }
 
+  private void rejectAndClose(Object message) {
+    ReferenceCountUtil.release(message);
+    rejectInput();
+  }
+
   @Override
   public void read(ChannelHandlerContext ctx) {
     if (paused) {
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendSettings.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendSettings.java
@@ -9,18 +9,29 @@
  *     sent on it
  * @param maxStatusLineBytes maximum length of an answer's status line
  * @param maxHeadBytes maximum size of an answer's headers
+ * @param maxBytesBeforeAnswer maximum number of bytes from the request on until the head of its
+ *     answer has ended, such as interim answers
  */
 public record BackendSettings(
-    int connectTimeoutMillis, int idleTimeoutMillis, int maxStatusLineBytes, int maxHeadBytes) {
+    int connectTimeoutMillis,
+    int idleTimeoutMillis,
+    int maxStatusLineBytes,
+    int maxHeadBytes,
+    int maxBytesBeforeAnswer) {
 
   private static final int CONNECT_TIMEOUT_MILLIS = 250;
   private static final int IDLE_TIMEOUT_MILLIS = 4_000;
   private static final int MAX_STATUS_LINE_BYTES = 4_096;
   private static final int MAX_HEAD_BYTES = 32_768;
+  private static final int MAX_BYTES_BEFORE_ANSWER = 131_072;
 
   /** Returns the default settings. */
   public static BackendSettings defaults() {
     return new BackendSettings(
-        CONNECT_TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS, MAX_STATUS_LINE_BYTES, MAX_HEAD_BYTES);
+        CONNECT_TIMEOUT_MILLIS,
+        IDLE_TIMEOUT_MILLIS,
+        MAX_STATUS_LINE_BYTES,
+        MAX_HEAD_BYTES,
+        MAX_BYTES_BEFORE_ANSWER);
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
@@ -60,6 +60,7 @@
   private boolean answerPaused;
   private boolean ended;
   private double lastProgressMillis;
+  private long answerBytes;
 
   /**
    * Creates a call and starts its deadline timer.
@@ -213,6 +214,7 @@
 
   void answerBegan(int status, HttpHeaders headers) {
     lastProgressMillis = nowMillis();
+    answerBytes = 0;
     HttpDialect dialect = environment.dialect();
     EndToEndHeaders.retain(headers, dialect.signature().stream().toList());
     headers.set(dialect.requestId(), request.id());
@@ -226,6 +228,12 @@
 
   void answerPart(ByteBuf part) {
     lastProgressMillis = nowMillis();
+    answerBytes += part.readableBytes();
+    if (answerBytes > environment.settings().maxAnswerBytes()) {
+      part.release();
+      cutAnswer();
+      return;
+    }
     keyedWork.ifPresent(work -> work.keepPart(part));
     if (callerHasDisconnected) {
       part.release();
@@ -236,6 +244,20 @@
     }
   }
 
+  /** Ends an answer that is longer than any answer may be. It is not passed on as complete. */
+  private void cutAnswer() {
+    Fault fault = new Fault(Step.RELAY_ANSWER, Peer.BACKEND_SERVER, "", "the answer is too long");
+    lastFault = Optional.of(fault);
+    mayHaveRun = true;
+    attempt.ifPresent(running -> running.expire(fault));
+    relay.discard();
+    if (relay.began()) {
+      abortAnswer();
+    } else {
+      answerWithProblem(problems.failed(true, fault));
+    }
+  }
+
   void answerEnded(HttpHeaders trailers) {
     keyedWork.ifPresent(KeyedWork::answered);
     if (!callerHasDisconnected) {
--- a/wagtailpin/src/test/java/org/wagtailpin/call/TestEntry.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/TestEntry.java
@@ -51,6 +51,7 @@
     private IdempotencyKeyRule keyRule = IdempotencyKeyRule.IGNORED;
     private boolean echoes;
     private int maxConnections = 100;
+    private long maxAnswerBytes = CallSettings.defaults().maxAnswerBytes();
     private ListenerKind kind = ListenerKind.PUBLIC;
     private CallerLimits limits = CallerLimits.defaults();
 
@@ -79,6 +80,11 @@
       return this;
     }
 
+    public Builder maxAnswerBytes(long bytes) {
+      maxAnswerBytes = bytes;
+      return this;
+    }
+
     public Builder internal() {
       kind = ListenerKind.INTERNAL;
       return this;
@@ -103,7 +109,7 @@
             BackendSettings.defaults(), loops, server -> builder.maxConnections, clock);
     environment =
         new CallEnvironment(
-            CallSettings.defaults(),
+            settings(builder.maxAnswerBytes),
             () -> snapshot,
             placement,
             new SafeRetryPolicy(),
@@ -120,6 +126,17 @@
     listener.start();
   }
 
+  private static CallSettings settings(long maxAnswerBytes) {
+    CallSettings defaults = CallSettings.defaults();
+    return new CallSettings(
+        defaults.maxBufferedBodyBytes(),
+        defaults.maxHeldAnswerBytes(),
+        defaults.maxFeedBytes(),
+        defaults.maxBufferedAnswerBytes(),
+        maxAnswerBytes,
+        defaults.retryAfterMillis());
+  }
+
   private static List<ConfigObject> objects(Builder builder) {
     List<ConfigServer> servers = new ArrayList<>();
     for (int port : builder.ports) {
