--- a/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wagtailpin.control.ControlLoop;
 import org.wagtailpin.error.Fault;
@@ -62,7 +63,7 @@
   private final String prefix;
   private final Listener listener;
   private final Backoff backoff;
-  private final long batchMillis;
+  private final LongSupplier batchMillis;
   private final EventLog events;
 
   // Incremented by start, restart and stop; answers to calls of an earlier generation are ignored.
@@ -75,7 +76,7 @@
       ControlLoop loop,
       String prefix,
       UniformRandomProvider random,
-      long batchMillis,
+      LongSupplier batchMillis,
       Listener listener,
       EventLog events) {
     this.store = store;
@@ -150,7 +151,7 @@
         watch();
       } else {
         // Changes come in bursts, such as a release of a service.
-        scheduleNext(batchMillis, this::watch);
+        scheduleNext(batchMillis.getAsLong(), this::watch);
       }
     } else if (result instanceof WatchResult.Failed failed) {
       listener.callFailed(failed.fault());
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -41,6 +41,9 @@
    */
   public static final long REREGISTRATION_GRACE_MILLIS = 2_200;
 
+  /** Without a document nothing can be served, so changes are gathered for longer. */
+  private static final long BATCHES_BEFORE_DOCUMENT = 2;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final ControlLoop loop;
@@ -85,7 +88,13 @@
     this.events = events;
     this.prefixWatcher =
         new PrefixWatcher(
-            store, loop, format.commonPrefix(), random, batchMillis, new StoreListener(), events);
+            store,
+            loop,
+            format.commonPrefix(),
+            random,
+            () -> documentKnown() ? batchMillis : batchMillis * BATCHES_BEFORE_DOCUMENT,
+            new StoreListener(),
+            events);
   }
 
   @Override
@@ -152,6 +161,11 @@
     return lastAnswerMillis;
   }
 
+  private boolean documentKnown() {
+    return merger.merged().objects().stream()
+        .anyMatch(object -> object.id().kind() == ConfigKind.DOCUMENT);
+  }
+
   private void recordStoreLost(String detail) {
     if (!storeUnreachable) {
       storeUnreachable = true;
