--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -107,43 +107,12 @@
             RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 1),
             NettyPeerSettings.defaults(settings.peers().address(), settings.peers().port()));
     hostListPoller = createHostListPoller(settings, clock, random);
-    if (registryWatcher.isPresent()) {
-      DomainFleet fleet =
-          new DomainFleet(
-              selfMember(settings, incarnation),
-              settings.failureDomains().keySet(),
-              messenger,
-              addresses,
-              store,
-              registryWatcher.get(),
-              merger,
-              new PullConfigSync(merger, messenger),
-              loop,
-              clock,
-              random,
-              timing,
-              seedNames(settings),
-              events);
-      membership = fleet;
-      shares = new EqualShares(fleet::fleetSize);
-    } else {
-      Membership mesh =
-          new Membership(
-              selfMember(settings, incarnation),
-              messenger,
-              addresses,
-              store,
-              hostStates(),
-              new ConfigWatchController(merger, configWatcher),
-              new PullConfigSync(merger, messenger),
-              loop,
-              clock,
-              random,
-              platform.membershipSettings(),
-              seedNames(settings));
-      membership = mesh;
-      shares = mesh;
-    }
+    Fleet fleet =
+        registryWatcher
+            .map(watch -> domainFleet(settings, addresses, watch, random, timing, events))
+            .orElseGet(() -> meshFleet(settings, platform, addresses, random));
+    membership = fleet.membership();
+    shares = fleet.shares();
     PeerEventRecorder peerEventRecorder =
         new PeerEventRecorder(events, platform.membershipSettings().suspicionTimeoutMillis());
     membership.setStatusListener(status -> peerEventRecorder.update(status.peers()));
@@ -160,6 +129,57 @@
             random);
   }
 
+  /** The other entries, and this entry's shares of what all use together. */
+  private record Fleet(FleetMembership membership, LimitShares shares) {}
+
+  private Fleet domainFleet(
+      EntrySettings settings,
+      MutableAddressBook addresses,
+      RegistryWatcher watch,
+      UniformRandomProvider random,
+      FleetTiming timing,
+      EventLog events) {
+    DomainFleet fleet =
+        new DomainFleet(
+            selfMember(settings, incarnation),
+            settings.failureDomains().keySet(),
+            messenger,
+            addresses,
+            store,
+            watch,
+            merger,
+            new PullConfigSync(merger, messenger),
+            loop,
+            clock,
+            random,
+            timing,
+            seedNames(settings),
+            events);
+    return new Fleet(fleet, new EqualShares(fleet::fleetSize));
+  }
+
+  private Fleet meshFleet(
+      EntrySettings settings,
+      EntryPlatform platform,
+      MutableAddressBook addresses,
+      UniformRandomProvider random) {
+    Membership mesh =
+        new Membership(
+            selfMember(settings, incarnation),
+            messenger,
+            addresses,
+            store,
+            hostStates(),
+            new ConfigWatchController(merger, configWatcher),
+            new PullConfigSync(merger, messenger),
+            loop,
+            clock,
+            random,
+            platform.membershipSettings(),
+            seedNames(settings));
+    return new Fleet(mesh, mesh);
+  }
+
   private static ConfigLimit tunableDefaults(Map<Tunable, Double> tunables) {
     return new ConfigLimit("settings", Optional.empty(), tunables);
   }
--- a/daemon/src/main/java/org/wagtailpin/daemon/StopTimes.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/StopTimes.java
@@ -18,7 +18,9 @@
   private static final double MAX_NOTICE_SHARE = 0.45;
 
   /** Left for leaving the fleet, closing connections and ending the process. */
-  private static final long RESERVE_MILLIS = 500;
+  private static final long MAX_RESERVE_MILLIS = 800;
+
+  private static final double MAX_RESERVE_SHARE = 0.15;
 
   /**
    * Splits the time within which the process must have ended.
@@ -27,7 +29,8 @@
    *     at least {@link #MIN_STOP_MILLIS}
    */
   public static StopTimes within(long stopMillis) {
+    long reserveMillis = Math.min(MAX_RESERVE_MILLIS, (long) (stopMillis * MAX_RESERVE_SHARE));
     long noticeMillis = Math.min(FULL_NOTICE_MILLIS, (long) (stopMillis * MAX_NOTICE_SHARE));
-    return new StopTimes(noticeMillis, stopMillis - noticeMillis - RESERVE_MILLIS);
+    return new StopTimes(noticeMillis, stopMillis - noticeMillis - reserveMillis);
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/FleetTiming.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/FleetTiming.java
@@ -32,7 +32,7 @@
   private static final long MAX_PROPAGATION_MILLIS = 4_000;
   private static final double BEAT_SHARE = 0.22;
   private static final double SILENCE_SHARE = 0.5;
-  private static final double BATCH_SHARE = 0.35;
+  private static final double BATCH_SHARE = 0.45;
   private static final long RANK_STEP_MILLIS = 100;
   private static final long RESTART_WAIT_MILLIS = 250;
   private static final long FIRST_START_WAIT_MILLIS = 2_000;
