Keep one copy each of the token bucket and the backoff

Cause: TokenBucket stood in limits and in store, Backoff in store and in claims. Change: clock.TokenBucket, below both, and store.Backoff, on which claims depends already. Delays of claims' retries are now spread over the whole of their bound, as those of all other store calls.

--- a/wagtailpin/src/main/java/org/wagtailpin/claims/OwnedShards.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/claims/OwnedShards.java
@@ -7,6 +7,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.store.Backoff;
 import org.wagtailpin.store.Store;
 
 /**
@@ -15,6 +16,9 @@
  */
 final class OwnedShards {
 
+  private static final long FIRST_RETRY_MILLIS = 50;
+  private static final long MAX_RETRY_MILLIS = 3_000;
+
   private final ClaimSettings settings;
   private final AttemptSequence attempts;
   private final Store store;
@@ -117,7 +121,7 @@
             settings.maxSegmentBytes(),
             clock,
             loop,
-            new Backoff(random),
+            new Backoff(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, random),
             counters);
     return new ClaimShard(
         settings, log, writer, () -> attempts.next().text(), clock, loop, counters);
--- a/wagtailpin/src/main/java/org/wagtailpin/claims/ShardWriter.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/claims/ShardWriter.java
@@ -8,6 +8,7 @@
 import org.wagtailpin.claims.generated.ClaimSegment;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.control.ControlLoop;
+import org.wagtailpin.store.Backoff;
 import org.wagtailpin.store.ListResult;
 import org.wagtailpin.store.ReadResult;
 import org.wagtailpin.store.StoreEntry;
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/TokenBucket.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/clock/TokenBucket.java
@@ -1,7 +1,6 @@
-package org.wagtailpin.limits;
+package org.wagtailpin.clock;
 
 import java.util.concurrent.atomic.AtomicReference;
-import org.wagtailpin.clock.Clock;
 
 /**
  * A token bucket whose rate is given with each take. Unused tokens accumulate for the burst time
--- a/wagtailpin/src/main/java/org/wagtailpin/clock/package-info.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/clock/package-info.java
@@ -1,2 +1,5 @@
-/** Monotonic and wall-clock time in milliseconds, and a clock for tests in simulated time. */
+/**
+ * Monotonic and wall-clock time in milliseconds, a clock for tests in simulated time, and rates by
+ * such a clock.
+ */
 package org.wagtailpin.clock;
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/ProbeBudget.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/ProbeBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.ConcurrentHashMap;
 import org.wagtailpin.clock.Clock;
+import org.wagtailpin.clock.TokenBucket;
 import org.wagtailpin.membership.LimitShares;
 
 /**
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RegionLinks.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RegionLinks.java
@@ -3,9 +3,9 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.wagtailpin.clock.Clock;
+import org.wagtailpin.clock.TokenBucket;
 import org.wagtailpin.config.ConfigLink;
 import org.wagtailpin.config.ConfigSnapshot;
-import org.wagtailpin.limits.TokenBucket;
 import org.wagtailpin.membership.LimitShares;
 
 /** The links from this entry's region to others, with this entry's share of their byte budgets. */
--- a/wagtailpin/src/main/java/org/wagtailpin/store/RateLimitedStore.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/RateLimitedStore.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.wagtailpin.clock.Clock;
+import org.wagtailpin.clock.TokenBucket;
 import org.wagtailpin.error.Fault;
 import org.wagtailpin.error.Peer;
 import org.wagtailpin.error.Step;
@@ -21,6 +22,9 @@
 
   private static final String KIND = "kind";
 
+  /** How long unspent calls may be saved up, in milliseconds. */
+  private static final double BURST_MILLIS = 1_000;
+
   private final Store store;
   private final StoreBudget budget;
   private final TokenBucket reads;
@@ -40,8 +44,8 @@
       Store store, Clock clock, StoreBudget budget, PrometheusRegistry registry) {
     this.store = store;
     this.budget = budget;
-    this.reads = new TokenBucket(clock);
-    this.writes = new TokenBucket(clock);
+    this.reads = fullBucket(clock, budget.readsPerSecond());
+    this.writes = fullBucket(clock, budget.writesPerSecond());
     this.calls =
         Counter.builder()
             .name("wagtailpin_store_calls_total")
@@ -56,6 +60,10 @@
             .register(registry);
   }
 
+  private static TokenBucket fullBucket(Clock clock, double perSecond) {
+    return new TokenBucket(clock, BURST_MILLIS, Math.max(1, perSecond));
+  }
+
   /**
    * Returns how many calls of a kind were sent to the store.
    *
@@ -145,10 +153,10 @@
     return call.get();
   }
 
-  private synchronized boolean tryAcquire(StoreCallKind kind) {
+  private boolean tryAcquire(StoreCallKind kind) {
     return kind == StoreCallKind.WRITE
-        ? writes.tryAcquire(budget.writesPerSecond())
-        : reads.tryAcquire(budget.readsPerSecond());
+        ? writes.take(1, budget.writesPerSecond())
+        : reads.take(1, budget.readsPerSecond());
   }
 
   private static Fault overBudget(Step step) {
--- a/wagtailpin/src/test/java/org/wagtailpin/limits/TokenBucketTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/clock/TokenBucketTest.java
@@ -1,9 +1,8 @@
-package org.wagtailpin.limits;
+package org.wagtailpin.clock;
 
 import static com.google.common.truth.Truth.assertThat;
 
 import org.junit.jupiter.api.Test;
-import org.wagtailpin.clock.ManualClock;
 
 class TokenBucketTest {
 
