--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -1,10 +1,7 @@
 package org.wagtailpin.fleet;
 
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -13,7 +10,6 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigMerger;
-import org.wagtailpin.config.IpAddressSyntax;
 import org.wagtailpin.control.ControlLoop;
 import org.wagtailpin.entrypeer.MutableAddressBook;
 import org.wagtailpin.entrypeer.PeerMessenger;
@@ -22,10 +18,8 @@
 import org.wagtailpin.entrypeer.generated.ConfigPushAck;
 import org.wagtailpin.entrypeer.generated.DomainBeat;
 import org.wagtailpin.entrypeer.generated.DomainBeatAck;
-import org.wagtailpin.entrypeer.generated.DomainMember;
 import org.wagtailpin.entrypeer.generated.DomainState;
 import org.wagtailpin.entrypeer.generated.PeerFrame;
-import org.wagtailpin.entrypeer.generated.WatcherRecord;
 import org.wagtailpin.eventlog.Event;
 import org.wagtailpin.eventlog.EventKind;
 import org.wagtailpin.eventlog.EventLog;
@@ -34,11 +28,9 @@
 import org.wagtailpin.membership.ConfigSync;
 import org.wagtailpin.membership.EntryKeys;
 import org.wagtailpin.membership.FleetMembership;
-import org.wagtailpin.membership.Isolation;
 import org.wagtailpin.membership.Member;
 import org.wagtailpin.membership.MembershipStatus;
 import org.wagtailpin.membership.MembershipView;
-import org.wagtailpin.membership.PeerStatus;
 import org.wagtailpin.store.ReadResult;
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreWatch;
@@ -71,7 +63,6 @@
 
   private final Member self;
   private final PeerMessenger messenger;
-  private final MutableAddressBook addresses;
   private final Store store;
   private final StoreWatch watch;
   private final ConfigMerger merger;
@@ -87,14 +78,9 @@
   private final StorePing ping;
   private final ConfigPusher pusher;
   private final FollowedWatcher followed;
-  private final WatcherDirectory directory;
-  private final Map<String, DomainMembers> membersByDomain = new HashMap<>();
-  private final Set<String> namedRivals = new HashSet<>();
-  private final Map<String, Member> addressed = new HashMap<>();
-  private Consumer<MembershipStatus> statusListener = newStatus -> {};
-  private volatile MembershipView view;
-  private volatile MembershipStatus status;
-  private volatile int fleetSize;
+  private final WatcherFollowing following;
+  private final FleetKnowledge knowledge;
+  private final FleetStatus status;
   private Optional<String> challenged = Optional.empty();
   private long watchingSinceMillis = NEVER;
   private long lastFailedChallengeMillis = NEVER;
@@ -140,7 +126,6 @@
       EventLog events) {
     this.self = self;
     this.messenger = messenger;
-    this.addresses = addresses;
     this.store = store;
     this.watch = watch;
     this.merger = merger;
@@ -156,15 +141,14 @@
     this.ping = new StorePing(store, watch, loop, clock, timing);
     this.pusher = new ConfigPusher(merger);
     this.followed = new FollowedWatcher(timing, clock.millis());
-    this.directory = new WatcherDirectory(domains);
-    this.view = new MembershipView(0, self.id(), List.of(self));
-    this.fleetSize = Math.max(1, domains.size());
-    this.status = currentStatus(clock.millis());
+    this.knowledge = new FleetKnowledge(self, domains, addresses);
+    this.following = new WatcherFollowing(followed, knowledge, watch, timing, events);
+    this.status = new FleetStatus(self, domains.size(), knowledge, watch, followed);
   }
 
   @Override
   public void setStatusListener(Consumer<MembershipStatus> listener) {
-    statusListener = listener;
+    status.setListener(listener);
   }
 
   @Override
@@ -176,34 +160,28 @@
     tick();
   }
 
-  private DomainMembers members(String domain) {
-    return membersByDomain.computeIfAbsent(domain, name -> new DomainMembers());
-  }
-
-  private DomainMembers ownMembers() {
-    return members(self.failureDomain());
-  }
-
   private void tick() {
     if (stopped) {
       return;
     }
     long now = clock.millis();
-    boolean current = watch.running() ? watch.current() : followed.good(now);
-    ownMembers().heard(self, now, leaving, watch.running(), current);
+    knowledge.recordSelf(now, leaving, watch.running(), current(now));
     if (watch.running()) {
-      directory.heard(self, ownSize(now), now);
       watchStep(now);
     } else {
       followStep(now);
     }
-    membersByDomain.values().forEach(members -> members.forgetOld(now));
-    directory.forgetOld(now);
-    publish(now);
+    knowledge.forgetOld(now);
+    status.publish(now, leaving);
     double jitter = 1 - TICK_JITTER + 2 * TICK_JITTER * random.nextDouble();
     loop.schedule((long) (timing.beatMillis() * jitter / TICKS_PER_BEAT), this::tick);
   }
 
+  /** Returns whether what this entry holds is known to be what the store holds. */
+  private boolean current(long now) {
+    return watch.running() ? watch.current() : followed.good(now);
+  }
+
   private void followStep(long now) {
     if (now - lastBeatMillis >= timing.beatMillis() * (1 - TICK_JITTER)) {
       lastBeatMillis = now;
@@ -216,7 +194,8 @@
     boolean mayChallenge =
         standing != WatcherStanding.STORE_LOST
             || now - lastFailedChallengeMillis >= CHALLENGE_PAUSE_MILLIS;
-    int rank = ownMembers().rank(self.id(), followed.id(), now) + (leaving ? LEAVING_RANKS : 0);
+    int rank =
+        knowledge.ownMembers().rank(self.id(), followed.id(), now) + (leaving ? LEAVING_RANKS : 0);
     OptionalLong wait = succession.waitMillis(standing, rank);
     if (wait.isPresent() && mayChallenge) {
       long elapsed = now - followed.sinceMillis(now);
@@ -254,15 +233,7 @@
 
   private void contactAnyone() {
     seeds.forEach(this::beat);
-    liveOthers(clock.millis()).stream().limit(MAX_CONTACTS).forEach(this::beat);
-  }
-
-  /** Returns the other live entries of the own domain. */
-  private List<String> liveOthers(long now) {
-    return ownMembers().live(now).stream()
-        .map(peer -> peer.member().id())
-        .filter(id -> !id.equals(self.id()))
-        .toList();
+    knowledge.liveOthers(clock.millis()).stream().limit(MAX_CONTACTS).forEach(this::beat);
   }
 
   private void startWatching(WatcherStanding standing, int rank, long now) {
@@ -273,7 +244,7 @@
             .with("before", followed.id().orElse("")));
     challenged = standing == WatcherStanding.STORE_LOST ? followed.id() : Optional.empty();
     if (standing == WatcherStanding.LINK_LOST || standing == WatcherStanding.SILENT) {
-      followed.id().ifPresent(ownMembers()::lost);
+      followed.id().ifPresent(knowledge.ownMembers()::lost);
     }
     watchingSinceMillis = now;
     pusher.restart();
@@ -281,12 +252,15 @@
     watch.start();
     announce();
     seeds.forEach(this::beat);
-    directory.successorOf(self.failureDomain()).ifPresent(next -> beat(next.member().id()));
+    knowledge
+        .directory()
+        .successorOf(self.failureDomain())
+        .ifPresent(next -> beat(next.member().id()));
   }
 
   /** Sends a beat to all live entries of the own domain. */
   private void announce() {
-    liveOthers(clock.millis()).forEach(this::beat);
+    knowledge.liveOthers(clock.millis()).forEach(this::beat);
   }
 
   private void watchStep(long now) {
@@ -305,7 +279,7 @@
     ping.run();
     if (now - lastBeatMillis >= timing.beatMillis() * (1 - TICK_JITTER)) {
       lastBeatMillis = now;
-      rivals(now).forEach(this::beat);
+      knowledge.takeRivals(now).forEach(this::beat);
     }
     long period = watch.current() ? timing.exchangeMillis() : STORELESS_EXCHANGE_MILLIS;
     if (now - lastExchangeMillis >= period) {
@@ -314,21 +288,9 @@
     }
   }
 
-  /** Returns the other entries of the own domain that are known to watch the store. */
-  private Set<String> rivals(long now) {
-    Set<String> rivals = new HashSet<>(namedRivals);
-    namedRivals.clear();
-    for (DomainMembers.Peer peer : ownMembers().live(now)) {
-      if (peer.watching() && !peer.member().id().equals(self.id())) {
-        rivals.add(peer.member().id());
-      }
-    }
-    return rivals;
-  }
-
   /** Returns another watcher of the domain to which this one gives way, if there is any. */
   private Optional<String> betterWatcher(long now) {
-    return ownMembers().live(now).stream()
+    return knowledge.ownMembers().live(now).stream()
         .filter(peer -> now - peer.heardMillis() <= timing.silenceMillis())
         .filter(peer -> peer.watching() && peer.current() && !peer.leaving())
         .map(peer -> peer.member().id())
@@ -350,7 +312,7 @@
   /** Sends a beat to one partner: another watcher, or a seed, which tells it to new entries. */
   private void exchange() {
     List<String> partners = new ArrayList<>();
-    for (WatcherDirectory.Watcher watcher : directory.all()) {
+    for (WatcherDirectory.Watcher watcher : knowledge.directory().all()) {
       if (!watcher.member().failureDomain().equals(self.failureDomain())) {
         partners.add(watcher.member().id());
       }
@@ -365,7 +327,7 @@
     long now = clock.millis();
     DomainBeat.Builder body = DomainBeat.newBuilder().setState(state(self.failureDomain(), now));
     if (watch.running()) {
-      body.addAllWatchers(directory.toRecords(now));
+      body.addAllWatchers(knowledge.directory().toRecords(now));
     }
     var unused =
         messenger
@@ -379,19 +341,15 @@
         .setSelf(EntryKeys.toRecord(self))
         .setLeaving(leaving)
         .setWatching(watch.running())
-        .setCurrent(watch.running() ? watch.current() : followed.good(now))
+        .setCurrent(current(now))
         .setConfigDigest(stamp.digest())
         .setCompleteTicket(merger.merged().completeTicket())
-        .setMembersDigest(members(receiverDomain).digest(now))
-        .setDomainSize(ownSize(now))
-        .setWatchersDigest(directory.digest())
+        .setMembersDigest(knowledge.members(receiverDomain).digest(now))
+        .setDomainSize(knowledge.ownSize(now))
+        .setWatchersDigest(knowledge.directory().digest())
         .build();
   }
 
-  private int ownSize(long now) {
-    return Math.max(1, ownMembers().live(now).size());
-  }
-
   private void onReply(String entry, PeerReply reply, long sentMillis) {
     if (stopped) {
       return;
@@ -406,19 +364,20 @@
       return;
     }
     DomainBeatAck ack = answered.frame().getDomainBeatAck();
-    Member member = learn(ack.getState(), now);
-    mergeMembers(ack, now);
-    mergeWatchers(ack.getWatchersList(), now);
+    Member member = knowledge.learn(ack.getState(), now);
+    knowledge.mergeMembers(ack.getMembersList(), now);
+    knowledge.mergeWatchers(ack.getWatchersList(), now);
     if (followed.is(sender) && ack.getWatchersCount() == 0) {
-      directory.confirmAll(now);
+      knowledge.directory().confirmAll(now);
     }
     if (followed.is(sender) && ack.getMembersCount() == 0) {
-      ownMembers().confirmLive(now);
+      knowledge.ownMembers().confirmLive(now);
     }
-    if (isOwn(member)) {
-      updateStanding(member, ack.getState(), sentMillis, now);
+    if (knowledge.isOwn(member)) {
+      following.update(member, ack.getState(), sentMillis, now);
     } else if (followed.id().isEmpty()) {
-      directory
+      knowledge
+          .directory()
           .of(self.failureDomain())
           .map(watcher -> watcher.member().id())
           .filter(id -> !id.equals(self.id()) && !watch.running())
@@ -438,115 +397,12 @@
     if (!early) {
       return;
     }
-    directory.remove(entry);
+    knowledge.directory().remove(entry);
     if (followed.is(entry) && !watch.running()) {
       followed.record(WatcherStanding.LINK_LOST, now);
     }
   }
 
-  private boolean isOwn(Member member) {
-    return member.failureDomain().equals(self.failureDomain());
-  }
-
-  /** Records what an entry says of itself. */
-  private Member learn(DomainState state, long now) {
-    Member member = EntryKeys.toMember(state.getSelf());
-    rememberAddress(member);
-    members(member.failureDomain())
-        .heard(member, now, state.getLeaving(), state.getWatching(), state.getCurrent());
-    if (state.getWatching()) {
-      directory.heard(member, state.getDomainSize(), now);
-    }
-    return member;
-  }
-
-  private void mergeWatchers(List<WatcherRecord> records, long now) {
-    directory.merge(records, now);
-    for (WatcherRecord record : records) {
-      Member member = EntryKeys.toMember(record.getRecord());
-      rememberAddress(member);
-      boolean named = record.getHeardAgoMillis() <= DomainMembers.LIVE_MILLIS;
-      if (named && isOwn(member) && !member.id().equals(self.id())) {
-        namedRivals.add(member.id());
-      }
-    }
-  }
-
-  private void rememberAddress(Member member) {
-    // A name would be looked up, which blocks the control loop.
-    if (!member.equals(addressed.put(member.id(), member))
-        && IpAddressSyntax.isIpAddress(member.address())) {
-      addresses.setAddress(member.id(), member.address(), member.peerPort());
-    }
-  }
-
-  private void mergeMembers(DomainBeatAck ack, long now) {
-    for (DomainMember named : ack.getMembersList()) {
-      Member member = EntryKeys.toMember(named.getRecord());
-      if (!member.id().equals(self.id())) {
-        rememberAddress(member);
-        members(member.failureDomain())
-            .named(member, now - named.getHeardAgoMillis(), named.getLeaving());
-      }
-    }
-  }
-
-  private void updateStanding(Member sender, DomainState state, long sentMillis, long now) {
-    if (watch.running()) {
-      return;
-    }
-    if (!state.getWatching()) {
-      if (followed.is(sender.id())) {
-        followed.record(WatcherStanding.LINK_LOST, now);
-      }
-      followDirectory(now);
-      return;
-    }
-    boolean usable = state.getCurrent() && !state.getLeaving();
-    if (!followed.is(sender.id()) && (followed.id().isEmpty() || (usable && !followed.good(now)))) {
-      events.recordEvent(Event.of(EventKind.WATCHER_FOLLOWED).with("watcher", sender.id()));
-      followed.follow(sender.id(), now);
-    }
-    if (followed.is(sender.id())) {
-      recordStanding(state, sentMillis, now);
-    }
-  }
-
-  /** Follows the watcher of the own domain that others name, if this entry follows none. */
-  private void followDirectory(long now) {
-    if (followed.id().isPresent()) {
-      return;
-    }
-    directory
-        .of(self.failureDomain())
-        .map(watcher -> watcher.member().id())
-        .filter(id -> !id.equals(self.id()))
-        .ifPresent(id -> followed.follow(id, now));
-  }
-
-  private void recordStanding(DomainState state, long sentMillis, long now) {
-    if (state.getLeaving()) {
-      followed.record(WatcherStanding.LEAVING, now);
-    } else if (state.getCurrent()) {
-      followed.confirmed(sentMillis);
-      watch.storeReachabilityChanged(true);
-    } else if (now - sentMillis < timing.beatMillis()) {
-      noteStoreLost(now);
-    }
-  }
-
-  /** A watcher that has just begun is not current before its first list. */
-  private void noteStoreLost(long now) {
-    if (followed.standing(now) == WatcherStanding.FOLLOWED
-        && now - followed.sinceMillis(now) < timing.silenceMillis()) {
-      return;
-    }
-    if (followed.standing(now) != WatcherStanding.STORE_LOST) {
-      watch.storeReachabilityChanged(false);
-      followed.record(WatcherStanding.STORE_LOST, now);
-    }
-  }
-
   /**
    * Pulls configuration from an entry that has another one. An entry whose state is the store's
    * pulls only from watchers whose state is the store's as well.
@@ -569,38 +425,27 @@
     String sender = request.getSender();
     Member member = EntryKeys.toMember(beat.getState().getSelf());
     if (!sender.equals(self.id()) && !stopped) {
-      learn(beat.getState(), now);
-      mergeWatchers(beat.getWatchersList(), now);
-      if (isOwn(member) && beat.getState().getWatching()) {
-        updateStanding(member, beat.getState(), now, now);
+      knowledge.learn(beat.getState(), now);
+      knowledge.mergeWatchers(beat.getWatchersList(), now);
+      if (knowledge.isOwn(member) && beat.getState().getWatching()) {
+        following.update(member, beat.getState(), now, now);
       }
       compareConfig(member, beat.getState());
     }
     DomainBeatAck.Builder ack =
         DomainBeatAck.newBuilder().setState(state(member.failureDomain(), now));
-    addMembers(ack, member.failureDomain(), beat.getState().getMembersDigest(), now);
-    if (beat.getState().getWatchersDigest() != directory.digest()
+    boolean toFollower = knowledge.isOwn(member) && !watch.running();
+    if (!toFollower) {
+      long digest = beat.getState().getMembersDigest();
+      ack.addAllMembers(knowledge.membersUnless(member.failureDomain(), digest, now));
+    }
+    if (beat.getState().getWatchersDigest() != knowledge.directory().digest()
         || beat.getState().getWatching()) {
-      ack.addAllWatchers(directory.toRecords(now));
+      ack.addAllWatchers(knowledge.directory().toRecords(now));
     }
     return CompletableFuture.completedFuture(PeerFrame.newBuilder().setDomainBeatAck(ack));
   }
 
-  private void addMembers(DomainBeatAck.Builder ack, String domain, long digest, long now) {
-    DomainMembers members = members(domain);
-    boolean follower = domain.equals(self.failureDomain()) && !watch.running();
-    if (follower || members.digest(now) == digest) {
-      return;
-    }
-    for (DomainMembers.Peer peer : members.live(now)) {
-      ack.addMembers(
-          DomainMember.newBuilder()
-              .setRecord(EntryKeys.toRecord(peer.member()))
-              .setHeardAgoMillis(Math.max(0, now - peer.heardMillis()))
-              .setLeaving(peer.leaving()));
-    }
-  }
-
   private void configChanged() {
     if (!watch.running() || stopped) {
       return;
@@ -608,7 +453,7 @@
     ConfigPush.Builder push = pusher.changes();
     long now = clock.millis();
     push.setState(state(self.failureDomain(), now));
-    for (String follower : liveOthers(now)) {
+    for (String follower : knowledge.liveOthers(now)) {
       var unused =
           messenger.request(
               follower, PeerFrame.newBuilder().setConfigPush(push), timing.silenceMillis());
@@ -630,7 +475,10 @@
         () -> {
           successorCheckScheduled = false;
           if (watch.running() && !stopped) {
-            directory.successorOf(self.failureDomain()).ifPresent(next -> beat(next.member().id()));
+            knowledge
+                .directory()
+                .successorOf(self.failureDomain())
+                .ifPresent(next -> beat(next.member().id()));
           }
         });
   }
@@ -641,9 +489,9 @@
       long now = clock.millis();
       merger.mergeFromPeer(
           codec.decode(request.getSender(), push.getObjectsList()), request.getSender());
-      Member member = learn(push.getState(), now);
-      if (isOwn(member)) {
-        updateStanding(member, push.getState(), now, now);
+      Member member = knowledge.learn(push.getState(), now);
+      if (knowledge.isOwn(member)) {
+        following.update(member, push.getState(), now, now);
       }
       compareConfig(member, push.getState());
     }
@@ -652,41 +500,9 @@
     return CompletableFuture.completedFuture(PeerFrame.newBuilder().setConfigPushAck(ack));
   }
 
-  private void publish(long now) {
-    List<Member> live = ownMembers().live(now).stream().map(DomainMembers.Peer::member).toList();
-    if (!live.equals(view.members())) {
-      view = new MembershipView(view.version() + 1, self.id(), live);
-    }
-    fleetSize = directory.fleetSize(self.failureDomain(), live.size());
-    status = currentStatus(now);
-    statusListener.accept(status);
-  }
-
-  private MembershipStatus currentStatus(long now) {
-    boolean current = watch.running() ? watch.current() : followed.good(now);
-    List<PeerStatus> peers = new ArrayList<>();
-    for (DomainMembers.Peer peer : ownMembers().live(now)) {
-      if (!peer.member().id().equals(self.id())) {
-        peers.add(
-            new PeerStatus(
-                peer.member().id(),
-                Optional.of(peer.member()),
-                Optional.of(now - peer.heardMillis()),
-                true,
-                peer.current(),
-                new ConfigStamp(0, 0)));
-      }
-    }
-    Isolation isolation =
-        current
-            ? Isolation.CONNECTED
-            : peers.isEmpty() ? Isolation.SERVING_ALONE : Isolation.STORE_LOST;
-    return new MembershipStatus(isolation, false, false, false, watch.running(), leaving, peers);
-  }
-
   /** Returns the number of live entries in the fleet, as far as known. Thread-safe. */
   public int fleetSize() {
-    return fleetSize;
+    return status.fleetSize();
   }
 
   @Override
@@ -715,11 +531,11 @@
 
   @Override
   public MembershipView current() {
-    return view;
+    return status.view();
   }
 
   @Override
   public MembershipStatus status() {
-    return status;
+    return status.current();
   }
 }
