--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -13,20 +13,10 @@
 import org.wagtailpin.control.ControlLoop;
 import org.wagtailpin.entrypeer.MutableAddressBook;
 import org.wagtailpin.entrypeer.PeerMessenger;
-import org.wagtailpin.entrypeer.PeerReply;
-import org.wagtailpin.entrypeer.generated.ConfigPush;
-import org.wagtailpin.entrypeer.generated.ConfigPushAck;
-import org.wagtailpin.entrypeer.generated.DomainBeat;
-import org.wagtailpin.entrypeer.generated.DomainBeatAck;
-import org.wagtailpin.entrypeer.generated.DomainState;
-import org.wagtailpin.entrypeer.generated.PeerFrame;
 import org.wagtailpin.eventlog.Event;
 import org.wagtailpin.eventlog.EventKind;
 import org.wagtailpin.eventlog.EventLog;
-import org.wagtailpin.membership.ConfigObjectCodec;
-import org.wagtailpin.membership.ConfigStamp;
 import org.wagtailpin.membership.ConfigSync;
-import org.wagtailpin.membership.EntryKeys;
 import org.wagtailpin.membership.FleetMembership;
 import org.wagtailpin.membership.Member;
 import org.wagtailpin.membership.MembershipStatus;
@@ -62,12 +52,9 @@
   private static final int LEAVING_RANKS = 6;
 
   private final Member self;
-  private final PeerMessenger messenger;
   private final Store store;
   private final StoreWatch watch;
   private final ConfigMerger merger;
-  private final ConfigSync configSync;
-  private final ConfigObjectCodec codec = new ConfigObjectCodec();
   private final ControlLoop loop;
   private final Clock clock;
   private final UniformRandomProvider random;
@@ -78,7 +65,7 @@
   private final StorePing ping;
   private final ConfigPusher pusher;
   private final FollowedWatcher followed;
-  private final WatcherFollowing following;
+  private final BeatExchange beats;
   private final FleetKnowledge knowledge;
   private final FleetStatus status;
   private Optional<String> challenged = Optional.empty();
@@ -125,11 +112,9 @@
       List<String> seeds,
       EventLog events) {
     this.self = self;
-    this.messenger = messenger;
     this.store = store;
     this.watch = watch;
     this.merger = merger;
-    this.configSync = configSync;
     this.loop = loop;
     this.clock = clock;
     this.random = random;
@@ -142,7 +127,18 @@
     this.pusher = new ConfigPusher(merger);
     this.followed = new FollowedWatcher(timing, clock.millis());
     this.knowledge = new FleetKnowledge(self, domains, addresses);
-    this.following = new WatcherFollowing(followed, knowledge, watch, timing, events);
+    this.beats =
+        new BeatExchange(
+            self,
+            messenger,
+            knowledge,
+            followed,
+            new WatcherFollowing(followed, knowledge, watch, timing, events),
+            watch,
+            merger,
+            configSync,
+            clock,
+            timing);
     this.status = new FleetStatus(self, domains.size(), knowledge, watch, followed);
   }
 
@@ -153,8 +149,7 @@
 
   @Override
   public void start() {
-    messenger.setHandler(PeerFrame.BodyCase.DOMAIN_BEAT, this::onBeat);
-    messenger.setHandler(PeerFrame.BodyCase.CONFIG_PUSH, this::onPush);
+    beats.registerHandlers();
     merger.addListener(merged -> configChanged());
     followed.lose(clock.millis());
     tick();
@@ -165,7 +160,7 @@
       return;
     }
     long now = clock.millis();
-    knowledge.recordSelf(now, leaving, watch.running(), current(now));
+    knowledge.recordSelf(now, leaving, watch.running(), beats.current(now));
     if (watch.running()) {
       watchStep(now);
     } else {
@@ -177,15 +172,10 @@
     loop.schedule((long) (timing.beatMillis() * jitter / TICKS_PER_BEAT), this::tick);
   }
 
-  /** Returns whether what this entry holds is known to be what the store holds. */
-  private boolean current(long now) {
-    return watch.running() ? watch.current() : followed.good(now);
-  }
-
   private void followStep(long now) {
     if (now - lastBeatMillis >= timing.beatMillis() * (1 - TICK_JITTER)) {
       lastBeatMillis = now;
-      followed.id().ifPresent(this::beat);
+      followed.id().ifPresent(beats::send);
       if (!followed.good(now)) {
         contactAnyone();
       }
@@ -232,8 +222,8 @@
   }
 
   private void contactAnyone() {
-    seeds.forEach(this::beat);
-    knowledge.liveOthers(clock.millis()).stream().limit(MAX_CONTACTS).forEach(this::beat);
+    seeds.forEach(beats::send);
+    knowledge.liveOthers(clock.millis()).stream().limit(MAX_CONTACTS).forEach(beats::send);
   }
 
   private void startWatching(WatcherStanding standing, int rank, long now) {
@@ -251,16 +241,16 @@
     ping.reset();
     watch.start();
     announce();
-    seeds.forEach(this::beat);
+    seeds.forEach(beats::send);
     knowledge
         .directory()
         .successorOf(self.failureDomain())
-        .ifPresent(next -> beat(next.member().id()));
+        .ifPresent(next -> beats.send(next.member().id()));
   }
 
   /** Sends a beat to all live entries of the own domain. */
   private void announce() {
-    knowledge.liveOthers(clock.millis()).forEach(this::beat);
+    knowledge.liveOthers(clock.millis()).forEach(beats::send);
   }
 
   private void watchStep(long now) {
@@ -279,7 +269,7 @@
     ping.run();
     if (now - lastBeatMillis >= timing.beatMillis() * (1 - TICK_JITTER)) {
       lastBeatMillis = now;
-      knowledge.takeRivals(now).forEach(this::beat);
+      knowledge.takeRivals(now).forEach(beats::send);
     }
     long period = watch.current() ? timing.exchangeMillis() : STORELESS_EXCHANGE_MILLIS;
     if (now - lastExchangeMillis >= period) {
@@ -306,7 +296,7 @@
     ping.reset();
     challenged = Optional.empty();
     followed.follow(successor, now);
-    beat(successor);
+    beats.send(successor);
   }
 
   /** Sends a beat to one partner: another watcher, or a seed, which tells it to new entries. */
@@ -319,145 +309,15 @@
     }
     partners.addAll(seeds);
     if (!partners.isEmpty()) {
-      beat(partners.get(random.nextInt(partners.size())));
-    }
-  }
-
-  private void beat(String entry) {
-    long now = clock.millis();
-    DomainBeat.Builder body = DomainBeat.newBuilder().setState(state(self.failureDomain(), now));
-    if (watch.running()) {
-      body.addAllWatchers(knowledge.directory().toRecords(now));
+      beats.send(partners.get(random.nextInt(partners.size())));
     }
-    var unused =
-        messenger
-            .request(entry, PeerFrame.newBuilder().setDomainBeat(body), timing.silenceMillis())
-            .thenAccept(reply -> onReply(entry, reply, now));
-  }
-
-  private DomainState state(String receiverDomain, long now) {
-    ConfigStamp stamp = configSync.stamp();
-    return DomainState.newBuilder()
-        .setSelf(EntryKeys.toRecord(self))
-        .setLeaving(leaving)
-        .setWatching(watch.running())
-        .setCurrent(current(now))
-        .setConfigDigest(stamp.digest())
-        .setCompleteTicket(merger.merged().completeTicket())
-        .setMembersDigest(knowledge.members(receiverDomain).digest(now))
-        .setDomainSize(knowledge.ownSize(now))
-        .setWatchersDigest(knowledge.directory().digest())
-        .build();
-  }
-
-  private void onReply(String entry, PeerReply reply, long sentMillis) {
-    if (stopped) {
-      return;
-    }
-    long now = clock.millis();
-    if (!(reply instanceof PeerReply.Answered answered) || !answered.frame().hasDomainBeatAck()) {
-      recordFailure(entry, sentMillis, now);
-      return;
-    }
-    String sender = answered.frame().getSender();
-    if (sender.equals(self.id())) {
-      return;
-    }
-    DomainBeatAck ack = answered.frame().getDomainBeatAck();
-    Member member = knowledge.learn(ack.getState(), now);
-    knowledge.mergeMembers(ack.getMembersList(), now);
-    knowledge.mergeWatchers(ack.getWatchersList(), now);
-    if (followed.is(sender) && ack.getWatchersCount() == 0) {
-      knowledge.directory().confirmAll(now);
-    }
-    if (followed.is(sender) && ack.getMembersCount() == 0) {
-      knowledge.ownMembers().confirmLive(now);
-    }
-    if (knowledge.isOwn(member)) {
-      following.update(member, ack.getState(), sentMillis, now);
-    } else if (followed.id().isEmpty()) {
-      knowledge
-          .directory()
-          .of(self.failureDomain())
-          .map(watcher -> watcher.member().id())
-          .filter(id -> !id.equals(self.id()) && !watch.running())
-          .ifPresent(id -> followNamed(id, now));
-    }
-    compareConfig(member, ack.getState());
-  }
-
-  private void followNamed(String id, long now) {
-    followed.follow(id, now);
-    beat(id);
-  }
-
-  /** A failure that comes before the time-out shows that the other process does not listen. */
-  private void recordFailure(String entry, long sentMillis, long now) {
-    boolean early = now - sentMillis < timing.beatMillis() / 2;
-    if (!early) {
-      return;
-    }
-    knowledge.directory().remove(entry);
-    if (followed.is(entry) && !watch.running()) {
-      followed.record(WatcherStanding.LINK_LOST, now);
-    }
-  }
-
-  /**
-   * Pulls configuration from an entry that has another one. An entry whose state is the store's
-   * pulls only from watchers whose state is the store's as well.
-   */
-  private void compareConfig(Member sender, DomainState state) {
-    boolean ownCurrent = watch.running() && watch.current();
-    boolean otherWatcher = state.getWatching() && state.getCurrent();
-    boolean unsure = !ownCurrent && !followed.good(clock.millis());
-    if (followed.is(sender.id()) || unsure || (otherWatcher && watch.running())) {
-      configSync.onPeerStamp(sender.id(), new ConfigStamp(state.getConfigDigest(), 0));
-    }
-    if (otherWatcher && state.getConfigDigest() == merger.merged().digest()) {
-      merger.markCompleteAsOf(state.getCompleteTicket());
-    }
-  }
-
-  private CompletableFuture<PeerFrame.Builder> onBeat(PeerFrame request) {
-    long now = clock.millis();
-    DomainBeat beat = request.getDomainBeat();
-    String sender = request.getSender();
-    Member member = EntryKeys.toMember(beat.getState().getSelf());
-    if (!sender.equals(self.id()) && !stopped) {
-      knowledge.learn(beat.getState(), now);
-      knowledge.mergeWatchers(beat.getWatchersList(), now);
-      if (knowledge.isOwn(member) && beat.getState().getWatching()) {
-        following.update(member, beat.getState(), now, now);
-      }
-      compareConfig(member, beat.getState());
-    }
-    DomainBeatAck.Builder ack =
-        DomainBeatAck.newBuilder().setState(state(member.failureDomain(), now));
-    boolean toFollower = knowledge.isOwn(member) && !watch.running();
-    if (!toFollower) {
-      long digest = beat.getState().getMembersDigest();
-      ack.addAllMembers(knowledge.membersUnless(member.failureDomain(), digest, now));
-    }
-    if (beat.getState().getWatchersDigest() != knowledge.directory().digest()
-        || beat.getState().getWatching()) {
-      ack.addAllWatchers(knowledge.directory().toRecords(now));
-    }
-    return CompletableFuture.completedFuture(PeerFrame.newBuilder().setDomainBeatAck(ack));
   }
 
   private void configChanged() {
     if (!watch.running() || stopped) {
       return;
     }
-    ConfigPush.Builder push = pusher.changes();
-    long now = clock.millis();
-    push.setState(state(self.failureDomain(), now));
-    for (String follower : knowledge.liveOthers(now)) {
-      var unused =
-          messenger.request(
-              follower, PeerFrame.newBuilder().setConfigPush(push), timing.silenceMillis());
-    }
+    beats.push(pusher.changes());
     scheduleSuccessorCheck();
   }
 
@@ -478,28 +338,11 @@
             knowledge
                 .directory()
                 .successorOf(self.failureDomain())
-                .ifPresent(next -> beat(next.member().id()));
+                .ifPresent(next -> beats.send(next.member().id()));
           }
         });
   }
 
-  private CompletableFuture<PeerFrame.Builder> onPush(PeerFrame request) {
-    ConfigPush push = request.getConfigPush();
-    if (!stopped) {
-      long now = clock.millis();
-      merger.mergeFromPeer(
-          codec.decode(request.getSender(), push.getObjectsList()), request.getSender());
-      Member member = knowledge.learn(push.getState(), now);
-      if (knowledge.isOwn(member)) {
-        following.update(member, push.getState(), now, now);
-      }
-      compareConfig(member, push.getState());
-    }
-    ConfigPushAck ack =
-        ConfigPushAck.newBuilder().setConfigDigest(merger.merged().digest()).build();
-    return CompletableFuture.completedFuture(PeerFrame.newBuilder().setConfigPushAck(ack));
-  }
-
   /** Returns the number of live entries in the fleet, as far as known. Thread-safe. */
   public int fleetSize() {
     return status.fleetSize();
@@ -508,16 +351,18 @@
   @Override
   public void announceLeaving() {
     leaving = true;
+    beats.setLeaving();
     if (watch.running()) {
       announce();
     } else {
-      followed.id().ifPresent(this::beat);
+      followed.id().ifPresent(beats::send);
     }
   }
 
   @Override
   public CompletableFuture<Void> leave() {
     leaving = true;
+    beats.setLeaving();
     announce();
     stop();
     return CompletableFuture.completedFuture(null);
@@ -526,6 +371,7 @@
   @Override
   public void stop() {
     stopped = true;
+    beats.stop();
     watch.stop();
   }
 
