--- a/daemon/src/main/java/org/wagtailpin/daemon/StopTimes.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/StopTimes.java
@@ -12,7 +12,7 @@
   /** Shortest time to stop within, in milliseconds. */
   public static final long MIN_STOP_MILLIS = 1_000;
 
-  /** A balancer that asks for readiness each second needs two failed answers to notice. */
+  /** A balancer that checks readiness each second needs two failed checks to notice. */
   private static final long FULL_NOTICE_MILLIS = 2_500;
 
   private static final double MAX_NOTICE_SHARE = 0.45;
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -31,8 +31,8 @@
  * <p>The watcher pushes changes to the other entries of its domain, which send it a beat at short
  * intervals. A follower whose watcher is lost, leaves or has lost the store watches the store
  * itself in its turn. Watchers of different domains exchange the sizes of their domains and compare
- * their configuration. An entry that knows nobody asks the seeds of its settings. The protocol is
- * described in {@code docs/design/fleet.md}.
+ * their configuration. An entry that knows nobody contacts the seeds of its settings. The protocol
+ * is described in {@code docs/design/fleet.md}.
  */
 public final class DomainFleet implements FleetMembership {
 
@@ -234,7 +234,7 @@
             .with("before", followed.id().orElse("")));
     challenged = standing == WatcherStanding.STORE_LOST ? followed.id() : Optional.empty();
     if (standing == WatcherStanding.LINK_LOST || standing == WatcherStanding.SILENT) {
-      followed.id().ifPresent(knowledge.ownMembers()::lost);
+      followed.id().ifPresent(id -> knowledge.ownMembers().lost(id, now));
     }
     watchingSinceMillis = now;
     pusher.restart();
@@ -299,7 +299,7 @@
     beats.send(successor);
   }
 
-  /** Sends a beat to one partner: another watcher, or a seed, which tells it to new entries. */
+  /** Sends a beat to one partner: another watcher, or a seed, which names it to new entries. */
   private void exchange() {
     List<String> partners = new ArrayList<>();
     for (WatcherDirectory.Watcher watcher : knowledge.directory().all()) {
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainMembers.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainMembers.java
@@ -8,8 +8,8 @@
 import org.wagtailpin.membership.Member;
 
 /**
- * The entries of one failure domain that this entry has heard, or heard of, ordered by identifier.
- * Confined to the control loop.
+ * The entries of one failure domain, known by their messages or from other entries, ordered by
+ * identifier. Confined to the control loop.
  */
 final class DomainMembers {
 
@@ -70,7 +70,7 @@
     peer.current = current;
   }
 
-  /** Records that another entry heard an entry at a time. */
+  /** Records that another entry received a message of an entry at a time. */
   void named(Member member, long heardMillis, boolean leaving) {
     Peer peer = peers.computeIfAbsent(member.id(), id -> new Peer(member, heardMillis));
     if (heardMillis > peer.heardMillis) {
@@ -81,9 +81,10 @@
   }
 
   /** Records that an entry does not answer, so that it does not count as live. */
-  void lost(String entry) {
+  void lost(String entry, long nowMillis) {
     Optional.ofNullable(peers.get(entry))
-        .ifPresent(peer -> peer.heardMillis = Math.min(peer.heardMillis, -LIVE_MILLIS));
+        .filter(peer -> peer.live(nowMillis))
+        .ifPresent(peer -> peer.heardMillis = nowMillis - LIVE_MILLIS - 1);
   }
 
   /** Records that the live entries are those that the watcher of the domain knows, too. */
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/FollowedWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/FollowedWatcher.java
@@ -3,8 +3,8 @@
 import java.util.Optional;
 
 /**
- * The watcher that this entry follows, and how it stands with it. Confined to the control loop. All
- * times are of the monotonic clock.
+ * The watcher that this entry follows, and how current its state is. Confined to the control loop.
+ * All times are of the monotonic clock.
  */
 final class FollowedWatcher {
 
@@ -68,7 +68,7 @@
     return silent ? WatcherStanding.SILENT : standing;
   }
 
-  /** Returns since when the standing lasts; for a silence, when the watcher was last heard. */
+  /** Returns since when the standing lasts; for a silence, the time of the last confirmation. */
   long sinceMillis(long nowMillis) {
     return standing(nowMillis) == WatcherStanding.SILENT ? lastGoodMillis : sinceMillis;
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/StorePing.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/StorePing.java
@@ -79,7 +79,7 @@
     }
   }
 
-  /** Forgets earlier results, when the watch is started or stopped. */
+  /** Discards earlier results, when the watch is started or stopped. */
   void reset() {
     sequence++;
     pending = false;
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/SuccessionRule.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/SuccessionRule.java
@@ -6,8 +6,8 @@
  * Decides after which time a follower watches the store itself.
  *
  * <p>Followers wait longer the later they come in the order of succession, so that as a rule one of
- * them is heard by the others before these act. Two watchers at once cost store calls, but do no
- * harm, since states are merged by their numbers.
+ * them has announced itself to the others before these act. Two watchers at once cost store calls,
+ * but do no harm, since states are merged by their numbers.
  */
 final class SuccessionRule {
 
@@ -24,9 +24,9 @@
   /**
    * Returns how long after the standing began the follower replaces the watcher, in milliseconds.
    *
-   * @param standing how the follower stands with the watcher
+   * @param standing the state of the followed watcher
    * @param rank how many live entries precede it in the order of succession
-   * @return the time, empty if it goes on following
+   * @return the time, empty if the watcher is not replaced
    */
   OptionalLong waitMillis(WatcherStanding standing, int rank) {
     long rankMillis = Math.min(rank, MAX_RANK) * timing.rankStepMillis();
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/WatcherDirectory.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/WatcherDirectory.java
@@ -12,7 +12,7 @@
 import org.wagtailpin.membership.Member;
 
 /**
- * The watcher of each failure domain, and how many live entries that domain has, as told by
+ * The watcher of each failure domain, and how many live entries that domain has, as stated by
  * watchers to one another. Of two statements on a domain the one that was made later counts.
  * Confined to the control loop.
  */
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/WatcherFollowing.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/WatcherFollowing.java
@@ -9,7 +9,7 @@
 
 /**
  * Selects the watcher that a follower follows, from what entries of its failure domain state of
- * themselves, and records how it stands with it. Confined to the control loop.
+ * themselves, and records its standing. Confined to the control loop.
  */
 final class WatcherFollowing {
 
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/WatcherStanding.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/WatcherStanding.java
@@ -1,6 +1,6 @@
 package org.wagtailpin.fleet;
 
-/** How a follower stands with the watcher of its failure domain. */
+/** State of the watcher of a failure domain, as a follower sees it. */
 enum WatcherStanding {
   /** The watcher answers, and its state is the store's. */
   FOLLOWED,
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/FleetMembership.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/FleetMembership.java
@@ -25,7 +25,7 @@
   /**
    * Leaves the fleet. Called when no work is in flight any more.
    *
-   * @return completes when the other entries were told or did not answer in time
+   * @return completes when the other entries were notified or did not answer in time
    */
   CompletableFuture<Void> leave();
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
@@ -18,7 +18,7 @@
  */
 final class CallQueue {
 
-  /** Priorities that are told apart in the number of calls ahead; later ones count as the last. */
+  /** Number of priorities with a count of the calls ahead; later ones count as the last. */
   private static final int PRIORITIES = 8;
 
   private final ConcurrentLinkedQueue<QueuedCall> arrivals = new ConcurrentLinkedQueue<>();
