--- a/benchmark/src/main/java/org/wagtailpin/benchmark/jmh/PlacementBenchmark.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/jmh/PlacementBenchmark.java
@@ -32,9 +32,9 @@
 import org.wagtailpin.routing.LoadReport;
 import org.wagtailpin.routing.Locality;
 import org.wagtailpin.routing.PlacementListener;
-import org.wagtailpin.routing.Refusal;
 import org.wagtailpin.routing.PlacementObserver;
 import org.wagtailpin.routing.QueueingPlacement;
+import org.wagtailpin.routing.Refusal;
 import org.wagtailpin.routing.SharedRandom;
 
 /** Measures the time of one placement decision and of reporting its answer, by server count. */
@@ -139,7 +139,7 @@
 
     @Override
     public void refused(Refusal refusal) {
-      throw new IllegalStateException(fault.toString());
+      throw new IllegalStateException(refusal.toString());
     }
   }
 }
