Wait for a request to begin, not for its connection, before its body is broken

The test waited until the server had accepted the connection, which the kernel does before the entry's loop has seen it; a body that is broken then ends an exchange of which nothing was written, and not-run is true. Found by reading the failed run's code path; it was not played again on the old test. Change: RawServer counts requests whose first byte came; the assertions are the same.

--- a/wagtailpin/src/test/java/org/wagtailpin/call/RawServer.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/RawServer.java
@@ -1,6 +1,9 @@
 package org.wagtailpin.call;
 
+import java.io.EOFException;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.PushbackInputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -68,6 +71,7 @@
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
   private final List<RawHttpMessage> requests = new CopyOnWriteArrayList<>();
   private final AtomicInteger accepted = new AtomicInteger();
+  private final AtomicInteger begunRequests = new AtomicInteger();
 
   public RawServer(Script script) throws IOException {
     this.script = script;
@@ -88,6 +92,11 @@
     return accepted.get();
   }
 
+  /** Returns how many requests have begun to arrive, complete or not. */
+  public int begunRequests() {
+    return begunRequests.get();
+  }
+
   private static void start(Runnable body) {
     Thread thread = new Thread(body, "raw-server");
     thread.setDaemon(true);
@@ -107,12 +116,24 @@
     }
   }
 
+  /** Waits for the first byte of a request, and counts it. */
+  private InputStream beginRequest(PushbackInputStream input) throws IOException {
+    int first = input.read();
+    if (first < 0) {
+      throw new EOFException();
+    }
+    begunRequests.incrementAndGet();
+    input.unread(first);
+    return input;
+  }
+
   private void serve(Socket socket) {
     try (socket) {
       Connection connection = new Connection(socket);
+      PushbackInputStream input = new PushbackInputStream(socket.getInputStream());
       boolean more = true;
       while (more) {
-        RawHttpMessage request = RawHttpMessage.read(socket.getInputStream());
+        RawHttpMessage request = RawHttpMessage.read(beginRequest(input));
         requests.add(request);
         more = script.serve(request, connection);
       }
--- a/wagtailpin/src/test/java/org/wagtailpin/caller/BadInputTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/caller/BadInputTest.java
@@ -164,7 +164,8 @@
         RawCaller caller = entry.caller()) {
       caller.send("POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
       caller.send("15f90\r\n" + "x".repeat(90_000) + "\r\n");
-      Polling.until(() -> server.connections() == 1);
+      // An accepted connection alone does not show that the entry has begun to send the request.
+      Polling.until(() -> server.begunRequests() == 1);
       caller.send("zz\r\n");
       RawHttpMessage answer = caller.read();
 
