--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.wagtailpin.routing;
 
+import java.util.List;
 import java.util.Optional;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigServer;
@@ -80,6 +81,32 @@
         .flatMap(candidate -> tryTakeSlot(service, candidate, request, PlacementRule.FREED_SLOT));
   }
 
+  /**
+   * Returns the reason of a refusal, with what is known of the server that would have been
+   * cheapest.
+   *
+   * @param rule the rule that decided
+   * @param service the service
+   * @param request the request
+   */
+  PlacementReason refusalReason(
+      PlacementRule rule, ServiceState service, PlacementRequest request) {
+    List<Candidate> candidates = picker.candidates(service, request);
+    Optional<Candidate> cheapest = candidates.stream().findFirst();
+    return new PlacementReason(
+        rule,
+        candidates.size(),
+        service.inFlight(),
+        cheapest.map(Candidate::estimatedLoad).orElse(0.0),
+        cheapest
+            .map(candidate -> candidate.server().load().reportAgeMillis(request.nowMillis()))
+            .orElse(-1.0),
+        request.queuedMillis(),
+        service.queue().size(),
+        request.longWork(),
+        statistics.medianMillis(service.name()));
+  }
+
   /** Returns whether the service has any server that takes work. */
   boolean hasServer(ServiceState service) {
     return picker.anyAcceptingWork(service).isPresent();
@@ -219,6 +246,9 @@
                 server.load().inFlight(),
                 candidate.estimatedLoad(),
                 server.load().reportAgeMillis(request.nowMillis()),
-                request.queuedMillis())));
+                request.queuedMillis(),
+                service.queue().size(),
+                request.longWork(),
+                statistics.medianMillis(service.name()))));
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/EventLogPlacementObserver.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/EventLogPlacementObserver.java
@@ -22,13 +22,7 @@
 
   @Override
   public void granted(CallDescriptor call, ConfigServer server, PlacementReason reason) {
-    events.recordEvent(
-        decision(EventKind.PLACED, call, reason)
-            .with("server", server.name())
-            .with("candidates", reason.candidates())
-            .with("inFlight", reason.inFlight())
-            .with("estimatedLoad", reason.estimatedLoad())
-            .with("reportAgeMillis", reason.reportAgeMillis()));
+    events.recordEvent(decision(EventKind.PLACED, call, reason).with("server", server.name()));
   }
 
   @Override
@@ -44,7 +38,14 @@
         .with("route", call.route().name())
         .with("service", call.route().service())
         .with("rule", reason.rule().label())
-        .with("queuedMillis", reason.queuedMillis());
+        .with("queuedMillis", reason.queuedMillis())
+        .with("queueLength", reason.queueLength())
+        .with("candidates", reason.candidates())
+        .with("inFlight", reason.inFlight())
+        .with("estimatedLoad", reason.estimatedLoad())
+        .with("reportAgeMillis", reason.reportAgeMillis())
+        .with("longWork", reason.longWork())
+        .with("medianMillis", reason.medianMillis());
   }
 
   @Override
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementReason.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementReason.java
@@ -4,11 +4,17 @@
  * The rule behind a placement decision, and the figures that the decision was based on.
  *
  * @param rule the rule that decided
- * @param candidates the number of near servers to compare, 0 for a refusal
- * @param inFlight this entry's attempts in flight on the server, including the new one
- * @param estimatedLoad the estimated work on the server from all entries, in calls
- * @param reportAgeMillis the age of the server's last load report, below 0 if there is none
+ * @param candidates the number of near servers to compare; for a refusal, how many servers may be
+ *     given the call, busy or not
+ * @param inFlight this entry's attempts in flight on the server, including the new one; for a
+ *     refusal, its attempts on all servers of the service
+ * @param estimatedLoad the estimated work on the server from all entries, in calls; for a refusal,
+ *     on the cheapest server
+ * @param reportAgeMillis the age of that server's last load report, below 0 if there is none
  * @param queuedMillis how long the call was queued here, in milliseconds
+ * @param queueLength how many calls of the service are queued here
+ * @param longWork whether the call counted as long work
+ * @param medianMillis the median service time of the service, as known to this entry
  */
 public record PlacementReason(
     PlacementRule rule,
@@ -16,9 +22,13 @@
     int inFlight,
     double estimatedLoad,
     double reportAgeMillis,
-    double queuedMillis) {
+    double queuedMillis,
+    int queueLength,
+    boolean longWork,
+    double medianMillis) {
 
-  static PlacementReason refusal(PlacementRule rule, double queuedMillis) {
-    return new PlacementReason(rule, 0, 0, 0, -1, queuedMillis);
+  /** Creates the reason of a refusal for a service that is not known. */
+  static PlacementReason unknownService(PlacementRule rule, double queuedMillis) {
+    return new PlacementReason(rule, 0, 0, 0, -1, queuedMillis, 0, false, 0);
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
@@ -1,7 +1,6 @@
 package org.wagtailpin.routing;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -92,7 +91,7 @@
         callback.run();
         return;
       }
-      List<Candidate> candidates = candidates();
+      List<Candidate> candidates = picker.candidates(service, request);
       if (candidates.isEmpty() || knownFree(candidates.get(0), now)) {
         callback.run();
         return;
@@ -105,16 +104,6 @@
       }
     }
 
-    private List<Candidate> candidates() {
-      List<Candidate> candidates = new ArrayList<>();
-      ServiceView view = service.view();
-      for (int i = 0; i < view.size(); i++) {
-        picker.evaluate(service, view.at(i), request).ifPresent(candidates::add);
-      }
-      candidates.sort(Comparator.comparingDouble(Candidate::costMillis));
-      return candidates;
-    }
-
     /** Returns whether a server is known to be free and fast, so that no other needs probing. */
     private boolean knownFree(Candidate candidate, double now) {
       return hasFreshReport(candidate.server(), now)
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -231,11 +231,18 @@
       return;
     }
     Fault fault = new Fault(step, Peer.SELF, "", "not run: " + rule.label());
-    double waitedMillis = Math.max(0, clock.millis() - queued.queuedAtMillis());
-    observer.refused(queued.call(), fault, PlacementReason.refusal(rule, waitedMillis));
+    observer.refused(queued.call(), fault, refusalReason(rule, queued));
     queued.listener().refused(new Refusal(fault, returnTime.millis(backlog(queued))));
   }
 
+  private PlacementReason refusalReason(PlacementRule rule, QueuedCall queued) {
+    PlacementRequest request = placementRequest(queued);
+    return table
+        .service(queued.call().route().service())
+        .map(service -> dispatcher.refusalReason(rule, service, request))
+        .orElseGet(() -> PlacementReason.unknownService(rule, request.queuedMillis()));
+  }
+
   private ReturnTime.Backlog backlog(QueuedCall queued) {
     String name = queued.call().route().service();
     Optional<ServiceState> service = table.service(name);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
@@ -1,5 +1,7 @@
 package org.wagtailpin.routing;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -112,6 +114,22 @@
     return Optional.of(costs.estimate(service, server, clock.exactMillis(), request.bytes()));
   }
 
+  /**
+   * Returns all servers that may be given a call, busy or not, the cheapest first.
+   *
+   * @param service the service
+   * @param request the request; servers that it has tried already are left out
+   */
+  List<Candidate> candidates(ServiceState service, PlacementRequest request) {
+    List<Candidate> candidates = new ArrayList<>();
+    ServiceView view = service.view();
+    for (int i = 0; i < view.size(); i++) {
+      evaluate(service, view.at(i), request).ifPresent(candidates::add);
+    }
+    candidates.sort(Comparator.comparingDouble(Candidate::costMillis));
+    return candidates;
+  }
+
   /**
    * Returns a random server that takes new work, whatever its health, so that work is spread over
    * all servers when all of them look unhealthy. Near servers go first.
