--- a/wagtailpin/src/main/java/org/wagtailpin/limits/QuantileEstimator.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/QuantileEstimator.java
@@ -1,50 +1,44 @@
 package org.wagtailpin.limits;
 
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.Arrays;
 
 /**
- * A running estimate of a quantile of times, in milliseconds. Samples above the estimate move it up
- * and samples below move it down, in steps that balance at the quantile, so that a few very long
- * samples hardly shift it. Safe for all threads, without locks.
+ * A quantile of the last samples of a time, in milliseconds.
+ *
+ * <p>Each sample counts the same, whether it came first or last, so that a first sample that is far
+ * from the others is outvoted as soon as a few have followed. Safe for all threads; reading takes
+ * no lock.
  */
 final class QuantileEstimator {
 
-  /** Lower bound of a sample. Steps are proportional to the estimate, so it must not reach 0. */
-  private static final double MIN_MILLIS = 0.05;
-
-  private final double stepUp;
-  private final double stepDown;
-  private final AtomicLong bits = new AtomicLong(Double.doubleToRawLongBits(Double.NaN));
+  private final double quantile;
+  private final double[] samples;
+  private long count;
+  private volatile double estimateMillis = Double.NaN;
   private volatile long lastSampleMillis;
 
   /**
    * Creates an estimate without samples.
    *
-   * @param relativeStep the step by which a sample moves an estimate of the median, as a share of
-   *     it
+   * @param window how many of the last samples count, at least 1
    * @param quantile the quantile, above 0 and below 1, 0.5 for the median
    */
-  QuantileEstimator(double relativeStep, double quantile) {
-    this.stepUp = 2 * relativeStep * quantile;
-    this.stepDown = 2 * relativeStep * (1 - quantile);
+  QuantileEstimator(int window, double quantile) {
+    this.samples = new double[window];
+    this.quantile = quantile;
   }
 
-  void add(double sample, long nowMillis) {
+  synchronized void add(double sample, long nowMillis) {
     lastSampleMillis = nowMillis;
-    double boundedSample = Math.max(MIN_MILLIS, sample);
-    bits.updateAndGet(before -> Double.doubleToRawLongBits(next(before, boundedSample)));
-  }
-
-  private double next(long estimateBits, double sample) {
-    double estimate = Double.longBitsToDouble(estimateBits);
-    if (Double.isNaN(estimate)) {
-      return sample;
-    }
-    return sample > estimate ? estimate * (1 + stepUp) : estimate / (1 + stepDown);
+    samples[(int) (count % samples.length)] = sample;
+    count++;
+    double[] sorted = Arrays.copyOf(samples, (int) Math.min(count, samples.length));
+    Arrays.sort(sorted);
+    estimateMillis = sorted[(int) (quantile * sorted.length)];
   }
 
   double millisOrElse(double fallback) {
-    double estimate = Double.longBitsToDouble(bits.get());
+    double estimate = estimateMillis;
     return Double.isNaN(estimate) ? fallback : estimate;
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/RouteStatistics.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/RouteStatistics.java
@@ -17,8 +17,12 @@
 
   private static final double MEDIAN_QUANTILE = 0.5;
   private static final double TAIL_QUANTILE = 0.95;
-  private static final double ROUTE_SMOOTHING_FACTOR = 0.05;
-  private static final double SERVICE_SMOOTHING_FACTOR = 0.02;
+  private static final double BYTES_SMOOTHING_FACTOR = 0.05;
+
+  /** How many of its last answers a route or a service is judged by. */
+  private static final int ROUTE_WINDOW = 41;
+
+  private static final int SERVICE_WINDOW = 101;
 
   /**
    * Time without answers after which the expected time of a route starts to decay, and the time
@@ -53,16 +57,13 @@
   public void recordServiceTime(String service, String route, double millis) {
     long now = clock.millis();
     routeMedians
-        .computeIfAbsent(
-            route, name -> new QuantileEstimator(ROUTE_SMOOTHING_FACTOR, MEDIAN_QUANTILE))
+        .computeIfAbsent(route, name -> new QuantileEstimator(ROUTE_WINDOW, MEDIAN_QUANTILE))
         .add(millis, now);
     routeTails
-        .computeIfAbsent(
-            route, name -> new QuantileEstimator(ROUTE_SMOOTHING_FACTOR, TAIL_QUANTILE))
+        .computeIfAbsent(route, name -> new QuantileEstimator(ROUTE_WINDOW, TAIL_QUANTILE))
         .add(millis, now);
     serviceMedians
-        .computeIfAbsent(
-            service, name -> new QuantileEstimator(SERVICE_SMOOTHING_FACTOR, MEDIAN_QUANTILE))
+        .computeIfAbsent(service, name -> new QuantileEstimator(SERVICE_WINDOW, MEDIAN_QUANTILE))
         .add(millis, now);
   }
 
@@ -74,7 +75,7 @@
    */
   public void recordBytes(String route, long bytes) {
     this.routeBytes
-        .computeIfAbsent(route, name -> new MovingAverage(ROUTE_SMOOTHING_FACTOR))
+        .computeIfAbsent(route, name -> new MovingAverage(BYTES_SMOOTHING_FACTOR))
         .add((double) bytes);
   }
 
