--- a/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
@@ -29,6 +29,8 @@
   private final AtomicBoolean tickScheduled = new AtomicBoolean();
   private final AtomicBoolean sweepRequested = new AtomicBoolean();
   private final AtomicIntegerArray sizeAhead = new AtomicIntegerArray(PRIORITIES);
+  private final AtomicBoolean probing = new AtomicBoolean();
+  private double nextProbingMillis = Double.NEGATIVE_INFINITY;
   private volatile int size;
 
   void add(QueuedCall call) {
@@ -64,6 +66,26 @@
     return sweepRequested.getAndSet(false);
   }
 
+  /**
+   * Returns whether servers may be probed for the queue now, and if so, marks that they are. Called
+   * in a round only.
+   *
+   * @param nowMillis the current time
+   * @param pauseMillis the least time from one beginning to the next
+   */
+  boolean tryBeginProbing(double nowMillis, double pauseMillis) {
+    if (nowMillis < nextProbingMillis || !probing.compareAndSet(false, true)) {
+      return false;
+    }
+    nextProbingMillis = nowMillis + pauseMillis;
+    return true;
+  }
+
+  /** Clears the mark that servers are being probed. */
+  void endProbing() {
+    probing.set(false);
+  }
+
   /** Returns how many calls the last round left in the queue; later arrivals are not counted. */
   int size() {
     return size;
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -287,6 +287,32 @@
     serveFreedSlots(service, longFirst);
     serve(service, service.queue().queueOf(longFirst));
     serve(service, service.queue().queueOf(!longFirst));
+    probeForHead(service, longFirst);
+  }
+
+  /**
+   * Probes servers for the call that is next in the queue, so that a server that other entries have
+   * freed is found without an answer to this entry.
+   */
+  private void probeForHead(ServiceState service, boolean longFirst) {
+    Optional<QueuedCall> head =
+        head(service, service.queue().queueOf(longFirst))
+            .or(() -> head(service, service.queue().queueOf(!longFirst)));
+    double pauseMillis = service.view().settings().value(Tunable.REPORT_FRESH_MILLIS);
+    if (head.isEmpty() || !service.queue().tryBeginProbing(clock.exactMillis(), pauseMillis)) {
+      return;
+    }
+    probes.run(
+        service,
+        placementRequest(head.get()),
+        () -> {
+          service.queue().endProbing();
+          service.queue().run(() -> serveQueue(service));
+        });
+  }
+
+  private Optional<QueuedCall> head(ServiceState service, PriorityQueues<QueuedCall> callQueue) {
+    return callQueue.peek(clock.millis(), statistics.medianMillis(service.name()));
   }
 
   private void refuseExpired(ServiceState service) {
@@ -325,8 +351,7 @@
 
   private boolean serveHead(
       ServiceState service, PriorityQueues<QueuedCall> callQueue, Optional<ServerState> freed) {
-    double urgentMillis = statistics.medianMillis(service.name());
-    Optional<QueuedCall> head = callQueue.peek(clock.millis(), urgentMillis);
+    Optional<QueuedCall> head = head(service, callQueue);
     if (head.isEmpty()) {
       return false;
     }
