--- a/wagtailpin/src/main/java/org/wagtailpin/limits/MovingAverage.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/MovingAverage.java
@@ -1,5 +1,6 @@
 package org.wagtailpin.limits;
 
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** An exponentially weighted moving average. Safe for all threads, without locks. */
@@ -9,6 +10,7 @@
 
   private final double smoothingFactor;
   private final AtomicLong bits = new AtomicLong(NO_SAMPLE);
+  private final AtomicInteger samples = new AtomicInteger();
 
   /**
    * Creates an average without samples.
@@ -20,27 +22,34 @@
   }
 
   /**
-   * Adds a sample; the first one sets the average.
+   * Adds a sample. The first samples are averaged evenly, until one weighs as little as the
+   * smoothing factor, so that the first one does not outweigh those that follow.
    *
    * @param sample the sample
    */
   public void add(double sample) {
+    double factor = Math.max(smoothingFactor, 1.0 / samples.updateAndGet(MovingAverage::increment));
     while (true) {
       long before = bits.get();
       double average = Double.longBitsToDouble(before);
-      double next = Double.isNaN(average) ? sample : average + smoothingFactor * (sample - average);
+      double next = Double.isNaN(average) ? sample : average + factor * (sample - average);
       if (bits.compareAndSet(before, Double.doubleToRawLongBits(next))) {
         return;
       }
     }
   }
 
+  private static int increment(int count) {
+    return count == Integer.MAX_VALUE ? count : count + 1;
+  }
+
   /**
-   * Replaces the average.
+   * Replaces the average by a known value, which later samples change by the smoothing factor.
    *
    * @param value the new average
    */
   public void reset(double value) {
+    samples.set(Integer.MAX_VALUE);
     bits.set(Double.doubleToRawLongBits(value));
   }
 
