--- a/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/RuleCounts.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/RuleCounts.java
@@ -1,6 +1,7 @@
 package org.wagtailpin.benchmark.experiment;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
@@ -35,6 +36,11 @@
     count("server " + change.label());
   }
 
+  @Override
+  public void limitChanged(ConfigServer server, Optional<Double> perSecond, double sharePerSecond) {
+    count(perSecond.isPresent() ? "limit named" : "limit ended");
+  }
+
   Map<String, Long> counts() {
     Map<String, Long> sums = new TreeMap<>();
     counts.forEach((name, adder) -> sums.put(name, adder.sum()));
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
@@ -228,7 +228,8 @@
         new AnswerHead(
             status,
             headers,
-            load == null ? Optional.empty() : LoadReportHeader.read(load, dialect));
+            load == null ? Optional.empty() : LoadReportHeader.read(load, dialect),
+            RequestLimitHeader.parse(headers.get(dialect.requestLimit())));
     notifyListener(() -> listener.head(head));
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendLoadProbe.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendLoadProbe.java
@@ -6,12 +6,11 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.routing.LoadProbe;
-import org.wagtailpin.routing.LoadReport;
+import org.wagtailpin.routing.ProbeAnswer;
 import org.wagtailpin.transport.HttpDialect;
 
 /** Load probe that uses the same connection pool as the requests of callers. Thread-safe. */
@@ -39,7 +38,7 @@
   }
 
   @Override
-  public void probe(ConfigServer server, String path, Consumer<Optional<LoadReport>> done) {
+  public void probe(ConfigServer server, String path, Consumer<ProbeAnswer> done) {
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(HttpHeaderNames.HOST, server.address() + ":" + server.port());
     BackendRequest request = BackendRequest.probe(server, HttpMethod.GET.name(), path, headers);
@@ -61,11 +60,11 @@
   /** Listener of one probe in flight. Confined to its event loop. */
   private final class PendingProbe implements ExchangeListener {
     private final ConfigServer server;
-    private final Consumer<Optional<LoadReport>> done;
-    private Optional<LoadReport> report = Optional.empty();
+    private final Consumer<ProbeAnswer> done;
+    private ProbeAnswer answer = ProbeAnswer.none();
     private boolean ended;
 
-    PendingProbe(ConfigServer server, Consumer<Optional<LoadReport>> done) {
+    PendingProbe(ConfigServer server, Consumer<ProbeAnswer> done) {
       this.server = server;
       this.done = done;
     }
@@ -73,7 +72,7 @@
     private void end() {
       if (!ended) {
         ended = true;
-        done.accept(report);
+        done.accept(answer);
       }
     }
 
@@ -82,7 +81,7 @@
       // The address may have been reassigned to another server, whose load must not be reported.
       String instance = dialect.instance().map(name -> head.headers().get(name)).orElse(null);
       if (instance == null || instance.equals(server.name())) {
-        report = head.load();
+        answer = new ProbeAnswer(head.load(), head.limit());
       }
     }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/call/Attempt.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Attempt.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 import org.wagtailpin.backend.AnswerHead;
 import org.wagtailpin.backend.BackendExchange;
@@ -17,6 +18,7 @@
 import org.wagtailpin.routing.AttemptOutcome;
 import org.wagtailpin.routing.AttemptReport;
 import org.wagtailpin.routing.Grant;
+import org.wagtailpin.routing.LimitStatement;
 import org.wagtailpin.routing.LoadReport;
 
 /**
@@ -32,6 +34,7 @@
   private final double startedMillis;
   private BackendExchange exchange;
   private Optional<LoadReport> load = Optional.empty();
+  private LimitStatement limit = new LimitStatement.Unknown();
   private long bytes;
   private int status;
   private boolean refused;
@@ -106,12 +109,24 @@
     load = head.load();
     status = head.status();
     refused = isRefusal(head);
+    limit = limitStatement(head);
     unprovenRefusal = !refused && call.environment().dialect().notRunStatuses().contains(status);
     if (!refused && !unprovenRefusal) {
       call.answerBegan(head.status(), head.headers());
     }
   }
 
+  /**
+   * Returns what an answer states of the server's limit. An answer of another server at the address
+   * states nothing, and a failure without the header does not end a limit.
+   */
+  private LimitStatement limitStatement(AnswerHead head) {
+    boolean misdirected = head.status() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+    boolean failure = refused || head.status() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
+    boolean ends = head.limit() instanceof LimitStatement.Unlimited;
+    return misdirected || (failure && ends) ? new LimitStatement.Unknown() : head.limit();
+  }
+
   private boolean isRefusal(AnswerHead head) {
     for (RefusalPattern pattern : service.refusals()) {
       if (pattern.status() == head.status() && matchesHeader(head, pattern)) {
@@ -197,7 +212,7 @@
     }
     finished = true;
     double latencyMillis = call.nowMillis() - startedMillis;
-    grant.finished(new AttemptReport(outcome, latencyMillis, load, bytes));
+    grant.finished(new AttemptReport(outcome, latencyMillis, load, bytes, limit));
     call.attemptFinished(this, outcome, latencyMillis);
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
@@ -84,6 +84,8 @@
   SERVER_REFUSED("server-refused", false, "server", "revision", "detail"),
   SERVER_EJECTED("server-ejected", false, "server"),
   SERVER_RETURNED("server-returned", false, "server"),
+  SERVER_LIMITED("server-limited", false, "server", "perSecond", "sharePerSecond"),
+  SERVER_UNLIMITED("server-unlimited", false, "server"),
   WATCHER_ELECTED("watcher-elected", false, "reason", "rank", "before"),
   WATCHER_REPLACED("watcher-replaced", false, "watcher"),
   WATCHER_FOLLOWED("watcher-followed", false, "watcher"),
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptRecorder.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptRecorder.java
@@ -15,11 +15,14 @@
   private final Clock clock;
   private final RouteStatistics statistics;
   private final PlacementObserver observer;
+  private final RequestLimits limits;
 
-  AttemptRecorder(Clock clock, RouteStatistics statistics, PlacementObserver observer) {
+  AttemptRecorder(
+      Clock clock, RouteStatistics statistics, PlacementObserver observer, RequestLimits limits) {
     this.clock = clock;
     this.statistics = statistics;
     this.observer = observer;
+    this.limits = limits;
   }
 
   /**
@@ -34,6 +37,7 @@
       ServiceState service, ServerState server, CallDescriptor call, AttemptReport report) {
     double now = clock.exactMillis();
     report.load().ifPresent(load -> recordLoad(service, server, load, now));
+    limits.record(server, report.limit());
     String route = call.route().name();
     double expectedServiceMillis = statistics.expectedMillis(service.name(), route);
     // A passing slowdown of the server's machine, which the report states, does not count against
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/CompositePlacementObserver.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/CompositePlacementObserver.java
@@ -1,6 +1,7 @@
 package org.wagtailpin.routing;
 
 import java.util.List;
+import java.util.Optional;
 import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.error.Fault;
 
@@ -38,4 +39,11 @@
       observer.serverChanged(server, change);
     }
   }
+
+  @Override
+  public void limitChanged(ConfigServer server, Optional<Double> perSecond, double sharePerSecond) {
+    for (PlacementObserver observer : observers) {
+      observer.limitChanged(server, perSecond, sharePerSecond);
+    }
+  }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/EventLogPlacementObserver.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/EventLogPlacementObserver.java
@@ -1,5 +1,6 @@
 package org.wagtailpin.routing;
 
+import java.util.Optional;
 import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.error.Fault;
 import org.wagtailpin.eventlog.Event;
@@ -59,6 +60,18 @@
     }
   }
 
+  @Override
+  public void limitChanged(ConfigServer server, Optional<Double> perSecond, double sharePerSecond) {
+    if (perSecond.isPresent()) {
+      events.recordEvent(
+          changed(EventKind.SERVER_LIMITED, server)
+              .with("perSecond", perSecond.get())
+              .with("sharePerSecond", sharePerSecond));
+    } else {
+      events.recordEvent(changed(EventKind.SERVER_UNLIMITED, server));
+    }
+  }
+
   private static Event changed(EventKind kind, ConfigServer server) {
     return Event.of(kind).with("server", server.name());
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/LoadProbe.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/LoadProbe.java
@@ -1,6 +1,5 @@
 package org.wagtailpin.routing;
 
-import java.util.Optional;
 import java.util.function.Consumer;
 import org.wagtailpin.config.ConfigServer;
 
@@ -12,7 +11,7 @@
    *
    * @param server the server
    * @param path the path of its probe
-   * @param done called once, on any thread, with the report, or empty if none was received
+   * @param done called once, on any thread, with what was learned
    */
-  void probe(ConfigServer server, String path, Consumer<Optional<LoadReport>> done);
+  void probe(ConfigServer server, String path, Consumer<ProbeAnswer> done);
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/NoOpPlacementObserver.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/NoOpPlacementObserver.java
@@ -1,5 +1,6 @@
 package org.wagtailpin.routing;
 
+import java.util.Optional;
 import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.error.Fault;
 
@@ -14,4 +15,8 @@
 
   @Override
   public void serverChanged(ConfigServer server, ServerChange change) {}
+
+  @Override
+  public void limitChanged(
+      ConfigServer server, Optional<Double> perSecond, double sharePerSecond) {}
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementObserver.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementObserver.java
@@ -1,5 +1,6 @@
 package org.wagtailpin.routing;
 
+import java.util.Optional;
 import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.error.Fault;
 
@@ -35,6 +36,15 @@
    */
   void serverChanged(ConfigServer server, ServerChange change);
 
+  /**
+   * Called when a server names a limit of requests, changes it or names none any more.
+   *
+   * @param server the server
+   * @param perSecond the limit over all entries, in requests per second, empty if there is none
+   * @param sharePerSecond this entry's share of it
+   */
+  void limitChanged(ConfigServer server, Optional<Double> perSecond, double sharePerSecond);
+
   /** Returns an observer that does nothing. */
   static PlacementObserver none() {
     return new NoOpPlacementObserver();
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
@@ -25,6 +25,7 @@
   private final ServerPicker picker;
   private final ServerCosts costs;
   private final LoadProbe probe;
+  private final RequestLimits limits;
   private final ProbeBudget budget;
   private final TaskScheduler scheduler;
 
@@ -33,12 +34,14 @@
       ServerPicker picker,
       ServerCosts costs,
       LoadProbe probe,
+      RequestLimits limits,
       ProbeBudget budget,
       TaskScheduler scheduler) {
     this.clock = clock;
     this.picker = picker;
     this.costs = costs;
     this.probe = probe;
+    this.limits = limits;
     this.budget = budget;
     this.scheduler = scheduler;
   }
@@ -160,8 +163,10 @@
         probe.probe(
             server.server(),
             path,
-            report -> {
-              report.ifPresent(load -> service.recordLoad(server, load, clock.exactMillis()));
+            answer -> {
+              double now = clock.exactMillis();
+              answer.load().ifPresent(load -> service.recordLoad(server, load, now));
+              limits.record(server, answer.limit());
               if (pending.decrementAndGet() == 0 && finished.compareAndSet(false, true)) {
                 timeout.cancel();
                 nextRound();
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/PrometheusPlacementObserver.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/PrometheusPlacementObserver.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Optional;
 import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.error.Fault;
 
@@ -15,6 +16,7 @@
   private final Counter granted;
   private final Counter refused;
   private final Counter changes;
+  private final Counter limits;
   private final Histogram queued;
 
   /**
@@ -41,6 +43,12 @@
             .help("Servers ejected, returned, leaving and staying")
             .labelNames("change")
             .register(registry);
+    limits =
+        Counter.builder()
+            .name("wagtailpin_server_limits_total")
+            .help("Limits of requests that servers named or changed, and that ended")
+            .labelNames("change")
+            .register(registry);
     queued =
         Histogram.builder()
             .name("wagtailpin_placement_queued_seconds")
@@ -67,4 +75,9 @@
   public void serverChanged(ConfigServer server, ServerChange change) {
     changes.labelValues(change.label()).inc();
   }
+
+  @Override
+  public void limitChanged(ConfigServer server, Optional<Double> perSecond, double sharePerSecond) {
+    limits.labelValues(perSecond.isPresent() ? "named" : "ended").inc();
+  }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -69,7 +69,7 @@
         scheduler,
         statistics,
         observer,
-        (server, path, done) -> done.accept(Optional.empty()));
+        (server, path, done) -> done.accept(ProbeAnswer.none()));
   }
 
   /**
@@ -104,11 +104,13 @@
     RegionLinks links = new RegionLinks(locality.region(), shares, clock, config.current());
     this.table = new RoutingTable(config, locality, clock, links);
     ServerCosts costs = new ServerCosts(statistics);
+    RequestLimits limits = new RequestLimits(shares, clock, random, observer);
     ServerPicker picker = new ServerPicker(clock, random, leavingHosts, costs);
     this.dispatcher = new Dispatcher(picker, links, shares, statistics, costs, clock);
     this.probes =
-        new ProbeRounds(clock, picker, costs, probe, new ProbeBudget(clock, shares), scheduler);
-    this.recorder = new AttemptRecorder(clock, statistics, observer);
+        new ProbeRounds(
+            clock, picker, costs, probe, limits, new ProbeBudget(clock, shares), scheduler);
+    this.recorder = new AttemptRecorder(clock, statistics, observer, limits);
     this.returnTime = new BacklogReturnTime(clock, random);
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerState.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerState.java
@@ -1,5 +1,6 @@
 package org.wagtailpin.routing;
 
+import java.util.Optional;
 import org.wagtailpin.config.ConfigServer;
 
 /** An entry's state of one backend server; kept when the configuration changes. */
@@ -10,6 +11,7 @@
   private volatile double transferMillisPerKib;
   private volatile boolean reportsLeaving;
   private volatile boolean removed;
+  private volatile Optional<ServerLimit> requestLimit = Optional.empty();
   private final LoadEstimate load = new LoadEstimate();
   private final ServerHealth health;
 
@@ -50,6 +52,15 @@
     return health;
   }
 
+  /** Returns the limit of requests that the server names, empty if it names none. */
+  Optional<ServerLimit> requestLimit() {
+    return requestLimit;
+  }
+
+  void requestLimit(Optional<ServerLimit> limit) {
+    requestLimit = limit;
+  }
+
   /** Returns whether the configuration no longer has the server; calls may still run on it. */
   boolean removed() {
     return removed;
--- a/wagtailpin/src/main/java/org/wagtailpin/transport/HttpDialect.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/transport/HttpDialect.java
@@ -13,6 +13,8 @@
  *     servers and received from them on nested calls
  * @param load header with the load that a backend server reports in its answers
  * @param loadFormat format of the load header
+ * @param requestLimit header with the requests per second, a decimal number, that a backend server
+ *     takes from all entries together
  * @param attempt header with the identifier of an attempt, repeated by backend servers; empty if
  *     they repeat the identifier of the call instead
  * @param target header with the name of the backend server that a request is sent to, empty to send
@@ -37,6 +39,7 @@
     AsciiString deadline,
     AsciiString load,
     LoadFormat loadFormat,
+    AsciiString requestLimit,
     Optional<AsciiString> attempt,
     Optional<AsciiString> target,
     Optional<AsciiString> signature,
@@ -68,6 +71,7 @@
         WagtailpinHeaders.DEADLINE_MILLIS,
         WagtailpinHeaders.LOAD,
         LoadFormat.MEMBERS,
+        WagtailpinHeaders.REQUEST_LIMIT,
         Optional.of(WagtailpinHeaders.ATTEMPT),
         Optional.empty(),
         Optional.empty(),
--- a/wagtailpin/src/main/java/org/wagtailpin/transport/WagtailpinHeaders.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/transport/WagtailpinHeaders.java
@@ -36,6 +36,9 @@
   /** Load report of a backend server, sent with its answers. */
   public static final AsciiString LOAD = AsciiString.cached("wagtailpin-load");
 
+  /** Requests per second that a backend server takes from all entries, sent with its answers. */
+  public static final AsciiString REQUEST_LIMIT = AsciiString.cached("wagtailpin-request-limit");
+
   /** Idempotency key, under which a request is run at most once. */
   public static final AsciiString IDEMPOTENCY_KEY = AsciiString.cached("idempotency-key");
 
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
@@ -106,7 +106,7 @@
   }
 
   QueueingPlacement placement(long seed, PlacementObserver observer) {
-    return placement(seed, observer, (server, path, done) -> done.accept(Optional.empty()));
+    return placement(seed, observer, (server, path, done) -> done.accept(ProbeAnswer.none()));
   }
 
   QueueingPlacement placement(long seed, PlacementObserver observer, LoadProbe probe) {
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/ProbeRoundsTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/ProbeRoundsTest.java
@@ -18,16 +18,18 @@
 
   private final Map<String, LoadReport> loads = new HashMap<>();
   private final List<String> probed = new ArrayList<>();
-  private final List<Consumer<Optional<LoadReport>>> pendingProbes = new ArrayList<>();
+  private final List<Consumer<ProbeAnswer>> pendingProbes = new ArrayList<>();
   private boolean unresponsive;
   private final PlacementFixture fixture = new PlacementFixture().withLoadProbe();
 
-  private void probe(ConfigServer server, String path, Consumer<Optional<LoadReport>> done) {
+  private void probe(ConfigServer server, String path, Consumer<ProbeAnswer> done) {
     probed.add(server.name());
     if (unresponsive) {
       pendingProbes.add(done);
     } else {
-      done.accept(Optional.ofNullable(loads.get(server.name())));
+      done.accept(
+          new ProbeAnswer(
+              Optional.ofNullable(loads.get(server.name())), new LimitStatement.Unlimited()));
     }
   }
 
@@ -176,7 +178,7 @@
     fixture.loop.advance(51);
 
     assertThat(grants).hasSize(1);
-    pendingProbes.forEach(done -> done.accept(Optional.empty()));
+    pendingProbes.forEach(done -> done.accept(ProbeAnswer.none()));
     assertThat(grants).hasSize(1);
   }
 
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/QueueProbeTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/QueueProbeTest.java
@@ -44,9 +44,10 @@
     placement = fixture.placement(PlacementFixture.SEED, PlacementObserver.none(), this::probe);
   }
 
-  private void probe(ConfigServer server, String path, Consumer<Optional<LoadReport>> done) {
+  private void probe(ConfigServer server, String path, Consumer<ProbeAnswer> done) {
     probes++;
-    done.accept(Optional.of(loads.get(server.name())));
+    done.accept(
+        new ProbeAnswer(Optional.of(loads.get(server.name())), new LimitStatement.Unlimited()));
   }
 
   private void othersRun(int callsOnEachServer) {
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/ServerFaultsTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/ServerFaultsTest.java
@@ -125,6 +125,10 @@
           ejected.add(server.name());
         }
       }
+
+      @Override
+      public void limitChanged(
+          ConfigServer server, Optional<Double> perSecond, double sharePerSecond) {}
     };
   }
 
