--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -91,7 +91,7 @@
    */
   PlacementReason refusalReason(
       PlacementRule rule, ServiceState service, PlacementRequest request) {
-    List<Candidate> candidates = picker.candidates(service, request);
+    List<Candidate> candidates = picker.candidates(service, service.view().all(), request);
     Optional<Candidate> cheapest = candidates.stream().findFirst();
     return new PlacementReason(
         rule,
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
@@ -54,6 +54,26 @@
    * @param callback run once, immediately if there is nothing to probe
    */
   void run(ServiceState service, PlacementRequest request, Runnable callback) {
+    run(service, service.view().all(), request, callback);
+  }
+
+  /**
+   * Probes servers of this entry's region, or all if it has none, and then runs the callback.
+   *
+   * @param service the service
+   * @param request the request; servers that it has tried already are not probed
+   * @param callback run once, immediately if there is nothing to probe
+   */
+  void runNear(ServiceState service, PlacementRequest request, Runnable callback) {
+    ServiceView view = service.view();
+    run(service, view.near().isEmpty() ? view.all() : view.near(), request, callback);
+  }
+
+  private void run(
+      ServiceState service,
+      Iterable<ServerState> servers,
+      PlacementRequest request,
+      Runnable callback) {
     ServiceView view = service.view();
     Optional<String> path = view.probePath();
     double endMillis = clock.exactMillis() + view.settings().value(Tunable.PROBE_MILLIS);
@@ -63,12 +83,13 @@
       callback.run();
       return;
     }
-    new Run(service, request, path.get(), endMillis, callback).nextRound();
+    new Run(service, servers, request, path.get(), endMillis, callback).nextRound();
   }
 
   /** The probe rounds of one call. */
   private final class Run {
     private final ServiceState service;
+    private final Iterable<ServerState> servers;
     private final PlacementRequest request;
     private final String path;
     private final double endMillis;
@@ -77,11 +98,13 @@
 
     Run(
         ServiceState service,
+        Iterable<ServerState> servers,
         PlacementRequest request,
         String path,
         double endMillis,
         Runnable callback) {
       this.service = service;
+      this.servers = servers;
       this.request = request;
       this.path = path;
       this.endMillis = endMillis;
@@ -94,16 +117,16 @@
         callback.run();
         return;
       }
-      List<Candidate> candidates = picker.candidates(service, request);
+      List<Candidate> candidates = picker.candidates(service, servers, request);
       if (candidates.isEmpty() || knownFree(candidates.get(0), now)) {
         callback.run();
         return;
       }
-      List<ServerState> servers = selectServers(candidates, now);
-      if (servers.isEmpty()) {
+      List<ServerState> selected = selectServers(candidates, now);
+      if (selected.isEmpty()) {
         callback.run();
       } else {
-        sendProbes(servers);
+        sendProbes(selected);
       }
     }
 
@@ -147,9 +170,9 @@
       return budget.take(config.name(), config.region(), true, rates);
     }
 
-    private void sendProbes(List<ServerState> servers) {
+    private void sendProbes(List<ServerState> selected) {
       AtomicBoolean finished = new AtomicBoolean();
-      AtomicInteger pending = new AtomicInteger(servers.size());
+      AtomicInteger pending = new AtomicInteger(selected.size());
       double remainingMillis = endMillis - clock.exactMillis();
       var timeout =
           scheduler.schedule(
@@ -159,7 +182,7 @@
                   callback.run();
                 }
               });
-      for (ServerState server : servers) {
+      for (ServerState server : selected) {
         probe.probe(
             server.server(),
             path,
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -294,7 +294,8 @@
 
   /**
    * Probes servers for the call that is next in the queue, so that a server that other entries have
-   * freed is found without an answer to this entry.
+   * freed is found without an answer to this entry. Only near servers, as each entry with a queue
+   * repeats this and traffic between regions is dear.
    */
   private void probeForHead(ServiceState service, boolean longFirst) {
     Optional<QueuedCall> head =
@@ -304,7 +305,7 @@
     if (head.isEmpty() || !service.queue().tryBeginProbing(clock.exactMillis(), pauseMillis)) {
       return;
     }
-    probes.run(
+    probes.runNear(
         service,
         placementRequest(head.get()),
         () -> {
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
@@ -115,16 +115,17 @@
   }
 
   /**
-   * Returns all servers that may be given a call, busy or not, the cheapest first.
+   * Returns those of some servers that may be given a call, busy or not, the cheapest first.
    *
    * @param service the service
+   * @param servers the servers
    * @param request the request; servers that it has tried already are left out
    */
-  List<Candidate> candidates(ServiceState service, PlacementRequest request) {
+  List<Candidate> candidates(
+      ServiceState service, Iterable<ServerState> servers, PlacementRequest request) {
     List<Candidate> candidates = new ArrayList<>();
-    ServiceView view = service.view();
-    for (int i = 0; i < view.size(); i++) {
-      evaluate(service, view.at(i), request).ifPresent(candidates::add);
+    for (ServerState server : servers) {
+      evaluate(service, server, request).ifPresent(candidates::add);
     }
     candidates.sort(Comparator.comparingDouble(Candidate::costMillis));
     return candidates;
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServiceView.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServiceView.java
@@ -1,5 +1,6 @@
 package org.wagtailpin.routing;
 
+import java.util.AbstractList;
 import java.util.List;
 import java.util.Optional;
 
@@ -26,6 +27,21 @@
     return near.size() + far.size();
   }
 
+  /** Returns a view of all servers, the near ones first. */
+  List<ServerState> all() {
+    return new AbstractList<>() {
+      @Override
+      public ServerState get(int index) {
+        return at(index);
+      }
+
+      @Override
+      public int size() {
+        return ServiceView.this.size();
+      }
+    };
+  }
+
   ServerState at(int index) {
     return index < near.size() ? near.get(index) : far.get(index - near.size());
   }
