--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -38,6 +38,7 @@
 import org.wagtailpin.membership.ConfigWatchController;
 import org.wagtailpin.membership.EqualShares;
 import org.wagtailpin.membership.FleetMembership;
+import org.wagtailpin.membership.HighestCount;
 import org.wagtailpin.membership.LimitShares;
 import org.wagtailpin.membership.Member;
 import org.wagtailpin.membership.Membership;
@@ -53,6 +54,9 @@
 
   private static final long FLUSH_TIMEOUT_MILLIS = 2_000;
 
+  /** Regions may lose each other for an hour. */
+  private static final long FLEET_SIZE_MEMORY_MILLIS = 2 * 3_600_000;
+
   private final long incarnation;
   private final StoreHttpClient storeClient;
   private final Store store;
@@ -155,7 +159,9 @@
             timing,
             seedNames(settings),
             events);
-    return new Fleet(fleet, new EqualShares(fleet::fleetSize));
+    return new Fleet(
+        fleet,
+        new EqualShares(new HighestCount(fleet::fleetSize, clock, FLEET_SIZE_MEMORY_MILLIS)));
   }
 
   private Fleet meshFleet(
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -23,6 +23,7 @@
   private final RouteStatistics statistics;
   private final ServerCosts costs;
   private final Clock clock;
+  private final RequestLimits limits;
 
   Dispatcher(
       ServerPicker picker,
@@ -30,13 +31,15 @@
       LimitShares shares,
       RouteStatistics statistics,
       ServerCosts costs,
-      Clock clock) {
+      Clock clock,
+      RequestLimits limits) {
     this.picker = picker;
     this.links = links;
     this.shares = shares;
     this.statistics = statistics;
     this.costs = costs;
     this.clock = clock;
+    this.limits = limits;
   }
 
   /** A server on which a slot is occupied for a call, and the reason for choosing it. */
@@ -62,7 +65,9 @@
     if (near.isPresent()) {
       return dispatchNear(service, near.get(), request);
     }
-    return dispatchToAny(service, request);
+    return picker.isHeldByLimit(service, request)
+        ? Optional.empty()
+        : dispatchToAny(service, request);
   }
 
   /**
@@ -109,7 +114,7 @@
 
   /** Returns whether the service has any server that takes work. */
   boolean hasServer(ServiceState service) {
-    return picker.anyAcceptingWork(service).isPresent();
+    return service.view().all().stream().anyMatch(picker::acceptsWork);
   }
 
   /**
@@ -201,7 +206,19 @@
    * @param priority the priority of the call; less urgent calls do not delay it
    */
   double queueWaitMillis(ServiceState service, int priority) {
-    return (service.queue().sizeAhead(priority) + 1) * millisPerSlot(service);
+    int ahead = service.queue().sizeAhead(priority);
+    return Math.max((ahead + 1) * millisPerSlot(service), limitWaitMillis(service, ahead));
+  }
+
+  /**
+   * Returns the expected time, in milliseconds, until the limits that servers name let a call
+   * through; 0 if a server that takes work has no limit.
+   *
+   * @param service the service
+   * @param ahead how many calls go first
+   */
+  double limitWaitMillis(ServiceState service, int ahead) {
+    return limits.waitMillis(service.view().all(), picker::acceptsWork, ahead);
   }
 
   /**
@@ -215,6 +232,15 @@
         : statistics.medianMillis(service.name()) / inFlight;
   }
 
+  /**
+   * Returns the expected time, in milliseconds, between two calls that this entry can serve, by its
+   * attempts in flight and by the limits that servers name.
+   */
+  double millisPerCall(ServiceState service) {
+    return Math.max(
+        millisPerSlot(service), limits.millisPerRequest(service.view().all(), picker::acceptsWork));
+  }
+
   /** Spreads the work over all servers that take work, as no near server is usable. */
   private Optional<Dispatch> dispatchToAny(ServiceState service, PlacementRequest request) {
     return picker
@@ -236,6 +262,10 @@
       server.load().releaseSlot();
       return Optional.empty();
     }
+    if (!limits.tryTake(server)) {
+      server.load().releaseSlot();
+      return Optional.empty();
+    }
     service.attemptStarted(request.longWork());
     return Optional.of(
         new Dispatch(
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementRule.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementRule.java
@@ -20,6 +20,8 @@
   DEADLINE("deadline"),
   /** Refused: the queue is too long to start the work in time. */
   QUEUE_TOO_LONG("queue-too-long"),
+  /** Refused: by the limits that all servers name, none takes the call in time. */
+  SERVER_LIMITS("server-limits"),
   /** Refused: the maximum time in the queue has passed. */
   QUEUE_TIME_OVER("queue-time-over");
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
@@ -154,6 +154,7 @@
         if (selected.size() < maxProbes
             && !probed.contains(server.server().name())
             && !hasFreshReport(server, now)
+            && server.requestLimit().isEmpty()
             && withinBudget(server)) {
           probed.add(server.server().name());
           selected.add(server);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -105,8 +105,8 @@
     this.table = new RoutingTable(config, locality, clock, links);
     ServerCosts costs = new ServerCosts(statistics);
     RequestLimits limits = new RequestLimits(shares, clock, random, observer);
-    ServerPicker picker = new ServerPicker(clock, random, leavingHosts, costs);
-    this.dispatcher = new Dispatcher(picker, links, shares, statistics, costs, clock);
+    ServerPicker picker = new ServerPicker(clock, random, leavingHosts, costs, limits);
+    this.dispatcher = new Dispatcher(picker, links, shares, statistics, costs, clock, limits);
     this.probes =
         new ProbeRounds(
             clock, picker, costs, probe, limits, new ProbeBudget(clock, shares), scheduler);
@@ -185,13 +185,18 @@
     if (now >= queued.call().deadlineMillis()) {
       return Optional.of(PlacementRule.DEADLINE);
     }
+    boolean checkQueueWait = queued.depth() == 0 && !queued.mayWait();
+    int ahead = checkQueueWait ? service.queue().sizeAhead(queued.priority()) : 0;
+    double limitWaitMillis = dispatcher.limitWaitMillis(service, ahead);
+    if (limitWaitMillis > 0 && now + limitWaitMillis > queued.latestStartMillis()) {
+      return Optional.of(PlacementRule.SERVER_LIMITS);
+    }
     if (service.inFlight() == 0) {
       return Optional.empty();
     }
     if (now > queued.latestStartMillis()) {
       return Optional.of(PlacementRule.DEADLINE);
     }
-    boolean checkQueueWait = queued.depth() == 0 && !queued.mayWait();
     if (checkQueueWait
         && now + dispatcher.queueWaitMillis(service, queued.priority())
             > queued.latestStartMillis()) {
@@ -255,7 +260,7 @@
             .map(state -> dispatcher.queueWaitMillis(state, queued.priority()))
             .orElse(Double.POSITIVE_INFINITY),
         Math.max(0, queued.maxWaitMillis()),
-        service.map(dispatcher::millisPerSlot).orElse(Double.POSITIVE_INFINITY),
+        service.map(dispatcher::millisPerCall).orElse(Double.POSITIVE_INFINITY),
         queued.call().deadlineMillis() - clock.millis());
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RequestLimits.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RequestLimits.java
@@ -1,9 +1,11 @@
 package org.wagtailpin.routing;
 
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.limits.RequestPace;
+import org.wagtailpin.limits.UncoordinatedRate;
 import org.wagtailpin.membership.LimitShares;
 
 /**
@@ -57,7 +59,13 @@
   }
 
   private double sharePerSecond(ServerLimit limit) {
-    return shares.share(Math.max(MIN_PER_SECOND, limit.perSecond()));
+    double wholePerSecond = Math.max(MIN_PER_SECOND, limit.perSecond());
+    double sharePerSecond = shares.share(wholePerSecond);
+    if (sharePerSecond <= 0) {
+      return 0;
+    }
+    double entries = Math.max(1, wholePerSecond / sharePerSecond);
+    return sharePerSecond * UncoordinatedRate.perSecond(wholePerSecond, entries) / wholePerSecond;
   }
 
   /** Returns whether a request may be sent to a server now. */
@@ -78,26 +86,48 @@
 
   /**
    * Returns the expected time, in milliseconds, until the limits let a request through; 0 if one of
-   * the servers has no limit.
+   * the servers has no limit, infinite if there is no server.
    *
-   * @param servers the servers that the request may be sent to
+   * @param servers the servers of the service
+   * @param accepts whether a server takes work
    * @param ahead how many requests go first
    */
-  double waitMillis(Iterable<ServerState> servers, int ahead) {
-    double totalPerSecond = 0;
+  double waitMillis(Iterable<ServerState> servers, Predicate<ServerState> accepts, int ahead) {
+    double millisPerRequest = millisPerRequest(servers, accepts);
+    if (millisPerRequest == 0 || Double.isInfinite(millisPerRequest)) {
+      return millisPerRequest;
+    }
     double nextMillis = Double.POSITIVE_INFINITY;
     for (ServerState server : servers) {
       Optional<ServerLimit> limit = server.requestLimit();
-      if (limit.isEmpty()) {
-        return 0;
+      if (limit.isPresent() && accepts.test(server)) {
+        RequestPace pace = limit.get().pace();
+        nextMillis =
+            Math.min(
+                nextMillis, pace.millisToNext(clock.exactMillis(), sharePerSecond(limit.get())));
+      }
+    }
+    return nextMillis + ahead * millisPerRequest;
+  }
+
+  /**
+   * Returns the expected time, in milliseconds, between two requests of this entry that the limits
+   * let through; 0 if one of the servers has no limit, infinite if there is no server.
+   *
+   * @param servers the servers of the service
+   * @param accepts whether a server takes work
+   */
+  double millisPerRequest(Iterable<ServerState> servers, Predicate<ServerState> accepts) {
+    double perSecond = 0;
+    for (ServerState server : servers) {
+      if (accepts.test(server)) {
+        Optional<ServerLimit> limit = server.requestLimit();
+        if (limit.isEmpty()) {
+          return 0;
+        }
+        perSecond += sharePerSecond(limit.get());
       }
-      double perSecond = sharePerSecond(limit.get());
-      totalPerSecond += perSecond;
-      nextMillis =
-          Math.min(nextMillis, limit.get().pace().millisToNext(clock.exactMillis(), perSecond));
     }
-    return totalPerSecond == 0
-        ? Double.POSITIVE_INFINITY
-        : nextMillis + ahead * MILLIS_PER_SECOND / totalPerSecond;
+    return MILLIS_PER_SECOND / perSecond;
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerCosts.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerCosts.java
@@ -17,6 +17,8 @@
 
   private static final double BYTES_PER_KIB = 1_024;
 
+  private static final double MILLIS_PER_SECOND = 1000;
+
   private final RouteStatistics statistics;
 
   ServerCosts(RouteStatistics statistics) {
@@ -39,7 +41,7 @@
         server
             .load()
             .otherLoad(
-                service.averageOtherLoad(slots),
+                expectedOtherLoad(service, server, medianServiceMillis),
                 server.health().reportTrust(),
                 settings.value(Tunable.REPORT_TRUST) * medianServiceMillis,
                 nowMillis);
@@ -65,6 +67,20 @@
     return new Candidate(server, costMillis, overload, load);
   }
 
+  /**
+   * Returns the work of other entries that a server is expected to have, in calls, without a recent
+   * report: what other servers have, but no more than the limit that it names lets through.
+   */
+  private static double expectedOtherLoad(
+      ServiceState service, ServerState server, double medianServiceMillis) {
+    double average = service.averageOtherLoad(server.server().slots());
+    return server
+        .requestLimit()
+        .map(limit -> limit.perSecond() * medianServiceMillis / MILLIS_PER_SECOND)
+        .map(limited -> Math.min(average, limited))
+        .orElse(average);
+  }
+
   /**
    * Returns whether one more call would raise the load of a server above the share of its slots
    * from which some servers slow down.
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
@@ -17,13 +17,19 @@
   private final UniformRandomProvider random;
   private final LeavingHosts leavingHosts;
   private final ServerCosts costs;
+  private final RequestLimits limits;
 
   ServerPicker(
-      Clock clock, UniformRandomProvider random, LeavingHosts leavingHosts, ServerCosts costs) {
+      Clock clock,
+      UniformRandomProvider random,
+      LeavingHosts leavingHosts,
+      ServerCosts costs,
+      RequestLimits limits) {
     this.clock = clock;
     this.random = random;
     this.leavingHosts = leavingHosts;
     this.costs = costs;
+    this.limits = limits;
   }
 
   /** Returns whether a server may be given new work, whatever its health. */
@@ -35,6 +41,10 @@
   }
 
   private boolean usable(ServerState server, PlacementRequest request) {
+    return usableButForLimits(server, request) && limits.allow(server);
+  }
+
+  private boolean usableButForLimits(ServerState server, PlacementRequest request) {
     long now = clock.millis();
     return acceptsWork(server)
         && !server.health().isEjected(now)
@@ -42,6 +52,12 @@
         && !request.history().servers().contains(server.server().name());
   }
 
+  /** Returns whether a server takes the request as soon as the limit that it names allows one. */
+  boolean isHeldByLimit(ServiceState service, PlacementRequest request) {
+    return service.view().all().stream()
+        .anyMatch(server -> usableButForLimits(server, request) && !limits.allow(server));
+  }
+
   /**
    * Returns the cheapest of a sample of the servers of this entry's region.
    *
@@ -133,7 +149,8 @@
 
   /**
    * Returns a random server that takes new work, whatever its health, so that work is spread over
-   * all servers when all of them look unhealthy. Near servers go first.
+   * all servers when all of them look unhealthy. Near servers go first. Limits that servers name
+   * hold here, too.
    *
    * @param service the service
    */
@@ -149,7 +166,7 @@
     int start = random.nextInt(servers.size());
     for (int i = 0; i < servers.size(); i++) {
       ServerState server = servers.get((start + i) % servers.size());
-      if (acceptsWork(server)) {
+      if (acceptsWork(server) && limits.allow(server)) {
         return Optional.of(costs.estimate(service, server, clock.exactMillis(), 0));
       }
     }
