--- a/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
@@ -31,6 +31,7 @@
   private final AtomicIntegerArray sizeAhead = new AtomicIntegerArray(PRIORITIES);
   private final AtomicBoolean probing = new AtomicBoolean();
   private double nextProbingMillis = Double.NEGATIVE_INFINITY;
+  private double nextFarProbingMillis = Double.NEGATIVE_INFINITY;
   private volatile int size;
 
   void add(QueuedCall call) {
@@ -81,6 +82,21 @@
     return true;
   }
 
+  /**
+   * Returns whether servers of other regions are to be probed as well this time. Called in a round
+   * only.
+   *
+   * @param nowMillis the current time
+   * @param pauseMillis the least time from one such probing to the next
+   */
+  boolean pollFarProbing(double nowMillis, double pauseMillis) {
+    if (nowMillis < nextFarProbingMillis) {
+      return false;
+    }
+    nextFarProbingMillis = nowMillis + pauseMillis;
+    return true;
+  }
+
   /** Clears the mark that servers are being probed. */
   void endProbing() {
     probing.set(false);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
@@ -58,7 +58,8 @@
   }
 
   /**
-   * Probes servers of this entry's region, or all if it has none, and then runs the callback.
+   * Probes servers of this entry's region, or all if none of these may be probed, and then runs the
+   * callback.
    *
    * @param service the service
    * @param request the request; servers that it has tried already are not probed
@@ -66,7 +67,13 @@
    */
   void runNear(ServiceState service, PlacementRequest request, Runnable callback) {
     ServiceView view = service.view();
-    run(service, view.near().isEmpty() ? view.all() : view.near(), request, callback);
+    boolean nearMayBeProbed = view.near().stream().anyMatch(this::mayBeProbed);
+    run(service, nearMayBeProbed ? view.near() : view.all(), request, callback);
+  }
+
+  /** Returns whether a probe of a server makes sense; each takes a request of a named limit. */
+  private boolean mayBeProbed(ServerState server) {
+    return picker.acceptsWork(server) && server.requestLimit().isEmpty();
   }
 
   private void run(
@@ -154,7 +161,7 @@
         if (selected.size() < maxProbes
             && !probed.contains(server.server().name())
             && !hasFreshReport(server, now)
-            && server.requestLimit().isEmpty()
+            && mayBeProbed(server)
             && withinBudget(server)) {
           probed.add(server.server().name());
           selected.add(server);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -26,6 +26,9 @@
  */
 public final class QueueingPlacement implements Placement {
 
+  /** Rounds of probes for the queue of which one includes servers of other regions. */
+  private static final int FAR_PROBE_ROUNDS = 5;
+
   private final Clock clock;
   private final TaskScheduler scheduler;
   private final RouteStatistics statistics;
@@ -299,24 +302,29 @@
 
   /**
    * Probes servers for the call that is next in the queue, so that a server that other entries have
-   * freed is found without an answer to this entry. Only near servers, as each entry with a queue
-   * repeats this and traffic between regions is dear.
+   * freed is found without an answer to this entry. Servers of other regions are probed less often,
+   * as each entry with a queue repeats this and traffic between regions is dear.
    */
   private void probeForHead(ServiceState service, boolean longFirst) {
     Optional<QueuedCall> head =
         head(service, service.queue().queueOf(longFirst))
             .or(() -> head(service, service.queue().queueOf(!longFirst)));
     double pauseMillis = service.view().settings().value(Tunable.REPORT_FRESH_MILLIS);
-    if (head.isEmpty() || !service.queue().tryBeginProbing(clock.exactMillis(), pauseMillis)) {
+    double now = clock.exactMillis();
+    if (head.isEmpty() || !service.queue().tryBeginProbing(now, pauseMillis)) {
       return;
     }
-    probes.runNear(
-        service,
-        placementRequest(head.get()),
+    Runnable serve =
         () -> {
           service.queue().endProbing();
           service.queue().run(() -> serveQueue(service));
-        });
+        };
+    PlacementRequest request = placementRequest(head.get());
+    if (service.queue().pollFarProbing(now, FAR_PROBE_ROUNDS * pauseMillis)) {
+      probes.run(service, request, serve);
+    } else {
+      probes.runNear(service, request, serve);
+    }
   }
 
   private Optional<QueuedCall> head(ServiceState service, PriorityQueues<QueuedCall> callQueue) {
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/QueueProbeTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/QueueProbeTest.java
@@ -37,6 +37,7 @@
         .tune(Tunable.SERVER_PROBES_PER_SECOND, PROBES_PER_SECOND)
         .tune(Tunable.MAX_QUEUE_MILLIS, MAX_QUEUE_MILLIS)
         .tune(Tunable.SERVER_QUEUE, 0)
+        .tune(Tunable.FAR_CANDIDATES, 64)
         .publish();
     for (int i = 0; i < 20; i++) {
       fixture.statistics.recordServiceTime(PlacementFixture.SERVICE, "short", WORK_MILLIS);
@@ -118,6 +119,18 @@
     }
   }
 
+  @Test
+  void queuedCallsRunInAnotherRegionWhileNearServersStayFull() {
+    fixture.server("far", "south", "s1", SLOTS);
+    loads.put("far", new LoadReport(SLOTS + 1, 0, false, 1));
+    queueBehindOthers(2);
+    fixture.loop.advance(100);
+    loads.put("far", new LoadReport(0, 0, false, 1));
+    fixture.loop.advance(400);
+
+    assertThat(calls.stream().filter(call -> call.grant().isPresent()).count()).isEqualTo(3);
+  }
+
   @Test
   void aQueueBeforeFullServersStaysWithinTheProbeBudget() {
     queueBehindOthers(3);
