--- a/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
@@ -29,9 +29,7 @@
   private final AtomicBoolean tickScheduled = new AtomicBoolean();
   private final AtomicBoolean sweepRequested = new AtomicBoolean();
   private final AtomicIntegerArray sizeAhead = new AtomicIntegerArray(PRIORITIES);
-  private final AtomicBoolean probing = new AtomicBoolean();
-  private double nextProbingMillis = Double.NEGATIVE_INFINITY;
-  private double nextFarProbingMillis = Double.NEGATIVE_INFINITY;
+  private final ProbeSchedule probeSchedule = new ProbeSchedule();
   private volatile int size;
 
   void add(QueuedCall call) {
@@ -67,39 +65,9 @@
     return sweepRequested.getAndSet(false);
   }
 
-  /**
-   * Returns whether servers may be probed for the queue now, and if so, marks that they are. Called
-   * in a round only.
-   *
-   * @param nowMillis the current time
-   * @param pauseMillis the least time from one beginning to the next
-   */
-  boolean tryBeginProbing(double nowMillis, double pauseMillis) {
-    if (nowMillis < nextProbingMillis || !probing.compareAndSet(false, true)) {
-      return false;
-    }
-    nextProbingMillis = nowMillis + pauseMillis;
-    return true;
-  }
-
-  /**
-   * Returns whether servers of other regions are to be probed as well this time. Called in a round
-   * only.
-   *
-   * @param nowMillis the current time
-   * @param pauseMillis the least time from one such probing to the next
-   */
-  boolean pollFarProbing(double nowMillis, double pauseMillis) {
-    if (nowMillis < nextFarProbingMillis) {
-      return false;
-    }
-    nextFarProbingMillis = nowMillis + pauseMillis;
-    return true;
-  }
-
-  /** Clears the mark that servers are being probed. */
-  void endProbing() {
-    probing.set(false);
+  /** Returns when servers are probed for the calls that wait. */
+  ProbeSchedule probeSchedule() {
+    return probeSchedule;
   }
 
   /** Returns how many calls the last round left in the queue; later arrivals are not counted. */
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -26,9 +26,6 @@
  */
 public final class QueueingPlacement implements Placement {
 
-  /** Rounds of probes for the queue of which one includes servers of other regions. */
-  private static final int FAR_PROBE_ROUNDS = 5;
-
   private final Clock clock;
   private final TaskScheduler scheduler;
   private final RouteStatistics statistics;
@@ -37,6 +34,7 @@
   private final Dispatcher dispatcher;
   private final AttemptRecorder recorder;
   private final ProbeRounds probes;
+  private final QueueProbes queueProbes;
   private final ReturnTime returnTime;
 
   /**
@@ -113,6 +111,7 @@
     this.probes =
         new ProbeRounds(
             clock, picker, costs, probe, limits, new ProbeBudget(clock, shares), scheduler);
+    this.queueProbes = new QueueProbes(clock, probes);
     this.recorder = new AttemptRecorder(clock, statistics, observer, limits);
     this.returnTime = new BacklogReturnTime(clock, random);
   }
@@ -300,31 +299,15 @@
     probeForHead(service, longFirst);
   }
 
-  /**
-   * Probes servers for the call that is next in the queue, so that a server that other entries have
-   * freed is found without an answer to this entry. Servers of other regions are probed less often,
-   * as each entry with a queue repeats this and traffic between regions is dear.
-   */
   private void probeForHead(ServiceState service, boolean longFirst) {
-    Optional<QueuedCall> head =
-        head(service, service.queue().queueOf(longFirst))
-            .or(() -> head(service, service.queue().queueOf(!longFirst)));
-    double pauseMillis = service.view().settings().value(Tunable.REPORT_FRESH_MILLIS);
-    double now = clock.exactMillis();
-    if (head.isEmpty() || !service.queue().tryBeginProbing(now, pauseMillis)) {
-      return;
-    }
-    Runnable serve =
-        () -> {
-          service.queue().endProbing();
-          service.queue().run(() -> serveQueue(service));
-        };
-    PlacementRequest request = placementRequest(head.get());
-    if (service.queue().pollFarProbing(now, FAR_PROBE_ROUNDS * pauseMillis)) {
-      probes.run(service, request, serve);
-    } else {
-      probes.runNear(service, request, serve);
-    }
+    head(service, service.queue().queueOf(longFirst))
+        .or(() -> head(service, service.queue().queueOf(!longFirst)))
+        .ifPresent(
+            head ->
+                queueProbes.run(
+                    service,
+                    placementRequest(head),
+                    () -> service.queue().run(() -> serveQueue(service))));
   }
 
   private Optional<QueuedCall> head(ServiceState service, PriorityQueues<QueuedCall> callQueue) {
