--- a/wagtailpin/src/main/java/org/wagtailpin/limits/QuantileEstimator.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/QuantileEstimator.java
@@ -11,6 +11,9 @@
  */
 final class QuantileEstimator {
 
+  /** Lower bound of a sample; estimates are divided by. */
+  private static final double MIN_MILLIS = 0.05;
+
   private final double quantile;
   private final double[] samples;
   private long count;
@@ -30,7 +33,7 @@
 
   synchronized void add(double sample, long nowMillis) {
     lastSampleMillis = nowMillis;
-    samples[(int) (count % samples.length)] = sample;
+    samples[(int) (count % samples.length)] = Math.max(MIN_MILLIS, sample);
     count++;
     double[] sorted = Arrays.copyOf(samples, (int) Math.min(count, samples.length));
     Arrays.sort(sorted);
