--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
@@ -229,7 +229,7 @@
             status,
             headers,
             load == null ? Optional.empty() : LoadReportHeader.read(load, dialect),
-            RequestLimitHeader.parse(headers.get(dialect.requestLimit())));
+            RequestLimitHeader.parse(status, headers.get(dialect.requestLimit())));
     notifyListener(() -> listener.head(head));
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/RequestLimitHeader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/RequestLimitHeader.java
@@ -1,11 +1,14 @@
 package org.wagtailpin.backend;
 
+import io.netty.handler.codec.http.HttpResponseStatus;
 import org.wagtailpin.routing.LimitStatement;
 
 /**
  * Parser for the header in which a backend server names how many requests a second it takes.
  *
- * <p>The value is a decimal number of at least 0. A value that is none states nothing.
+ * <p>The value is a decimal number of at least 0; any other value states nothing. An answer of
+ * another server at the address states nothing either, and an error without the header does not end
+ * a limit.
  */
 final class RequestLimitHeader {
 
@@ -16,13 +19,22 @@
   /**
    * Parses the value of the header.
    *
+   * @param status the status code of the answer
    * @param value the value, null if the answer lacks the header
-   * @return {@code Unlimited} without the header, {@code Unknown} if the value is not valid
    */
-  static LimitStatement parse(String value) {
+  static LimitStatement parse(int status, String value) {
+    if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+      return new LimitStatement.Unknown();
+    }
     if (value == null) {
-      return new LimitStatement.Unlimited();
+      return status < HttpResponseStatus.BAD_REQUEST.code()
+          ? new LimitStatement.Unlimited()
+          : new LimitStatement.Unknown();
     }
+    return parseNumber(value);
+  }
+
+  private static LimitStatement parseNumber(String value) {
     String number = value.strip();
     if (number.isEmpty() || number.length() > MAX_LENGTH) {
       return new LimitStatement.Unknown();
--- a/wagtailpin/src/main/java/org/wagtailpin/call/Attempt.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Attempt.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 import org.wagtailpin.backend.AnswerHead;
 import org.wagtailpin.backend.BackendExchange;
@@ -109,24 +108,13 @@
     load = head.load();
     status = head.status();
     refused = isRefusal(head);
-    limit = limitStatement(head);
+    limit = head.limit();
     unprovenRefusal = !refused && call.environment().dialect().notRunStatuses().contains(status);
     if (!refused && !unprovenRefusal) {
       call.answerBegan(head.status(), head.headers());
     }
   }
 
-  /**
-   * Returns what an answer states of the server's limit. An answer of another server at the address
-   * states nothing, and a failure without the header does not end a limit.
-   */
-  private LimitStatement limitStatement(AnswerHead head) {
-    boolean misdirected = head.status() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
-    boolean failure = refused || head.status() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
-    boolean ends = head.limit() instanceof LimitStatement.Unlimited;
-    return misdirected || (failure && ends) ? new LimitStatement.Unknown() : head.limit();
-  }
-
   private boolean isRefusal(AnswerHead head) {
     for (RefusalPattern pattern : service.refusals()) {
       if (pattern.status() == head.status() && matchesHeader(head, pattern)) {
--- a/wagtailpin/src/test/java/org/wagtailpin/backend/RequestLimitHeaderTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/backend/RequestLimitHeaderTest.java
@@ -12,12 +12,12 @@
   @ParameterizedTest
   @ValueSource(strings = {"3.7", " 3.7 ", "03.70"})
   void aDecimalNumberIsALimit(String value) {
-    assertThat(RequestLimitHeader.parse(value)).isEqualTo(new LimitStatement.Limited(3.7));
+    assertThat(RequestLimitHeader.parse(200, value)).isEqualTo(new LimitStatement.Limited(3.7));
   }
 
   @Test
   void anAnswerWithoutTheHeaderNamesNoLimit() {
-    assertThat(RequestLimitHeader.parse(null)).isEqualTo(new LimitStatement.Unlimited());
+    assertThat(RequestLimitHeader.parse(200, null)).isEqualTo(new LimitStatement.Unlimited());
   }
 
   @ParameterizedTest
@@ -35,6 +35,19 @@
         "12345678901234567890123456789012345"
       })
   void anyOtherValueStatesNothing(String value) {
-    assertThat(RequestLimitHeader.parse(value)).isEqualTo(new LimitStatement.Unknown());
+    assertThat(RequestLimitHeader.parse(200, value)).isEqualTo(new LimitStatement.Unknown());
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {400, 429, 500, 503})
+  void anErrorWithoutTheHeaderDoesNotEndALimit(int status) {
+    assertThat(RequestLimitHeader.parse(status, null)).isEqualTo(new LimitStatement.Unknown());
+    assertThat(RequestLimitHeader.parse(status, "2")).isEqualTo(new LimitStatement.Limited(2));
+  }
+
+  @Test
+  void anotherServerAtTheAddressStatesNothing() {
+    assertThat(RequestLimitHeader.parse(421, "2")).isEqualTo(new LimitStatement.Unknown());
+    assertThat(RequestLimitHeader.parse(421, null)).isEqualTo(new LimitStatement.Unknown());
   }
 }
