--- a/wagtailpin/src/main/java/org/wagtailpin/routing/LoadProbe.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/LoadProbe.java
@@ -11,7 +11,7 @@
    *
    * @param server the server
    * @param path the path of its probe
-   * @param done called once, on any thread, with what was learned
+   * @param done called once, on any thread, with the result
    */
   void probe(ConfigServer server, String path, Consumer<ProbeAnswer> done);
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeAnswer.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeAnswer.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 
 /**
- * What a probe learned of a server.
+ * The result of a load probe.
  *
  * @param load the load that the server reported, empty if none was received
  * @param limit what the answer stated of the requests that the server takes
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
@@ -71,7 +71,7 @@
     run(service, nearMayBeProbed ? view.near() : view.all(), request, callback);
   }
 
-  /** Returns whether a probe of a server makes sense; each takes a request of a named limit. */
+  /** Returns whether a server may be probed; a probe would count against a limit that it names. */
   private boolean mayBeProbed(ServerState server) {
     return picker.acceptsWork(server) && server.requestLimit().isEmpty();
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueProbes.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueProbes.java
@@ -29,7 +29,7 @@
    *
    * @param service the service
    * @param request the request of that call
-   * @param serveQueue serves the queue by what was learned
+   * @param serveQueue serves the queue by the new load reports
    */
   void run(ServiceState service, PlacementRequest request, Runnable serveQueue) {
     ProbeSchedule schedule = service.queue().probeSchedule();
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/FleetLimitTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/FleetLimitTest.java
@@ -33,6 +33,7 @@
   private static final long END_MILLIS = 45_000;
   private static final long WINDOW_MILLIS = 4_000;
   private static final long SETTLING_MILLIS = 3_000;
+  private static final long REACTION_MILLIS = 500;
   private static final int CALLS_AT_ONCE = 4;
   private static final double TOLERANCE = 1.5;
   private static final double SURPLUS = 5;
@@ -49,10 +50,10 @@
   private int refusedWithoutLimits;
   private long longestWaitOfRefusedMillis;
 
-  /** One entry, and which servers have told it a limit, and when. */
+  /** One entry, with the time of the first answer of each server that named a limit. */
   private final class Entry {
     private final QueueingPlacement placement;
-    private final Map<String, Long> toldMillis = new HashMap<>();
+    private final Map<String, Long> namedMillis = new HashMap<>();
     private boolean frozen;
 
     Entry(long seed) {
@@ -121,15 +122,15 @@
     if (limit == null || !limitsHold()) {
       return new LimitStatement.Unlimited();
     }
-    entry.toldMillis.putIfAbsent(server, now());
+    entry.namedMillis.putIfAbsent(server, now());
     return new LimitStatement.Limited(limit);
   }
 
-  /** Counts what arrives from entries that have known the limit for half a second. */
+  /** Counts what arrives from entries a reaction time after the limit was named to them. */
   private void arrive(Entry entry, String server) {
-    Long told = entry.toldMillis.get(server);
+    Long named = entry.namedMillis.get(server);
     boolean settled = now() >= LIMITS_FROM_MILLIS + SETTLING_MILLIS && limitsHold();
-    if (settled && told != null && told + 500 <= now()) {
+    if (settled && named != null && named + REACTION_MILLIS <= now()) {
       arrivals.computeIfAbsent(server, name -> new ArrayList<>()).add(now());
     }
   }
