Review: in one zone, a watcher that is cut from the store keeps its followers back

Cause: a watcher learns of the loss after 2.7 s at worst, and with one zone no other watcher passes changes on.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# Runs the case after review/build.sh; exits with 1 if the rule was broken, 0 if it held, 2 if the
+# case couldn't run. TROUBLE=0 leaves out the disruptions.
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+[ -f target/wagtailpin.jar ] && [ -f target/review/review/CutReader.class ] || exit 2
+java -cp "target/review:target/lib/*" review.CutReader "$here/record.txt"
+code=$?
+[ "$code" -le 1 ] || code=2
+exit "$code"
