--- a/review/standins/CutReader.java
+++ b/review/standins/CutReader.java
@@ -65,7 +65,7 @@
         Store store = new Store("127.0.2.1")) {
       code = new CutReader(record, !"0".equals(System.getenv("TROUBLE")), store).run();
     }
-    System.exit(code);
+    Result.end(code);
   }
 
   private int run() throws Exception {
--- a/review/standins/ForeignRegistration.java
+++ b/review/standins/ForeignRegistration.java
@@ -60,7 +60,7 @@
         Store store = new Store("127.0.2.1")) {
       code = new ForeignRegistration(record).run(trouble, store);
     }
-    System.exit(code);
+    Result.end(code);
   }
 
   private int run(boolean trouble, Store store) throws Exception {
--- a/review/standins/LateRejection.java
+++ b/review/standins/LateRejection.java
@@ -64,13 +64,13 @@
       for (Entry entry : entries) {
         if (!entry.awaitReady(20_000)) {
           record.result("the entry %s does not get ready", entry.name());
-          System.exit(2);
+          Result.end(2);
         }
       }
       Threads.sleep(2_000);
       code = run(trouble, entries, upstreams, record);
     }
-    System.exit(code);
+    Result.end(code);
   }
 
   private static int run(boolean trouble, List<Entry> entries, List<Upstream> upstreams, Record record)
--- a/review/standins/RouteName.java
+++ b/review/standins/RouteName.java
@@ -59,7 +59,7 @@
         Store store = new Store("127.0.2.1")) {
       code = new RouteName(record).run(trouble, store);
     }
-    System.exit(code);
+    Result.end(code);
   }
 
   private int run(boolean trouble, Store store) throws Exception {
--- a/review/standins/SilentStore.java
+++ b/review/standins/SilentStore.java
@@ -44,7 +44,7 @@
         Store store = new Store("127.0.2.1")) {
       code = run(trouble, store, record);
     }
-    System.exit(code);
+    Result.end(code);
   }
 
   private static int run(boolean trouble, Store store, Record record) throws Exception {
