Keep the watch of the store when a registration can't be read

Cause: PlatformRegistry converted slots to an int unchecked; the ArithmeticException left the listener of the watch before the next watch was scheduled. The logs end with an uncaught exception of the control loop, and the store's silence grows from then on.

On related paths: listeners of the configuration are isolated, and the steps of the membership, of the host list and of leaving hosts are scheduled also after an exception.

--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -108,8 +108,11 @@
    * run on the control loop. Call it once, on the control loop.
    */
   void refreshLeavingHosts() {
-    leavingHosts.publish(control.leavingAddresses());
-    loop.schedule(LEAVING_HOSTS_REFRESH_MILLIS, this::refreshLeavingHosts);
+    try {
+      leavingHosts.publish(control.leavingAddresses());
+    } finally {
+      loop.schedule(LEAVING_HOSTS_REFRESH_MILLIS, this::refreshLeavingHosts);
+    }
   }
 
   CallEnvironment environment() {
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigMerger.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigMerger.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import org.tinylog.Logger;
 import org.wagtailpin.clock.Clock;
 
 /**
@@ -73,10 +74,19 @@
     published.publish(merged);
     origin = new ConfigOrigin(source, peerName, clock.wallMillis());
     report = ConfigReport.of(merged, origin);
-    listeners.forEach(listener -> listener.configChanged(merged));
+    listeners.forEach(this::notifyOfChange);
     return true;
   }
 
+  /** An exception of one listener must not hide the change from the others or from the caller. */
+  private void notifyOfChange(ConfigListener listener) {
+    try {
+      listener.configChanged(merged);
+    } catch (RuntimeException e) {
+      Logger.error(e, "a listener of the configuration failed");
+    }
+  }
+
   /**
    * Marks the merged states as complete: an object that is not held did not exist at a number.
    *
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ObjectFieldsReader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ObjectFieldsReader.java
@@ -17,7 +17,6 @@
 
   private static final long MAX_DEADLINE_MILLIS = 3_600_000;
   private static final int MAX_PORT = 65_535;
-  private static final int MAX_SLOTS = 100_000;
   private static final int MAX_CONNECTIONS = 1_000_000;
   private static final double MAX_ONE_WAY_MILLIS = 10_000;
   private static final long MAX_BYTES_PER_SECOND = 1L << 50;
@@ -191,11 +190,12 @@
     int port = (int) in.integer("port", 1, MAX_PORT);
     String region = in.name("region");
     String failureDomain = in.name("failureDomain");
-    int slots = (int) in.integer("slots", 1, MAX_SLOTS);
+    int slots = (int) in.integer("slots", 1, ConfigServer.MAX_SLOTS);
     int connections = (int) in.integer("connections", 1, MAX_CONNECTIONS);
     boolean leaving = in.bool("leaving", false);
     long startedMillis = in.integer("startedMillis", 0, Long.MAX_VALUE, 0);
-    int slowStartMillis = (int) in.integer("slowStartMillis", 0, MAX_DEADLINE_MILLIS, 0);
+    int slowStartMillis =
+        (int) in.integer("slowStartMillis", 0, ConfigServer.MAX_SLOW_START_MILLIS, 0);
     long sequence = in.integer("sequence", 0, Long.MAX_VALUE, 0);
     in.endObject();
     return new ConfigServer(
--- a/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
@@ -73,6 +73,7 @@
   SETTINGS_REFUSED("settings-refused", false, "detail"),
   STORE_LOST("store-lost", false, "detail"),
   STORE_REGAINED("store-regained", false, "awayMillis"),
+  STORE_RESULT_FAILED("store-result-failed", false, "revision", "detail"),
   HISTORY_LOST("history-lost", false, "revision"),
   LIST_OLDER("list-older", false, "revision", "known"),
   CONFIG_READ("config-read", false, "config", "revision"),
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -159,6 +159,16 @@
     if (stopped) {
       return;
     }
+    try {
+      step();
+    } finally {
+      // An exception of one step must not end the membership.
+      double jitter = 1 - TICK_JITTER + 2 * TICK_JITTER * random.nextDouble();
+      loop.schedule((long) (timing.beatMillis() * jitter / TICKS_PER_BEAT), this::tick);
+    }
+  }
+
+  private void step() {
     long now = clock.millis();
     knowledge.recordSelf(now, leaving, watch.running(), beats.current(now));
     if (watch.running()) {
@@ -168,8 +178,6 @@
     }
     knowledge.forgetOld(now);
     status.publish(now, leaving);
-    double jitter = 1 - TICK_JITTER + 2 * TICK_JITTER * random.nextDouble();
-    loop.schedule((long) (timing.beatMillis() * jitter / TICKS_PER_BEAT), this::tick);
   }
 
   private void followStep(long now) {
--- a/wagtailpin/src/main/java/org/wagtailpin/hostlist/HostListPoller.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/hostlist/HostListPoller.java
@@ -73,6 +73,15 @@
   }
 
   private void handleResult(HostListResult result) {
+    try {
+      process(result);
+    } finally {
+      double jitter = 1 - JITTER_RATIO + 2 * JITTER_RATIO * random.nextDouble();
+      loop.schedule((long) (intervalMillis * jitter), this::poll);
+    }
+  }
+
+  private void process(HostListResult result) {
     if (result instanceof HostListResult.Listed listed && !listed.hosts().isEmpty()) {
       intervalMillis = settings.pollMillis();
       apply(listed.hosts());
@@ -80,8 +89,6 @@
       intervalMillis = Math.min(settings.maxBackoffMillis(), 2 * intervalMillis);
       Logger.debug("host list read failed or was empty: {}", result);
     }
-    double jitter = 1 - JITTER_RATIO + 2 * JITTER_RATIO * random.nextDouble();
-    loop.schedule((long) (intervalMillis * jitter), this::poll);
   }
 
   private void apply(List<Host> hosts) {
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/Membership.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/Membership.java
@@ -160,14 +160,22 @@
     if (stopped) {
       return;
     }
+    try {
+      step();
+    } finally {
+      // An exception of one step must not end the membership.
+      double jitter = 1 - HEARTBEAT_JITTER + 2 * HEARTBEAT_JITTER * random.nextDouble();
+      loop.schedule((long) (settings.heartbeatMillis() * jitter), this::tick);
+    }
+  }
+
+  private void step() {
     fleet.update();
     updateReadMode();
     deleteStaleRegistrations();
     heartbeats.sendToAll();
     contactSeeds();
     publish();
-    double jitter = 1 - HEARTBEAT_JITTER + 2 * HEARTBEAT_JITTER * random.nextDouble();
-    loop.schedule((long) (settings.heartbeatMillis() * jitter), this::tick);
   }
 
   private void updateReadMode() {
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
@@ -21,8 +21,8 @@
  * Lists the keys with a prefix once, and then watches the store for changes to them.
  *
  * <p>At most one store call is outstanding. The keys are listed again when a watch fails, when the
- * store has compacted the changes, and when the store's revision has decreased. Runs on the control
- * loop only.
+ * store has compacted the changes, when the store's revision has decreased, and when the listener
+ * threw an exception. Runs on the control loop only.
  */
 final class PrefixWatcher {
 
@@ -50,6 +50,15 @@
 
     /** Called when a store call succeeded, before its result is passed on. */
     void callSucceeded();
+
+    /**
+     * Called when {@link #listed} or {@link #changed} threw an exception. The keys are listed again
+     * after a pause.
+     *
+     * @param revision the store revision of the result that was not processed
+     * @param cause the exception
+     */
+    void processingFailed(long revision, RuntimeException cause);
   }
 
   /** Below the maximum wait of stores, 30 s; dead connections are detected by other means. */
@@ -120,11 +129,11 @@
 
   private void afterList(ListResult result) {
     if (result instanceof ListResult.Listed list && list.storeRevision() >= revision) {
-      backoff.reset();
       listener.callSucceeded();
       revision = list.storeRevision();
-      listener.listed(list.entries(), revision);
-      watch();
+      if (process(() -> listener.listed(list.entries(), revision))) {
+        watch();
+      }
     } else if (result instanceof ListResult.Listed stale) {
       events.recordEvent(
           Event.of(EventKind.LIST_OLDER)
@@ -143,15 +152,15 @@
 
   private void afterWatch(WatchResult result) {
     if (result instanceof WatchResult.Changed changed && changed.storeRevision() >= revision) {
-      backoff.reset();
       listener.callSucceeded();
       revision = changed.storeRevision();
-      listener.changed(changed.changes(), revision);
-      if (changed.changes().isEmpty()) {
-        watch();
-      } else {
-        // Changes come in bursts, such as a release of a service.
-        scheduleNext(batchMillis.getAsLong(), this::watch);
+      if (process(() -> listener.changed(changed.changes(), revision))) {
+        if (changed.changes().isEmpty()) {
+          watch();
+        } else {
+          // Changes come in bursts, such as a release of a service.
+          scheduleNext(batchMillis.getAsLong(), this::watch);
+        }
       }
     } else if (result instanceof WatchResult.Failed failed) {
       listener.callFailed(failed.fault());
@@ -163,6 +172,23 @@
     }
   }
 
+  /**
+   * Passes a result on. An exception must not end the watch, on which all later changes depend.
+   *
+   * @return whether the result was processed; if not, the next list is scheduled
+   */
+  private boolean process(Runnable notification) {
+    try {
+      notification.run();
+      backoff.reset();
+      return true;
+    } catch (RuntimeException e) {
+      listener.processingFailed(revision, e);
+      scheduleRetry(this::list);
+      return false;
+    }
+  }
+
   private void scheduleRetry(Runnable next) {
     scheduleNext(backoff.nextMillis(), next);
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.tinylog.Logger;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigKind;
 import org.wagtailpin.config.ConfigMerger;
@@ -125,7 +126,7 @@
     if (!entry.key().equals(format.documentKey())) {
       return;
     }
-    DocumentReadResult result = format.readDocument(entry.value());
+    DocumentReadResult result = readDocument(entry);
     if (result instanceof DocumentReadResult.Read read) {
       VersionedObject document =
           new VersionedObject(read.document().id(), entry.revision(), Optional.of(read.document()));
@@ -230,6 +231,16 @@
       lastAnswerMillis = clock.millis();
       recordStoreRegained();
     }
+
+    @Override
+    public void processingFailed(long revision, RuntimeException cause) {
+      listed = false;
+      Logger.error(cause, "failed to process a result of the store");
+      events.recordEvent(
+          Event.of(EventKind.STORE_RESULT_FAILED)
+              .with("revision", revision)
+              .with("detail", cause.toString()));
+    }
   }
 
   private Optional<String> serverName(String key) {
@@ -254,7 +265,7 @@
     if (name.isEmpty()) {
       return;
     }
-    ServerReadResult result = format.readServer(name.get(), entry.value());
+    ServerReadResult result = readServer(name.get(), entry);
     if (result instanceof ServerReadResult.Read read) {
       Optional<RegisteredServer> known = registered(name.get());
       RegisteredServer newest =
@@ -271,6 +282,25 @@
     }
   }
 
+  /** Reads a registration, which anyone may have written, so that one cannot hide the others. */
+  private ServerReadResult readServer(String name, StoreEntry entry) {
+    try {
+      return format.readServer(name, entry.value());
+    } catch (RuntimeException e) {
+      Logger.error(e, "failed to read the registration of a server");
+      return new ServerReadResult.Unreadable(e.toString());
+    }
+  }
+
+  private DocumentReadResult readDocument(StoreEntry entry) {
+    try {
+      return format.readDocument(entry.value());
+    } catch (RuntimeException e) {
+      Logger.error(e, "failed to read the operator's document");
+      return new DocumentReadResult.Unreadable(e.toString());
+    }
+  }
+
   /**
    * Returns the newest registration of a server that this entry knows, from the store or from other
    * entries. Registrations of a server can reach the store out of order.
--- /dev/null
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/PrefixWatcherTest.java
@@ -0,0 +1,96 @@
+package org.wagtailpin.registry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.wagtailpin.clock.ManualClock;
+import org.wagtailpin.control.ManualControlLoop;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.eventlog.NoOpEventLog;
+import org.wagtailpin.routing.SharedRandom;
+import org.wagtailpin.store.StoreChange;
+import org.wagtailpin.store.StoreEntry;
+import org.wagtailpin.store.WriteCondition;
+import org.wagtailpin.store.memory.MemoryStore;
+
+class PrefixWatcherTest {
+
+  private static final long WAIT_MILLIS = 5_000;
+
+  private final ManualClock clock = new ManualClock(1_000_000);
+  private final ManualControlLoop loop = new ManualControlLoop(clock);
+  private final MemoryStore store = new MemoryStore(clock, loop);
+  private final RecordingListener listener = new RecordingListener();
+  private final PrefixWatcher watcher =
+      new PrefixWatcher(
+          store, loop, "", new SharedRandom(1), () -> 10, listener, new NoOpEventLog());
+
+  /** Records the keys of its results, and throws an exception for some of them. */
+  private static final class RecordingListener implements PrefixWatcher.Listener {
+    private final List<String> keys = new ArrayList<>();
+    private int failuresLeft;
+    private int failures;
+
+    @Override
+    public void listed(List<StoreEntry> entries, long revision) {
+      failIfDue();
+      entries.forEach(entry -> keys.add(entry.key()));
+    }
+
+    @Override
+    public void changed(List<StoreChange> changes, long revision) {
+      failIfDue();
+      changes.forEach(change -> keys.add(change.key()));
+    }
+
+    @Override
+    public void callFailed(Fault fault) {}
+
+    @Override
+    public void callSucceeded() {}
+
+    @Override
+    public void processingFailed(long revision, RuntimeException cause) {
+      failures++;
+    }
+
+    private void failIfDue() {
+      if (failuresLeft > 0) {
+        failuresLeft--;
+        throw new IllegalStateException("test");
+      }
+    }
+  }
+
+  private void put(String key) {
+    store.write(
+        key, key.getBytes(StandardCharsets.UTF_8), new WriteCondition.Always(), Optional.empty());
+    loop.advance(WAIT_MILLIS);
+  }
+
+  @Test
+  void aChangeOnWhichTheListenerThrowsIsListedAgainAndLaterOnesAreWatched() {
+    watcher.start();
+    listener.failuresLeft = 1;
+    put("a");
+    put("b");
+
+    assertThat(listener.failures).isEqualTo(1);
+    assertThat(listener.keys).containsAtLeast("a", "b");
+  }
+
+  @Test
+  void aListOnWhichTheListenerThrowsIsRepeated() {
+    listener.failuresLeft = 2;
+    watcher.start();
+    put("a");
+    put("b");
+
+    assertThat(listener.failures).isEqualTo(2);
+    assertThat(listener.keys).containsAtLeast("a", "b");
+  }
+}
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/RegistryWatcherTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/RegistryWatcherTest.java
@@ -164,6 +164,56 @@
     assertThat(server("b")).isEmpty();
   }
 
+  // Guards against a registration of another writer that ended the watch of the store, so that no
+  // later change of the configuration or of a server came into force.
+  @Test
+  void aRegistrationOnWhichTheFormatThrowsHidesNoLaterChange() {
+    register("a", "staying 1 1");
+    register("b", "staying many 1");
+
+    register("a", "leaving 1 2");
+    put(TestRegistryFormat.DOCUMENT, "one");
+    loop.advance(SHORT_WAIT_MILLIS);
+
+    assertThat(server("a").orElseThrow().leaving()).isTrue();
+    assertThat(server("b")).isEmpty();
+    assertThat(published.current().service("one")).isPresent();
+    assertThat(watcher.current()).isTrue();
+  }
+
+  // Guards against entries that did not get ready after a restart of all, as their first list held
+  // a registration of another writer.
+  @Test
+  void aRegistrationOnWhichTheFormatThrowsHidesNoOtherInTheFirstList() {
+    watcher.stop();
+    put(TestRegistryFormat.SERVERS + "a", "staying many 1");
+    put(TestRegistryFormat.SERVERS + "b", "staying 1 1");
+    put(TestRegistryFormat.DOCUMENT, "one");
+
+    watcher.start();
+    loop.advance(SHORT_WAIT_MILLIS);
+
+    assertThat(server("b")).isPresent();
+    assertThat(published.current().service("one")).isPresent();
+    assertThat(watcher.current()).isTrue();
+  }
+
+  @Test
+  void aListenerThatThrowsHidesAChangeFromNoOther() {
+    List<Long> digests = new ArrayList<>();
+    merger.addListener(
+        merged -> {
+          throw new IllegalStateException("test");
+        });
+    merger.addListener(merged -> digests.add(merged.digest()));
+
+    register("a", "staying 1 1");
+    register("b", "staying 1 1");
+
+    assertThat(digests).hasSize(2);
+    assertThat(server("b")).isPresent();
+  }
+
   @Test
   void serversMayRegisterAgainAfterAStoreOutage() {
     register("a", "staying 1 1");
