Send a request again on another connection only

Cause: all sendings of a caller's request share the identifier that servers echo. A second sending on the connection that carried the first took the server's repeated rejection for its answer.

Change: a call remembers the connections that carried its identifier and sends on others. Probes skip answers that bear an identifier; skipped answers are counted.

--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryGauges.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryGauges.java
@@ -44,6 +44,11 @@
                     .storeSilenceMillis()
                     .ifPresent(millis -> gauge.call(seconds(millis))))
         .register(registry);
+    registerCounter(
+        registry,
+        "wagtailpin_backend_stale_answers",
+        "Answers discarded because they belonged to an earlier request.",
+        node.traffic()::staleAnswers);
     registerServerGauges(registry, node);
     registerPeerGauges(registry, node);
     registerCounter(
--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -129,6 +129,11 @@
     return backend.openConnections();
   }
 
+  /** Returns how many answers of backend servers were discarded as surplus. */
+  long staleAnswers() {
+    return backend.staleAnswers();
+  }
+
   @Override
   public void close() {
     backend.close();
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClient.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClient.java
@@ -105,7 +105,7 @@
         new RequestBuilder(request.method(), true)
             .setUri(uri)
             .setHeaders(request.headers())
-            .setChannelPoolPartitioning(connections);
+            .setChannelPoolPartitioning(new ConnectionChoice(connections, request.sentOn()));
     if (request.body() instanceof RequestBody.Buffered held) {
       builder.setBody(held.bytes());
     } else if (request.body() instanceof RequestBody.Streamed streamed) {
@@ -119,6 +119,11 @@
     return pool.openConnections();
   }
 
+  /** Returns how many answers were discarded because they belonged to an earlier request. */
+  public long staleAnswers() {
+    return pool.staleAnswers();
+  }
+
   private void closeIdle() {
     pool.closeExpired(clock.millis());
     pool.closeIdleSince(clock.millis() - settings.idleTimeoutMillis());
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
@@ -171,6 +171,7 @@
     reusable = false;
     if (message instanceof LastHttpContent) {
       staleAnswer = false;
+      connections.countStaleAnswer();
     }
     ReferenceCountUtil.release(message);
     context.read();
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
@@ -144,13 +144,14 @@
    */
   boolean isStaleAnswer(HttpHeaders headers) {
     String echo = headers.get(dialect.echoedHeader());
-    return !request.isProbe() && echo != null && !echo.equals(request.attempt());
+    return echo != null && !echo.equals(request.attempt());
   }
 
   private void bind(Channel channel) {
     step = Step.SEND_REQUEST;
     BackendConnectionHandler handler = BackendConnectionHandler.of(channel);
     handler.assign(this, connections);
+    request.sentOn().add(channel);
     connection = handler;
   }
 
@@ -182,9 +183,7 @@
 
   private Optional<String> rejectionReason(HttpHeaders headers) {
     String echo = headers.get(dialect.echoedHeader());
-    boolean mismatched =
-        !request.isProbe()
-            && (echo == null ? request.echoesAttempt() : !echo.equals(request.attempt()));
+    boolean mismatched = echo == null ? request.echoesAttempt() : !echo.equals(request.attempt());
     if (mismatched) {
       return Optional.of("the answer belongs to another request");
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendRequest.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendRequest.java
@@ -16,6 +16,8 @@
  * @param attempt the identifier of the attempt, empty for a probe
  * @param echoesAttempt whether the server repeats that identifier in its answers, so that an answer
  *     without it is rejected
+ * @param sentOn the connections that carried the identifier of the attempt, which the request must
+ *     not use; the one that it uses is added
  */
 public record BackendRequest(
     ConfigServer server,
@@ -25,10 +27,11 @@
     HttpHeaders headers,
     RequestBody body,
     String attempt,
-    boolean echoesAttempt) {
+    boolean echoesAttempt,
+    SentConnections sentOn) {
 
   /**
-   * Creates a probe. It has no body and no attempt identifier, so its answer is not matched.
+   * Creates a probe. It has no body and no attempt identifier, and its answer must not bear one.
    *
    * @param server the server to probe
    * @param method the HTTP method
@@ -38,7 +41,15 @@
   static BackendRequest probe(
       ConfigServer server, String method, String path, HttpHeaders headers) {
     return new BackendRequest(
-        server, method, path, Optional.empty(), headers, new RequestBody.None(), "", false);
+        server,
+        method,
+        path,
+        Optional.empty(),
+        headers,
+        new RequestBody.None(),
+        "",
+        false,
+        new SentConnections());
   }
 
   /** Returns whether the request is a probe. */
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/ConnectionPool.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/ConnectionPool.java
@@ -42,24 +42,33 @@
     return servers.values().stream().mapToInt(ServerConnections::openCount).sum();
   }
 
+  long staleAnswers() {
+    return servers.values().stream().mapToLong(ServerConnections::staleAnswers).sum();
+  }
+
+  private static ServerConnections serverOf(Object key) {
+    return ((ConnectionChoice) key).server();
+  }
+
   @Override
   public void acquireChannelLock(Object key) throws IOException {
-    ((ServerConnections) key).acquire();
+    serverOf(key).acquire();
   }
 
   @Override
   public void releaseChannelLock(Object key) {
-    ((ServerConnections) key).release();
+    serverOf(key).release();
   }
 
   @Override
   public boolean offer(Channel channel, Object key) {
-    return open && ((ServerConnections) key).offer(channel);
+    return open && serverOf(key).offer(channel);
   }
 
   @Override
   public Channel poll(Object key) {
-    return ((ServerConnections) key).poll();
+    ConnectionChoice choice = (ConnectionChoice) key;
+    return choice.server().poll(choice.excluded());
   }
 
   @Override
@@ -84,7 +93,7 @@
   @Override
   public void flushPartitions(Predicate<Object> predicate) {
     for (ServerConnections connections : servers.values()) {
-      if (predicate.test(connections)) {
+      if (predicate.test(new ConnectionChoice(connections, new SentConnections()))) {
         connections.closeIdleSince(Long.MAX_VALUE);
       }
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/ServerConnections.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/ServerConnections.java
@@ -4,31 +4,21 @@
 import java.io.IOException;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.asynchttpclient.channel.ChannelPoolPartitioning;
-import org.asynchttpclient.proxy.ProxyServer;
-import org.asynchttpclient.uri.Uri;
+import java.util.concurrent.atomic.LongAdder;
 
-/**
- * The connections to one backend server: the number of open ones and the idle ones.
- *
- * <p>An instance serves as the partition key of its server in AsyncHttpClient's pool. Thread-safe.
- */
-final class ServerConnections implements ChannelPoolPartitioning {
+/** The connections to one backend server: how many are open, and which are idle. Thread-safe. */
+final class ServerConnections {
 
   private final String name;
   private final AtomicInteger openCount = new AtomicInteger();
   private final ConcurrentLinkedDeque<Channel> idleChannels = new ConcurrentLinkedDeque<>();
+  private final LongAdder staleAnswers = new LongAdder();
   private volatile int maxOpen;
 
   ServerConnections(String name) {
     this.name = name;
   }
 
-  @Override
-  public Object getPartitionKey(Uri uri, String virtualHost, ProxyServer proxy) {
-    return this;
-  }
-
   void setMaxOpen(int connections) {
     maxOpen = connections;
   }
@@ -69,16 +59,19 @@
   /**
    * Removes and returns an idle connection, preferably one on the current thread's event loop.
    *
-   * @return the connection, or null if none is idle
+   * @param excluded connections that are left in the pool
+   * @return the connection, or null if no other one is idle
    */
-  Channel poll() {
+  Channel poll(SentConnections excluded) {
     for (Channel channel : idleChannels) {
-      if (channel.eventLoop().inEventLoop() && removeAndCheckActive(channel)) {
+      if (channel.eventLoop().inEventLoop()
+          && !excluded.contains(channel)
+          && removeAndCheckActive(channel)) {
         return channel;
       }
     }
     for (Channel channel : idleChannels) {
-      if (removeAndCheckActive(channel)) {
+      if (!excluded.contains(channel) && removeAndCheckActive(channel)) {
         return channel;
       }
     }
@@ -103,6 +96,15 @@
     return idleChannels.removeFirstOccurrence(channel);
   }
 
+  void countStaleAnswer() {
+    staleAnswers.increment();
+  }
+
+  /** Returns how many answers were discarded because they belonged to an earlier request. */
+  long staleAnswers() {
+    return staleAnswers.sum();
+  }
+
   /** Closes the connections that have been idle since the given time or longer. */
   void closeIdleSince(long millis) {
     for (Channel channel : idleChannels) {
--- a/wagtailpin/src/main/java/org/wagtailpin/call/AttemptRequestFactory.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/AttemptRequestFactory.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import org.wagtailpin.backend.BackendRequest;
 import org.wagtailpin.backend.RequestBody;
+import org.wagtailpin.backend.SentConnections;
 import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.config.ConfigService;
 import org.wagtailpin.transport.HttpDialect;
@@ -16,6 +17,7 @@
   private final ConfigService service;
   private final RequestBody body;
   private final HttpDialect dialect;
+  private final SentConnections sentOn = new SentConnections();
 
   AttemptRequestFactory(
       IncomingRequest request, ConfigService service, RequestBody body, HttpDialect dialect) {
@@ -41,8 +43,10 @@
     headers.set(dialect.requestId(), request.id());
     headers.set(dialect.deadline(), Long.toString(Math.max(1, remainingMillis)));
     String attempt = request.id();
+    SentConnections carriers = sentOn;
     if (dialect.attempt().isPresent()) {
       attempt = request.id() + "." + number;
+      carriers = new SentConnections();
       headers.set(dialect.attempt().get(), attempt);
       addOrigin(headers);
     }
@@ -55,7 +59,8 @@
         headers,
         body,
         attempt,
-        service.echoesAttempt());
+        service.echoesAttempt(),
+        carriers);
   }
 
   private void addOrigin(HttpHeaders headers) {
--- a/wagtailpin/src/test/java/org/wagtailpin/call/AnswerMatchingTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/AnswerMatchingTest.java
@@ -3,8 +3,19 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
+import org.wagtailpin.backend.BackendLoadProbe;
+import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.routing.ProbeAnswer;
+import org.wagtailpin.transport.EventLoops;
+import org.wagtailpin.transport.HttpDialect;
 
 /** Tests how answers are matched to their requests, validated and relayed. */
 class AnswerMatchingTest {
@@ -200,4 +211,106 @@
       }
     }
   }
+
+  /** A server that rejects a request at first, and repeats that answer before a later request. */
+  private static RawServer.Script rejectsOnceAndRepeatsItsAnswer() {
+    Map<RawServer.Connection, String> repeated = new ConcurrentHashMap<>();
+    return (request, to) -> {
+      String id = "Wagtailpin-Request-Id: " + request.header("wagtailpin-request-id") + "\r\n";
+      String earlier = repeated.remove(to);
+      if (earlier != null) {
+        to.send(earlier);
+      }
+      if (request.text().equals("run") || earlier != null) {
+        to.send("HTTP/1.1 200 OK\r\n" + id + "Content-Length: 3\r\n\r\nran");
+        return true;
+      }
+      String rejection =
+          "HTTP/1.1 503 Full\r\nWagtailpin-Refused: not-run\r\n" + id + "Content-Length: 0\r\n\r\n";
+      to.send(rejection);
+      repeated.put(to, rejection);
+      return true;
+    };
+  }
+
+  // Guards against "not run" for a request that ran: a repeated rejection was taken for the answer
+  // to the next sending of the same request on the same connection.
+  @Test
+  void aRepeatedRejectionIsNotTakenForTheAnswerToTheNextSending() throws Exception {
+    AtomicInteger sendings = new AtomicInteger();
+    RawServer.Script rejecting = rejectsOnceAndRepeatsItsAnswer();
+    try (RawServer server =
+            new RawServer(
+                (request, to) -> {
+                  sendings.incrementAndGet();
+                  return rejecting.serve(request, to);
+                });
+        // Two servers with one address share their connections.
+        TestEntry entry =
+            new TestEntry.Builder()
+                .server(server.port())
+                .server(server.port())
+                .sharesIdentifierAmongAttempts()
+                .echoes()
+                .start()) {
+      RawHttpMessage answer = entry.call("POST", "", "order");
+
+      // Each sending came on a connection of its own, and the server rejected both.
+      assertThat(sendings.get()).isEqualTo(2);
+      assertThat(server.connections()).isEqualTo(2);
+      assertThat(answer.status()).isEqualTo(503);
+    }
+  }
+
+  @Test
+  void aRepeatedRejectionIsSkippedBeforeTheAnswerToAnotherRequest() throws Exception {
+    try (RawServer server = new RawServer(rejectsOnceAndRepeatsItsAnswer());
+        TestEntry entry =
+            new TestEntry.Builder()
+                .server(server.port())
+                .sharesIdentifierAmongAttempts()
+                .echoes()
+                .start();
+        RawCaller caller = entry.caller()) {
+      assertThat(caller.call("POST", "/x", "", "order").status()).isEqualTo(503);
+      assertThat(caller.call("POST", "/x", "", "run").text()).isEqualTo("ran");
+
+      assertThat(server.connections()).isEqualTo(1);
+      assertThat(entry.backend().staleAnswers()).isEqualTo(1);
+    }
+  }
+
+  private static String loadReport(String header, int inFlight) {
+    return "HTTP/1.1 200 OK\r\n%sWagtailpin-Load: inflight=%d, queued=0\r\nContent-Length: 0\r\n\r\n"
+        .formatted(header, inFlight);
+  }
+
+  @Test
+  void aRepeatedAnswerIsNotTakenForTheAnswerToAProbe() throws Exception {
+    EventLoopGroup loops = EventLoops.createAffine(1, "test-probe");
+    try (RawServer server =
+            new RawServer(
+                (request, to) -> {
+                  if (request.startLine().startsWith("GET /health")) {
+                    to.send(loadReport("Wagtailpin-Attempt: earlier.1\r\n", 9));
+                    to.send(loadReport("", 3));
+                    return true;
+                  }
+                  return to.answer(request, "", "whole");
+                });
+        TestEntry entry = new TestEntry.Builder().server(server.port()).echoes().start()) {
+      assertThat(entry.call("POST", "", "order").text()).isEqualTo("whole");
+      CompletableFuture<ProbeAnswer> answer = new CompletableFuture<>();
+      new BackendLoadProbe(entry.backend(), loops, HttpDialect.standard(), 2_000)
+          .probe(
+              new ConfigServer("s1", "127.0.0.1", server.port(), "r", "d", 6, 100, false),
+              "/health",
+              answer::complete);
+
+      assertThat(answer.get(4, TimeUnit.SECONDS).load().orElseThrow().inFlight()).isEqualTo(3);
+      assertThat(server.connections()).isEqualTo(1);
+    } finally {
+      loops.shutdownGracefully();
+    }
+  }
 }
--- a/wagtailpin/src/test/java/org/wagtailpin/call/TestEntry.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/TestEntry.java
@@ -23,6 +23,7 @@
 import org.wagtailpin.config.IdempotencyKeyRule;
 import org.wagtailpin.config.RefusalPattern;
 import org.wagtailpin.transport.EventLoops;
+import org.wagtailpin.transport.HttpDialect;
 
 /**
  * The traffic path of an entry on the loopback interface, with one route and one service. Servers
@@ -54,6 +55,7 @@
     private long maxAnswerBytes = CallSettings.defaults().maxAnswerBytes();
     private ListenerKind kind = ListenerKind.PUBLIC;
     private CallerLimits limits = CallerLimits.defaults();
+    private HttpDialect dialect = HttpDialect.standard();
 
     public Builder server(int port) {
       ports.add(port);
@@ -85,6 +87,29 @@
       return this;
     }
 
+    /** Has all attempts of a call bear the identifier of the call, which servers repeat. */
+    public Builder sharesIdentifierAmongAttempts() {
+      HttpDialect standard = HttpDialect.standard();
+      dialect =
+          new HttpDialect(
+              standard.requestId(),
+              standard.callerTimeout(),
+              standard.deadline(),
+              standard.load(),
+              standard.loadFormat(),
+              standard.requestLimit(),
+              Optional.empty(),
+              Optional.empty(),
+              Optional.empty(),
+              Optional.empty(),
+              false,
+              Set.of(),
+              false,
+              false,
+              false);
+      return this;
+    }
+
     public Builder internal() {
       kind = ListenerKind.INTERNAL;
       return this;
@@ -106,7 +131,11 @@
     placement = new InOrderPlacement(snapshot.servers("work"));
     backend =
         new BackendClient(
-            BackendSettings.defaults(), loops, server -> builder.maxConnections, clock);
+            BackendSettings.defaults(),
+            loops,
+            server -> builder.maxConnections,
+            clock,
+            builder.dialect);
     environment =
         new CallEnvironment(
             settings(builder.maxAnswerBytes),
@@ -117,7 +146,8 @@
             backend,
             clock,
             events,
-            metrics);
+            metrics,
+            builder.dialect);
     listener =
         new CallerListener(
             new CallerSettings(builder.kind, "127.0.0.1", 0, "e1", builder.limits),
