Hold removals back only after outages in which registrations can lapse

Cause: a test of the store each 2 s, an idle connection that stayed in use until the call's own timeout of 1.5 s, and 2.2 s for which removals were held back after any interruption add up to more than the bound. store-regained gave the time since the loss was noticed, not since the last answer.

Change: a test of the store has its own timeout, after which idle connections are closed and a second test follows at once; tests are made each 1.2 s; removals are held back only if the store was away for two renewal intervals. Log: silentMillis, graceMillis, server-removal-held.

--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -210,7 +210,7 @@
     lastFailedChallengeMillis = now;
     var unused =
         store
-            .readStale(StorePing.KEY)
+            .readStale(StorePing.KEY, timing.pingTimeoutMillis())
             .thenAccept(
                 result ->
                     loop.execute(
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/FleetTiming.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/FleetTiming.java
@@ -37,7 +37,7 @@
   private static final long RESTART_WAIT_MILLIS = 250;
   private static final long FIRST_START_WAIT_MILLIS = 2_000;
   private static final long CHALLENGE_STEP_MILLIS = 700;
-  private static final long PING_MILLIS = 2_000;
+  private static final long PING_MILLIS = 1_200;
   private static final long PING_TIMEOUT_MILLIS = 700;
   private static final long EXCHANGE_MILLIS = 5_000;
 
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/StorePing.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/StorePing.java
@@ -27,6 +27,15 @@
   private boolean pending;
   private boolean lost;
 
+  /**
+   * Creates a test that is not running.
+   *
+   * @param store the store to test
+   * @param watch is told of the loss and the return of the store
+   * @param loop the control loop
+   * @param clock measures the time between tests
+   * @param timing that time, and how long an answer is awaited
+   */
   StorePing(Store store, StoreWatch watch, ControlLoop loop, Clock clock, FleetTiming timing) {
     this.store = store;
     this.watch = watch;
@@ -43,11 +52,17 @@
     if (pending || clock.millis() - heardMillis < dueMillis) {
       return;
     }
+    send();
+  }
+
+  private void send() {
     pending = true;
     long current = ++sequence;
     var unused =
-        store.readStale(KEY).thenAccept(result -> loop.execute(() -> answered(current, result)));
-    loop.schedule(timing.pingTimeoutMillis(), () -> timedOut(current));
+        store
+            .readStale(KEY, timing.pingTimeoutMillis())
+            .thenAccept(result -> loop.execute(() -> answered(current, result)));
+    loop.schedule(2 * timing.pingTimeoutMillis(), () -> abandon(current));
   }
 
   private void answered(long answeredSequence, ReadResult result) {
@@ -63,19 +78,25 @@
     if (lost || !watch.current()) {
       lost = false;
       watch.storeReachabilityChanged(true);
+    } else {
+      watch.storeAnswered();
     }
   }
 
-  private void timedOut(long sentSequence) {
+  /** Ends a test whose call neither succeeded nor failed, which would block all later ones. */
+  private void abandon(long sentSequence) {
     if (pending && sentSequence == sequence) {
+      pending = false;
       recordLost();
     }
   }
 
+  /** After the first failure a second test follows at once, which opens a connection. */
   private void recordLost() {
     if (!lost) {
       lost = true;
       watch.storeReachabilityChanged(false);
+      send();
     }
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryFormat.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryFormat.java
@@ -12,6 +12,9 @@
   /** Returns the key prefix of registrations; the rest of a key is the server's name. */
   String serverPrefix();
 
+  /** Returns the interval at which servers renew their registrations, in milliseconds. */
+  long renewalMillis();
+
   /**
    * Reads the operator's document.
    *
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -31,8 +31,8 @@
  * <p>Each becomes a configuration object that is versioned by the store revision, so that states
  * from the store and from other entries can be merged in any order. A server whose registration is
  * missing after a store outage is kept for a grace period, since its lease may have expired only
- * because the server could not reach the store either. Runs on the control loop only, except for
- * {@link #lastAnswerMillis}.
+ * because the server could not reach the store either. An interruption that is too short for that
+ * holds no removal back. Runs on the control loop only, except for {@link #lastAnswerMillis}.
  */
 public final class RegistryWatcher implements StoreWatch {
 
@@ -42,6 +42,12 @@
    */
   public static final long REREGISTRATION_GRACE_MILLIS = 2_200;
 
+  /**
+   * Number of renewal intervals without the store from which on a registration may lapse. It lapses
+   * after three without a renewal, of which one may precede the outage.
+   */
+  private static final int MIN_LAPSE_INTERVALS = 2;
+
   /** Without a document nothing can be served, so changes are gathered for longer. */
   private static final long BATCHES_BEFORE_DOCUMENT = 2;
 
@@ -51,13 +57,14 @@
   private final Clock clock;
   private final ConfigMerger merger;
   private final RegistryFormat format;
+  private final long minLapseMillis;
   private final EventLog events;
   private final PrefixWatcher prefixWatcher;
   private long documentRevision;
   private boolean listed;
   private boolean storeUnreachable;
   private long storeRegainedMillis = NEVER;
-  private long storeLostMillis = NEVER;
+  private long lastContactMillis;
   private volatile long lastAnswerMillis = NEVER;
 
   /**
@@ -86,6 +93,8 @@
     this.clock = clock;
     this.merger = merger;
     this.format = format;
+    this.lastContactMillis = clock.millis();
+    this.minLapseMillis = MIN_LAPSE_INTERVALS * format.renewalMillis();
     this.events = events;
     this.prefixWatcher =
         new PrefixWatcher(
@@ -157,6 +166,13 @@
     }
   }
 
+  @Override
+  public void storeAnswered() {
+    if (!storeUnreachable) {
+      lastContactMillis = clock.millis();
+    }
+  }
+
   @Override
   public long lastAnswerMillis() {
     return lastAnswerMillis;
@@ -170,18 +186,33 @@
   private void recordStoreLost(String detail) {
     if (!storeUnreachable) {
       storeUnreachable = true;
-      storeLostMillis = clock.millis();
-      events.recordEvent(Event.of(EventKind.STORE_LOST).with("detail", detail));
+      events.recordEvent(
+          Event.of(EventKind.STORE_LOST)
+              .with("detail", detail)
+              .with("silentMillis", sinceContactMillis()));
     }
   }
 
+  /** Returns the time since the store last answered or, before that, since this was created. */
+  private long sinceContactMillis() {
+    return clock.millis() - lastContactMillis;
+  }
+
   private void recordStoreRegained() {
+    long now = clock.millis();
     if (storeUnreachable) {
       storeUnreachable = false;
-      storeRegainedMillis = clock.millis();
-      long awayMillis = storeRegainedMillis - storeLostMillis;
-      events.recordEvent(Event.of(EventKind.STORE_REGAINED).with("awayMillis", awayMillis));
+      long awayMillis = sinceContactMillis();
+      boolean mayHaveLapsed = awayMillis >= minLapseMillis;
+      if (mayHaveLapsed) {
+        storeRegainedMillis = now;
+      }
+      events.recordEvent(
+          Event.of(EventKind.STORE_REGAINED)
+              .with("awayMillis", awayMillis)
+              .with("graceMillis", mayHaveLapsed ? REREGISTRATION_GRACE_MILLIS : 0));
     }
+    lastContactMillis = now;
   }
 
   /** Converts the content of the store into object states. */
@@ -336,6 +367,11 @@
       removeUnlessReregistered(name, revision, states);
       return;
     }
+    events.recordEvent(
+        Event.of(EventKind.SERVER_REMOVAL_HELD)
+            .with("server", name)
+            .with("revision", revision)
+            .with("waitMillis", waitMillis));
     loop.schedule(waitMillis, () -> endGracePeriod(name, revision));
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/store/RateLimitedStore.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/RateLimitedStore.java
@@ -90,6 +90,14 @@
         () -> new ReadResult.Failed(overBudget(Step.READ_STORE)));
   }
 
+  @Override
+  public CompletableFuture<ReadResult> readStale(String key, long timeoutMillis) {
+    return callWithinBudget(
+        StoreCallKind.READ,
+        () -> store.readStale(key, timeoutMillis),
+        () -> new ReadResult.Failed(overBudget(Step.READ_STORE)));
+  }
+
   @Override
   public CompletableFuture<ListResult> list(String prefix) {
     return callWithinBudget(
--- a/wagtailpin/src/main/java/org/wagtailpin/store/Store.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/Store.java
@@ -25,8 +25,10 @@
    * such reads charges less for them.
    *
    * @param key the full key
+   * @param timeoutMillis the time after which the call fails, in milliseconds, if the store client
+   *     allows one for a single call; calls after that use none of the connections open before
    */
-  default CompletableFuture<ReadResult> readStale(String key) {
+  default CompletableFuture<ReadResult> readStale(String key, long timeoutMillis) {
     return read(key);
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/store/StoreWatch.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/StoreWatch.java
@@ -23,6 +23,9 @@
    */
   void storeReachabilityChanged(boolean reachable);
 
+  /** Called when a test of the store succeeded while it was taken to be reachable. */
+  void storeAnswered();
+
   /** Returns when a call last succeeded, by the monotonic clock. Thread-safe. */
   long lastAnswerMillis();
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/store/memory/FaultyStoreClient.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/memory/FaultyStoreClient.java
@@ -40,11 +40,16 @@
 
   @Override
   public CompletableFuture<ReadResult> read(String key) {
+    return readStale(key, timeoutMillis);
+  }
+
+  @Override
+  public CompletableFuture<ReadResult> readStale(String key, long answerTimeoutMillis) {
     return call(
         () -> faultyStore.read(key),
         new ReadResult.Failed(refused(Step.READ_STORE)),
         new ReadResult.Failed(timeout(Step.READ_STORE)),
-        timeoutMillis);
+        answerTimeoutMillis);
   }
 
   @Override
--- a/wagtailpin/src/test/java/org/wagtailpin/fleet/DomainFleetTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/fleet/DomainFleetTest.java
@@ -218,4 +218,27 @@
     // An entry of its own retry loop would call more than once a second.
     assertThat(during).isLessThan((int) (3 * 17 * REST_MILLIS / 1_000 / 4));
   }
+
+  // Guards against work on a server that left: removals were held back after the open connections
+  // to
+  // the store went silent, as if the store had been away.
+  @Test
+  void aServerIsGoneInTimeWhenItsRemovalFollowsSilentConnectionsToTheStore() {
+    for (int domains : new int[] {1, 3, 6, 9}) {
+      for (long calmMillis = 0; calmMillis < 3_000; calmMillis += 250) {
+        SimulatedDomains fleet = started(domains, 3);
+        fleet.advance(calmMillis);
+        fleet.silenceStoreConnections();
+        fleet.advance(500);
+        fleet.deregister("a");
+        fleet.advance(SimulatedDomains.CALM_MILLIS - 500);
+
+        for (SimulatedMember member : fleet.members()) {
+          assertWithMessage("%s of %s domains, after %s ms", member.id(), domains, calmMillis)
+              .that(member.servers())
+              .isEmpty();
+        }
+      }
+    }
+  }
 }
--- a/wagtailpin/src/test/java/org/wagtailpin/fleet/SimulatedDomains.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/fleet/SimulatedDomains.java
@@ -30,7 +30,7 @@
   /** How long an entry and the store must be without a fault for the bound to hold. */
   static final long CALM_MILLIS = 3_000;
 
-  private static final long STORE_TIMEOUT_MILLIS = 1_500;
+  static final long STORE_TIMEOUT_MILLIS = 1_500;
   private static final long MAX_DELAY_MILLIS = 12;
   private static final long START_MILLIS = 1_000_000;
   private static final int SEEDS = 3;
@@ -139,6 +139,11 @@
     changeStoreFaults();
   }
 
+  /** Has the open connections of all entries to the store go silent; new ones work. */
+  void silenceStoreConnections() {
+    members.values().forEach(SimulatedMember::silenceStoreConnections);
+  }
+
   void endStoreCuts() {
     Set.copyOf(storeCut).forEach(entry -> cutFromStore(entry, false));
   }
--- a/wagtailpin/src/test/java/org/wagtailpin/fleet/SimulatedMember.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/fleet/SimulatedMember.java
@@ -1,7 +1,6 @@
 package org.wagtailpin.fleet;
 
-import java.lang.reflect.InvocationTargetException;
-import java.lang.reflect.Proxy;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.apache.commons.rng.simple.RandomSource;
@@ -35,7 +34,8 @@
   private int highestVersion;
   private long disturbedMillis;
   private boolean cut;
-  private int storeCalls;
+  private Optional<SilentConnections> storeConnections = Optional.empty();
+  private int earlierStoreCalls;
 
   SimulatedMember(SimulatedDomains fleet, String id, String domain) {
     this.fleet = fleet;
@@ -56,7 +56,12 @@
         fleet
             .wrapper()
             .wrap(fleet.network().connect(new PeerIdentity(id, self.incarnation()), started));
-    Store store = countingStore(fleet.store().client(id));
+    earlierStoreCalls = storeCalls();
+    SilentConnections connections =
+        new SilentConnections(
+            fleet.store().client(id), started, SimulatedDomains.STORE_TIMEOUT_MILLIS);
+    storeConnections = Optional.of(connections);
+    Store store = connections.client();
     published = new PublishedConfig();
     ConfigMerger merger = new ConfigMerger(fleet.clock(), new MergedConfig(), published);
     FleetTiming timing = FleetTiming.within(SimulatedDomains.BOUND_MILLIS, firstStart);
@@ -89,19 +94,9 @@
     started.execute(membership::start);
   }
 
-  private Store countingStore(Store store) {
-    return (Store)
-        Proxy.newProxyInstance(
-            Store.class.getClassLoader(),
-            new Class<?>[] {Store.class},
-            (proxy, method, args) -> {
-              storeCalls += method.getName().equals("readStale") ? 0 : 1;
-              try {
-                return method.invoke(store, args);
-              } catch (InvocationTargetException e) {
-                throw e.getCause();
-              }
-            });
+  /** Has the connections to the store that are open now go silent. */
+  void silenceStoreConnections() {
+    storeConnections.ifPresent(SilentConnections::silence);
   }
 
   void kill() {
@@ -205,6 +200,6 @@
   }
 
   int storeCalls() {
-    return storeCalls;
+    return earlierStoreCalls + storeConnections.map(SilentConnections::calls).orElse(0);
   }
 }
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/RegistryWatcherTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/RegistryWatcherTest.java
@@ -233,6 +233,18 @@
     assertThat(server("b")).isEmpty();
   }
 
+  @Test
+  void anInterruptionThatIsTooShortForARegistrationToLapseHoldsNoRemovalBack() {
+    register("a", "staying 1 1");
+    watcher.storeReachabilityChanged(false);
+    remove(TestRegistryFormat.SERVERS + "a");
+    loop.advance(SHORT_WAIT_MILLIS);
+    watcher.storeReachabilityChanged(true);
+    loop.advance(SHORT_WAIT_MILLIS);
+
+    assertThat(server("a")).isEmpty();
+  }
+
   @Test
   void aLeavingServerIsGoneAtOnceAlsoAfterAStoreOutage() {
     register("a", "leaving 1 1");
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/TestRegistryFormat.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/TestRegistryFormat.java
@@ -13,6 +13,8 @@
   public static final String DOCUMENT = "operator/document";
   public static final String SERVERS = "members/";
 
+  private static final long RENEWAL_MILLIS = 1_500;
+
   @Override
   public String documentKey() {
     return DOCUMENT;
@@ -28,6 +30,11 @@
     return SERVERS;
   }
 
+  @Override
+  public long renewalMillis() {
+    return RENEWAL_MILLIS;
+  }
+
   @Override
   public DocumentReadResult readDocument(byte[] value) {
     String text = new String(value, StandardCharsets.UTF_8);
