Let followers know at once that their watcher has lost the store

Change: tests each 200 ms for each failure domain, at most each 1.2 s; the loss and the return of the store are announced at once; a follower's grace for a new watcher counts from when it began to follow it. Beside it: several watchers of an only domain get to know of one another, so that one remains.

--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -92,6 +92,7 @@
     FleetTiming timing =
         FleetTiming.within(
             Math.min(settings.propagationMillis(), settings.withdrawalMillis()),
+            Math.max(1, settings.failureDomains().size()),
             settings.firstStart());
     registryWatcher =
         platform
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/BeatExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/BeatExchange.java
@@ -206,6 +206,11 @@
         || beat.getState().getWatching()) {
       ack.addAllWatchers(knowledge.directory().toRecords(now));
     }
+    if (knowledge.isOwn(member) && beat.getState().getWatching()) {
+      // The directory holds one watcher of a domain, so that of two the sender would miss the
+      // other.
+      ack.addAllWatchers(knowledge.otherOwnWatchers(sender, now));
+    }
     return CompletableFuture.completedFuture(PeerFrame.newBuilder().setDomainBeatAck(ack));
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -73,6 +73,7 @@
   private long lastFailedChallengeMillis = NEVER;
   private long lastBeatMillis = NEVER;
   private long lastExchangeMillis = NEVER;
+  private boolean announcedCurrent;
   private boolean successorCheckScheduled;
   private boolean leaving;
   private boolean stopped;
@@ -123,7 +124,7 @@
     String ownAddress = MutableAddressBook.addressName(self.address(), self.peerPort());
     this.seeds = seeds.stream().filter(seed -> !seed.equals(ownAddress)).toList();
     this.succession = new SuccessionRule(timing);
-    this.ping = new StorePing(store, watch, loop, clock, timing);
+    this.ping = new StorePing(store, watch, loop, clock, timing, this::announceStoreState);
     this.pusher = new ConfigPusher(merger);
     this.followed = new FollowedWatcher(timing, clock.millis());
     this.knowledge = new FleetKnowledge(self, domains, addresses);
@@ -248,6 +249,7 @@
     pusher.restart();
     ping.reset();
     watch.start();
+    announcedCurrent = false;
     announce();
     seeds.forEach(beats::send);
     knowledge
@@ -261,7 +263,16 @@
     knowledge.liveOthers(clock.millis()).forEach(beats::send);
   }
 
+  /** Announces the loss or the return of the store, on which followers depend. */
+  private void announceStoreState() {
+    if (watch.running() && announcedCurrent != watch.current()) {
+      announcedCurrent = watch.current();
+      announce();
+    }
+  }
+
   private void watchStep(long now) {
+    announceStoreState();
     Optional<String> other = betterWatcher(now);
     if (other.isPresent()) {
       stopWatching(other.get(), now);
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/FleetKnowledge.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/FleetKnowledge.java
@@ -119,6 +119,22 @@
     }
   }
 
+  /** Returns the live entries of the own domain that said they watch, but for one, as messages. */
+  List<WatcherRecord> otherOwnWatchers(String entry, long now) {
+    List<WatcherRecord> others = new ArrayList<>();
+    for (DomainMembers.Peer peer : ownMembers().live(now)) {
+      if (peer.watching() && !peer.member().id().equals(entry)) {
+        others.add(
+            WatcherRecord.newBuilder()
+                .setRecord(EntryKeys.toRecord(peer.member()))
+                .setDomainSize(ownSize(now))
+                .setHeardAgoMillis(Math.max(0, now - peer.heardMillis()))
+                .build());
+      }
+    }
+    return others;
+  }
+
   private void recordAddress(Member member) {
     // A host name would be resolved, which blocks the control loop.
     if (!member.equals(addressed.put(member.id(), member))
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/FleetTiming.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/FleetTiming.java
@@ -37,7 +37,8 @@
   private static final long RESTART_WAIT_MILLIS = 250;
   private static final long FIRST_START_WAIT_MILLIS = 2_000;
   private static final long CHALLENGE_STEP_MILLIS = 700;
-  private static final long PING_MILLIS = 1_200;
+  private static final long PING_MILLIS_PER_DOMAIN = 200;
+  private static final long MAX_PING_MILLIS = 1_200;
   private static final long PING_TIMEOUT_MILLIS = 700;
   private static final long EXCHANGE_MILLIS = 5_000;
 
@@ -46,10 +47,12 @@
    * lost at that moment.
    *
    * @param propagationMillis how soon a change must be in force everywhere, in milliseconds
+   * @param domains the number of failure domains, at least 1. The fewer there are, the more often
+   *     each watcher tests the store: a lone one has no other that passes a change on.
    * @param firstStart whether all entries start for the first time, so that nobody has a
    *     configuration yet and nobody waits for one
    */
-  public static FleetTiming within(long propagationMillis, boolean firstStart) {
+  public static FleetTiming within(long propagationMillis, int domains, boolean firstStart) {
     long bound =
         Math.max(MIN_PROPAGATION_MILLIS, Math.min(MAX_PROPAGATION_MILLIS, propagationMillis));
     return new FleetTiming(
@@ -58,7 +61,7 @@
         RANK_STEP_MILLIS,
         firstStart ? FIRST_START_WAIT_MILLIS : RESTART_WAIT_MILLIS,
         CHALLENGE_STEP_MILLIS,
-        PING_MILLIS,
+        Math.min(MAX_PING_MILLIS, PING_MILLIS_PER_DOMAIN * domains),
         PING_TIMEOUT_MILLIS,
         EXCHANGE_MILLIS,
         (long) (bound * BATCH_SHARE));
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/FollowedWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/FollowedWatcher.java
@@ -13,6 +13,7 @@
   private WatcherStanding standing = WatcherStanding.UNKNOWN;
   private long sinceMillis;
   private long lastGoodMillis;
+  private long followedSinceMillis;
 
   FollowedWatcher(FleetTiming timing, long nowMillis) {
     this.timing = timing;
@@ -30,10 +31,16 @@
   /** Follows a watcher, which has the time of a silence to give its first answer. */
   void follow(String entry, long nowMillis) {
     id = Optional.of(entry);
+    followedSinceMillis = nowMillis;
     lastGoodMillis = nowMillis;
     set(WatcherStanding.FOLLOWED, nowMillis);
   }
 
+  /** Returns since when this watcher is followed, whatever its standing. */
+  long followedSinceMillis() {
+    return followedSinceMillis;
+  }
+
   /** Follows no watcher. */
   void lose(long nowMillis) {
     id = Optional.empty();
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/StorePing.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/StorePing.java
@@ -22,6 +22,7 @@
   private final ControlLoop loop;
   private final Clock clock;
   private final FleetTiming timing;
+  private final Runnable onLoss;
   private long lastAnswerMillis = NEVER;
   private long sequence;
   private boolean pending;
@@ -35,13 +36,21 @@
    * @param loop the control loop
    * @param clock measures the time between tests
    * @param timing that time, and how long an answer is awaited
+   * @param onLoss called when a test fails after one that succeeded
    */
-  StorePing(Store store, StoreWatch watch, ControlLoop loop, Clock clock, FleetTiming timing) {
+  StorePing(
+      Store store,
+      StoreWatch watch,
+      ControlLoop loop,
+      Clock clock,
+      FleetTiming timing,
+      Runnable onLoss) {
     this.store = store;
     this.watch = watch;
     this.loop = loop;
     this.clock = clock;
     this.timing = timing;
+    this.onLoss = onLoss;
   }
 
   /** Sends a test if one is due. */
@@ -96,6 +105,7 @@
     if (!lost) {
       lost = true;
       watch.storeReachabilityChanged(false);
+      onLoss.run();
       send();
     }
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/WatcherFollowing.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/WatcherFollowing.java
@@ -87,7 +87,7 @@
   private void recordStoreLost(long now) {
     boolean justBegun =
         followed.standing(now) == WatcherStanding.FOLLOWED
-            && now - followed.sinceMillis(now) < timing.silenceMillis();
+            && now - followed.followedSinceMillis() < timing.silenceMillis();
     // A watcher that has just begun is not current before its first list.
     if (!justBegun && followed.standing(now) != WatcherStanding.STORE_LOST) {
       watch.storeReachabilityChanged(false);
--- a/wagtailpin/src/test/java/org/wagtailpin/fleet/DomainFleetTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/fleet/DomainFleetTest.java
@@ -10,6 +10,8 @@
 
   private static final long SETTLE_MILLIS = 15_000;
   private static final long REST_MILLIS = 30_000;
+  private static final int ROUNDS = 4;
+  private static final long CUT_MILLIS = 3_400;
   private static final int MAX_CALLS_PER_DOMAIN_AT_REST = 6;
 
   private static SimulatedDomains started(int domains, int entriesPerDomain) {
@@ -241,4 +243,40 @@
       }
     }
   }
+
+  // Guards against a version that came into force too late at followers: in the only domain, nobody
+  // else passed on a change while their watcher did not yet know that it was cut from the store.
+  @Test
+  void aChangeIsInForceInTimeWhenTheOnlyWatcherOfTheFleetIsCutOffFromTheStore() {
+    for (int entries : new int[] {2, 3, 5, 17}) {
+      for (long calmMillis = 0; calmMillis < 1_000; calmMillis += 90) {
+        SimulatedDomains fleet = started(1, entries);
+        fleet.advance(calmMillis);
+        for (int round = 0; round < ROUNDS; round++) {
+          SimulatedMember watcher = watcher(fleet, "d0");
+          fleet.cutFromStore(watcher.id(), true);
+          fleet.advance(100);
+          changeReachesAllBut(fleet, watcher);
+          fleet.advance(CUT_MILLIS);
+          fleet.endStoreCuts();
+          fleet.advance(SETTLE_MILLIS);
+        }
+      }
+    }
+  }
+
+  @Test
+  void ofSeveralWatchersOfTheOnlyDomainOneRemains() {
+    for (int entries : new int[] {5, 8, 12, 17}) {
+      for (int seed = 1; seed <= 5; seed++) {
+        SimulatedDomains fleet = new SimulatedDomains(seed);
+        fleet.start(1, entries);
+        fleet.advance(SETTLE_MILLIS);
+
+        assertWithMessage("%s entries, seed %s", entries, seed)
+            .that(fleet.watchers("d0"))
+            .hasSize(1);
+      }
+    }
+  }
 }
--- a/wagtailpin/src/test/java/org/wagtailpin/fleet/SimulatedMember.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/fleet/SimulatedMember.java
@@ -64,7 +64,8 @@
     Store store = connections.client();
     published = new PublishedConfig();
     ConfigMerger merger = new ConfigMerger(fleet.clock(), new MergedConfig(), published);
-    FleetTiming timing = FleetTiming.within(SimulatedDomains.BOUND_MILLIS, firstStart);
+    FleetTiming timing =
+        FleetTiming.within(SimulatedDomains.BOUND_MILLIS, fleet.domains().size(), firstStart);
     watcher =
         new RegistryWatcher(
             store,
--- a/wagtailpin/src/test/java/org/wagtailpin/fleet/SuccessionRuleTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/fleet/SuccessionRuleTest.java
@@ -8,7 +8,7 @@
 
   private static final long BOUND_MILLIS = 2_000;
 
-  private final FleetTiming timing = FleetTiming.within(BOUND_MILLIS, false);
+  private final FleetTiming timing = FleetTiming.within(BOUND_MILLIS, 3, false);
   private final SuccessionRule rule = new SuccessionRule(timing);
 
   @Test
