Read the objects of other entries without the checks of tickets

Cause: followers read their watcher's document with the checks of tickets on names and ranges, which the platform's format doesn't make, and left out what failed them.

Change: of objects from other entries only the types are checked.

--- a/wagtailpin/src/main/java/org/wagtailpin/config/ObjectFieldsReader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ObjectFieldsReader.java
@@ -110,23 +110,23 @@
 
   private static Optional<String> path(JsonObjectReader in, String key) {
     Optional<String> path = in.optionalString(key);
-    if (path.isPresent() && !path.get().startsWith("/")) {
-      in.addProblem(key, "a path that begins with /");
-    }
+    in.requireValue(path.isEmpty() || path.get().startsWith("/"), key, "a path that begins with /");
     return path;
   }
 
   private static ConfigRoute route(JsonObjectReader in) {
     String name = in.name("name");
     Optional<String> host = in.optionalString("host");
-    if (host.isPresent() && !host.get().equals(host.get().toLowerCase(Locale.ROOT))) {
-      in.addProblem("host", "a host name in lower case");
-    }
+    in.requireValue(
+        host.equals(host.map(text -> text.toLowerCase(Locale.ROOT))),
+        "host",
+        "a host name in lower case");
     String pathPrefix = path(in, "pathPrefix").orElse("/");
     Set<String> methods = new TreeSet<>(in.strings("methods"));
-    if (!methods.stream().allMatch(method -> method.matches("[A-Z]+"))) {
-      in.addProblem("methods", "HTTP methods in upper case");
-    }
+    in.requireValue(
+        methods.stream().allMatch(method -> method.matches("[A-Z]+")),
+        "methods",
+        "HTTP methods in upper case");
     String service = in.name("service");
     Optional<Boolean> repeatable = in.optionalBool("repeatable");
     long deadlineMillis = in.integer("deadlineMillis", 1, MAX_DEADLINE_MILLIS);
--- a/wagtailpin/src/main/java/org/wagtailpin/json/JsonObjectReader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/json/JsonObjectReader.java
@@ -15,7 +15,8 @@
  * <p>Each accessor takes a key. If a required member is missing, or if a member is invalid, the
  * accessor adds a problem with its position and returns a placeholder, so that one pass finds all
  * problems. {@link #endObject} adds a problem for each key that no accessor requested. The values
- * read are valid only if no problem was added. Not thread-safe.
+ * read are valid only if no problem was added. With {@link ValueChecks#TYPES} the limits on names,
+ * lengths and ranges do not apply. Not thread-safe.
  */
 public final class JsonObjectReader {
 
@@ -27,19 +28,39 @@
   private final JsonValue.ObjectValue object;
   private final String path;
   private final JsonProblems problems;
+  private final ValueChecks checks;
   private final Set<String> requestedKeys = new LinkedHashSet<>();
 
   /**
-   * Creates a reader of an object.
+   * Creates a reader of an object that checks all values.
    *
    * @param object the object to read
    * @param path the path of the object, empty for the outermost one
    * @param problems receives the problems found
    */
   public JsonObjectReader(JsonValue.ObjectValue object, String path, JsonProblems problems) {
+    this(object, path, problems, ValueChecks.ALL);
+  }
+
+  /**
+   * Creates a reader of an object.
+   *
+   * @param object the object to read
+   * @param path the path of the object, empty for the outermost one
+   * @param problems receives the problems found
+   * @param checks the checks of this object's values and of those within it
+   */
+  public JsonObjectReader(
+      JsonValue.ObjectValue object, String path, JsonProblems problems, ValueChecks checks) {
     this.object = object;
     this.path = path;
     this.problems = problems;
+    this.checks = checks;
+  }
+
+  /** Creates a reader that checks all values, see the method with more parameters. */
+  public static JsonObjectReader of(JsonValue value, String path, JsonProblems problems) {
+    return of(value, path, problems, ValueChecks.ALL);
   }
 
   /**
@@ -49,10 +70,12 @@
    * @param value the value to read
    * @param path the path of the value, empty for the outermost one
    * @param problems receives the problems found
+   * @param checks the checks of the object's values and of those within it
    */
-  public static JsonObjectReader of(JsonValue value, String path, JsonProblems problems) {
+  public static JsonObjectReader of(
+      JsonValue value, String path, JsonProblems problems, ValueChecks checks) {
     if (value instanceof JsonValue.ObjectValue objectValue) {
-      return new JsonObjectReader(objectValue, path, problems);
+      return new JsonObjectReader(objectValue, path, problems, checks);
     }
     problems.add(new JsonProblem(value.position(), path, value.describe(), "an object"));
     JsonValue.ObjectValue emptyObject = new JsonValue.ObjectValue(value.position(), Map.of());
@@ -92,9 +115,7 @@
    */
   public String name(String key) {
     String text = string(key);
-    if (has(key) && !NAME.matcher(text).matches()) {
-      addProblem(key, NAME_EXPECTED);
-    }
+    requireValue(!has(key) || NAME.matcher(text).matches(), key, NAME_EXPECTED);
     return text;
   }
 
@@ -128,8 +149,8 @@
 
   private String stringOf(String key, JsonValue value) {
     if (value instanceof JsonValue.StringValue stringValue
-        && !stringValue.value().isEmpty()
-        && stringValue.value().length() <= MAX_STRING_CHARS) {
+        && allowed(
+            !stringValue.value().isEmpty() && stringValue.value().length() <= MAX_STRING_CHARS)) {
       return stringValue.value();
     }
     addProblem(key, value, "a string of 1 to " + MAX_STRING_CHARS + " characters");
@@ -166,7 +187,7 @@
         value instanceof JsonValue.NumberValue integerValue
             ? exactLong(integerValue.value())
             : Optional.empty();
-    if (exact.isPresent() && exact.get() >= min && exact.get() <= max) {
+    if (exact.isPresent() && allowed(exact.get() >= min && exact.get() <= max)) {
       return exact.get();
     }
     addProblem(key, value, describeIntegerRange(min, max));
@@ -213,7 +234,7 @@
   private double numberOf(String key, JsonValue value, double min, double max) {
     if (value instanceof JsonValue.NumberValue numberValue) {
       double number = numberValue.value().doubleValue();
-      if (number >= min && number <= max) {
+      if (allowed(number >= min && number <= max)) {
         return number;
       }
     }
@@ -297,7 +318,7 @@
     List<JsonObjectReader> readers = new ArrayList<>();
     List<JsonValue> items = items(key);
     for (int i = 0; i < items.size(); i++) {
-      readers.add(of(items.get(i), pathOf(key) + "[" + i + "]", problems));
+      readers.add(of(items.get(i), pathOf(key) + "[" + i + "]", problems, checks));
     }
     return readers;
   }
@@ -320,7 +341,7 @@
    * @param key the key; the result is empty if it is missing
    */
   public Optional<JsonObjectReader> object(String key) {
-    return optional(key).map(value -> of(value, pathOf(key), problems));
+    return optional(key).map(value -> of(value, pathOf(key), problems, checks));
   }
 
   private Optional<JsonValue> required(String key, String expected) {
@@ -361,6 +382,23 @@
     }
   }
 
+  /**
+   * Adds a problem with the value of a key that is not valid, if values are checked.
+   *
+   * @param valid whether the value is valid
+   * @param key the key
+   * @param expected a description of the values that would be valid
+   */
+  public void requireValue(boolean valid, String key, String expected) {
+    if (!allowed(valid)) {
+      addProblem(key, expected);
+    }
+  }
+
+  private boolean allowed(boolean valid) {
+    return valid || checks == ValueChecks.TYPES;
+  }
+
   /**
    * Adds a problem for a key that is not allowed.
    *
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/ConfigObjectCodec.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/ConfigObjectCodec.java
@@ -81,7 +81,7 @@
     if (state.getRemoved()) {
       return Optional.of(new VersionedObject(id, state.getTicket(), Optional.empty()));
     }
-    ObjectReadResult result = json.read(kind.get(), state.getJson().toByteArray());
+    ObjectReadResult result = json.readFromPeer(kind.get(), state.getJson().toByteArray());
     if (result instanceof ObjectReadResult.Read read) {
       return Optional.of(new VersionedObject(id, state.getTicket(), Optional.of(read.object())));
     }
