Count the bytes before an answer from each request anew

Callers saw: of requests on a kept connection to a sound server, each 128 KiB of short answers turned one into a 502, though it had run.

Cause: AnswerHeadGuard began to count anew only when a read started after a head. An answer that fits into one read has no such read, so short answers were added up over all requests of the connection.

Change: the count starts anew with each request.

--- a/wagtailpin/src/main/java/org/wagtailpin/backend/AnswerHeadGuard.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/AnswerHeadGuard.java
@@ -7,8 +7,9 @@
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * Limits the bytes that a backend server sends where no body is due: before the head of an answer
- * has ended, interim answers and surplus answers included, and while no request awaits an answer.
+ * Limits the bytes that a backend server sends where no body is due: between a request and the end
+ * of the head of its answer, interim answers and surplus answers included, and while no request
+ * awaits an answer.
  *
  * <p>The HTTP decoder limits each line and each head, but neither their number nor what it skips.
  */
@@ -17,6 +18,7 @@
   private final BackendConnectionHandler connection;
   private final int maxBytes;
   private long bytes;
+  private long countedRequest;
 
   /**
    * Creates a guard.
@@ -31,9 +33,12 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
-    if (!connection.awaitsHead()) {
+    if (!connection.awaitsHead() || connection.requestNumber() != countedRequest) {
+      // An answer that fits into one read ends without a read after its head.
       bytes = 0;
-    } else if (message instanceof ByteBuf buffer) {
+      countedRequest = connection.requestNumber();
+    }
+    if (connection.awaitsHead() && message instanceof ByteBuf buffer) {
       bytes += buffer.readableBytes();
     }
     if (bytes > maxBytes || connection.awaitsNothing()) {
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
@@ -46,6 +46,7 @@
   private boolean requestRefused;
   private boolean requestWritten = true;
   private boolean awaitingAnswer;
+  private long requestNumber;
   private boolean headReceived;
   private boolean interimAnswer;
   private boolean staleAnswer;
@@ -117,6 +118,7 @@
     }
     requestWritten = false;
     awaitingAnswer = true;
+    requestNumber++;
     headReceived = false;
     return true;
   }
@@ -213,6 +215,11 @@
     return awaitingAnswer && !headReceived;
   }
 
+  /** Returns how many requests were begun. Called on the connection's event loop. */
+  long requestNumber() {
+    return requestNumber;
+  }
+
   /** Returns whether no input is due. Called on the connection's event loop. */
   boolean awaitsNothing() {
     return !awaitingAnswer;
--- a/wagtailpin/src/test/java/org/wagtailpin/call/EndlessAnswerTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/EndlessAnswerTest.java
@@ -22,6 +22,9 @@
   /** The bound of 128 KiB, and what socket buffers on both sides may hold. */
   private static final long MAX_BYTES_BEFORE_ANSWER = 16_777_216;
 
+  /** Together several times the bound of 128 KiB. */
+  private static final int SHORT_ANSWERS = 500;
+
   private static final String OK = "HTTP/1.1 200 OK\r\n";
   private static final String CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n";
 
@@ -249,4 +252,22 @@
       assertThat(caller.call("POST", "/x", "", "three").text()).isEqualTo("three");
     }
   }
+
+  // Guards against sound answers that became a 502: the bytes of short answers were added up over
+  // all
+  // requests of a kept connection, until their sum passed the bound of one head.
+  @Test
+  void shortAnswersOnAKeptConnectionAreNotAddedUp() throws Exception {
+    String body = "a".repeat(1_000);
+    try (RawServer server = new RawServer((request, to) -> to.answer(request, "", body));
+        TestEntry entry = new TestEntry.Builder().server(server.port()).echoes().start();
+        RawCaller caller = entry.caller()) {
+      for (int i = 0; i < SHORT_ANSWERS; i++) {
+        assertWithMessage("call %s", i)
+            .that(caller.call("POST", "/x", "", "order").status())
+            .isEqualTo(200);
+      }
+      assertThat(server.connections()).isEqualTo(1);
+    }
+  }
 }
