Set the handler of SIGHUP before an entry starts

Cause: the handler was set after everything else, so that a SIGHUP within the first half second ended the process with code 129 (seen by the review in five of five). Change: it is set first; a signal that comes before the entry runs reloads the settings once it does. Measured: not measured on processes yet; the tests of the module passed.

--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryCommand.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryCommand.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Files;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -32,6 +33,9 @@
   @Option(name = "--help", help = true, usage = "print this text")
   private boolean help;
 
+  private Optional<EntryNode> started = Optional.empty();
+  private boolean hungUpBeforeStart;
+
   /** Creates the command for the project's own protocols. */
   public EntryCommand() {
     this(new StandardPlatform());
@@ -72,6 +76,8 @@
 
   private int runEntry(PrintStream err) {
     try {
+      // Before anything else, since the default action of the signal ends the process.
+      HangupSignal.setHandler(this::hangUp);
       SettingsReadResult result = readSettings();
       if (result instanceof SettingsReadResult.Malformed malformed) {
         malformed.problems().forEach(err::println);
@@ -88,7 +94,7 @@
   private void runUntilLeft(EntryNode node) throws IOException {
     CountDownLatch left = new CountDownLatch(1);
     node.start();
-    HangupSignal.setHandler(() -> reloadTunables(node));
+    reloadIfHungUp(node);
     Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(node, left), "leave"));
     try {
       left.await();
@@ -97,6 +103,22 @@
     }
   }
 
+  private synchronized void hangUp() {
+    if (started.isPresent()) {
+      reloadTunables(started.get());
+    } else {
+      hungUpBeforeStart = true;
+    }
+  }
+
+  /** Lets later signals reload the settings of a node, and does so for one that came earlier. */
+  private synchronized void reloadIfHungUp(EntryNode node) {
+    started = Optional.of(node);
+    if (hungUpBeforeStart) {
+      reloadTunables(node);
+    }
+  }
+
   /** Applies the tunables of the settings file; changes of other settings need a restart. */
   private void reloadTunables(EntryNode node) {
     try {
