Answer no 408 for a request that may have run

Cause: a request whose body stalled after a part had been sent to a server was answered 408. Change: a status that means not run is replaced by 502 unless the request is proved not to have run. Evidence: BadInputTest.aLongBodyThatStallsGetsNoStatusThatMeansNotRun failed before with 408.

--- a/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
@@ -412,7 +412,7 @@
    * Ends the call because the rest of the caller's request cannot be read. If the answer has
    * already begun, it is aborted instead of being replaced by a problem.
    *
-   * @param status the HTTP status code to answer with
+   * @param status the HTTP status code to answer with, if it may be used for the outcome
    * @param fault the reason
    */
   public void requestFailed(int status, Fault fault) {
@@ -424,7 +424,7 @@
     if (relay.began()) {
       abortAnswer();
     } else {
-      answerWithProblem(problems.of(status, CallProblems.outcome(mayHaveRun), fault));
+      answerWithProblem(problems.unread(status, mayHaveRun, fault));
     }
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallProblems.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallProblems.java
@@ -24,6 +24,16 @@
     return mayHaveRun ? Outcome.UNKNOWN : Outcome.NOT_RUN;
   }
 
+  /**
+   * Returns the problem of a call whose request could not be read to its end. A status by which
+   * callers recognize a request that was not run is kept only if that is proved.
+   */
+  Problem unread(int status, boolean mayHaveRun, Fault fault) {
+    return mayHaveRun && dialect.notRunStatuses().contains(status)
+        ? failed(true, fault)
+        : of(status, outcome(mayHaveRun), fault);
+  }
+
   /** Returns the problem of a call whose attempts failed or that got no server. */
   Problem failed(boolean mayHaveRun, Fault fault) {
     return of(mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE, outcome(mayHaveRun), fault);
--- a/wagtailpin/src/test/java/org/wagtailpin/call/TestEntry.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/TestEntry.java
@@ -1,6 +1,7 @@
 package org.wagtailpin.call;
 
 import io.netty.channel.EventLoopGroup;
+import io.netty.util.AsciiString;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -55,7 +56,8 @@
     private long maxAnswerBytes = CallSettings.defaults().maxAnswerBytes();
     private ListenerKind kind = ListenerKind.PUBLIC;
     private CallerLimits limits = CallerLimits.defaults();
-    private HttpDialect dialect = HttpDialect.standard();
+    private Optional<AsciiString> attemptHeader = HttpDialect.standard().attempt();
+    private Set<Integer> notRunStatuses = HttpDialect.standard().notRunStatuses();
 
     public Builder server(int port) {
       ports.add(port);
@@ -89,27 +91,36 @@
 
     /** Has all attempts of a call bear the identifier of the call, which servers repeat. */
     public Builder sharesIdentifierAmongAttempts() {
-      HttpDialect standard = HttpDialect.standard();
-      dialect =
-          new HttpDialect(
-              standard.requestId(),
-              standard.callerTimeout(),
-              standard.deadline(),
-              standard.load(),
-              standard.loadFormat(),
-              standard.requestLimit(),
-              Optional.empty(),
-              Optional.empty(),
-              Optional.empty(),
-              Optional.empty(),
-              false,
-              Set.of(),
-              false,
-              false,
-              false);
+      attemptHeader = Optional.empty();
+      return this;
+    }
+
+    /** Has callers recognize requests that were not run by the status code. */
+    public Builder notRunStatuses(Integer... statuses) {
+      notRunStatuses = Set.of(statuses);
       return this;
     }
 
+    private HttpDialect dialect() {
+      HttpDialect standard = HttpDialect.standard();
+      return new HttpDialect(
+          standard.requestId(),
+          standard.callerTimeout(),
+          standard.deadline(),
+          standard.load(),
+          standard.loadFormat(),
+          standard.requestLimit(),
+          attemptHeader,
+          standard.target(),
+          standard.signature(),
+          standard.instance(),
+          standard.callerSetsRequestId(),
+          notRunStatuses,
+          standard.allowsUnframedAnswers(),
+          standard.allowsFractionalRetryAfter(),
+          standard.buffersAnswers());
+    }
+
     public Builder internal() {
       kind = ListenerKind.INTERNAL;
       return this;
@@ -135,7 +146,7 @@
             loops,
             server -> builder.maxConnections,
             clock,
-            builder.dialect);
+            builder.dialect());
     environment =
         new CallEnvironment(
             settings(builder.maxAnswerBytes),
@@ -147,7 +158,7 @@
             clock,
             events,
             metrics,
-            builder.dialect);
+            builder.dialect());
     listener =
         new CallerListener(
             new CallerSettings(builder.kind, "127.0.0.1", 0, "e1", builder.limits),
--- a/wagtailpin/src/test/java/org/wagtailpin/caller/BadInputTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/caller/BadInputTest.java
@@ -157,6 +157,27 @@
     }
   }
 
+  // Guards against "not run" for a request that a server may have begun to work on: 408 promises it
+  // to callers who recognize such requests by their status.
+  @Test
+  void aLongBodyThatStallsGetsNoStatusThatMeansNotRun() throws Exception {
+    try (RawServer server = echoServer();
+        TestEntry entry =
+            new TestEntry.Builder()
+                .server(server.port())
+                .notRunStatuses(408, 421, 429, 503)
+                .limits(limits(9_000, 300, 9_000))
+                .start();
+        RawCaller caller = entry.caller()) {
+      caller.send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n");
+      caller.send("x".repeat(90_000));
+      RawHttpMessage answer = caller.read();
+
+      assertThat(answer.status()).isEqualTo(502);
+      assertThat(answer.header("wagtailpin-outcome")).isEqualTo("unknown");
+    }
+  }
+
   @Test
   void aMalformedChunkWithinALongBodyIsReportedAsUnknown() throws Exception {
     try (RawServer server = echoServer();
