Split the availability of the store and the challenge of a watcher off

Change: StoreAvailability (whether the store answers, and the grace after an outage), WatcherChallenge (the test before a watcher is replaced) and ValueFormats are classes of their own; no behaviour changes.

--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -21,7 +21,6 @@
 import org.wagtailpin.membership.Member;
 import org.wagtailpin.membership.MembershipStatus;
 import org.wagtailpin.membership.MembershipView;
-import org.wagtailpin.store.ReadResult;
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreWatch;
 
@@ -43,7 +42,6 @@
   /** After how long a watcher whose first list of the store fails gives way to the one before. */
   private static final long CHALLENGE_MILLIS = 600;
 
-  private static final long CHALLENGE_PAUSE_MILLIS = 5_000;
   private static final long STORELESS_EXCHANGE_MILLIS = 1_000;
   private static final long SUCCESSOR_CHECK_MILLIS = 500;
   private static final int MAX_CONTACTS = 4;
@@ -52,7 +50,6 @@
   private static final int LEAVING_RANKS = 6;
 
   private final Member self;
-  private final Store store;
   private final StoreWatch watch;
   private final ConfigMerger merger;
   private final ControlLoop loop;
@@ -63,6 +60,7 @@
   private final List<String> seeds;
   private final SuccessionRule succession;
   private final StorePing ping;
+  private final WatcherChallenge challenge;
   private final ConfigPusher pusher;
   private final FollowedWatcher followed;
   private final BeatExchange beats;
@@ -70,7 +68,6 @@
   private final FleetStatus status;
   private Optional<String> challenged = Optional.empty();
   private long watchingSinceMillis = NEVER;
-  private long lastFailedChallengeMillis = NEVER;
   private long lastBeatMillis = NEVER;
   private long lastExchangeMillis = NEVER;
   private boolean announcedCurrent;
@@ -113,7 +110,6 @@
       List<String> seeds,
       EventLog events) {
     this.self = self;
-    this.store = store;
     this.watch = watch;
     this.merger = merger;
     this.loop = loop;
@@ -125,6 +121,7 @@
     this.seeds = seeds.stream().filter(seed -> !seed.equals(ownAddress)).toList();
     this.succession = new SuccessionRule(timing);
     this.ping = new StorePing(store, watch, loop, clock, timing, this::announceStoreState);
+    this.challenge = new WatcherChallenge(store, loop, clock, timing);
     this.pusher = new ConfigPusher(merger);
     this.followed = new FollowedWatcher(timing, clock.millis());
     this.knowledge = new FleetKnowledge(self, domains, addresses);
@@ -190,38 +187,20 @@
       }
     }
     WatcherStanding standing = followed.standing(now);
-    boolean mayChallenge =
-        standing != WatcherStanding.STORE_LOST
-            || now - lastFailedChallengeMillis >= CHALLENGE_PAUSE_MILLIS;
+    boolean mayChallenge = standing != WatcherStanding.STORE_LOST || challenge.allowed();
     int rank =
         knowledge.ownMembers().rank(self.id(), followed.id(), now) + (leaving ? LEAVING_RANKS : 0);
     OptionalLong wait = succession.waitMillis(standing, rank);
     if (wait.isPresent() && mayChallenge) {
       long elapsed = now - followed.sinceMillis(now);
       if (elapsed >= wait.getAsLong() && standing == WatcherStanding.STORE_LOST) {
-        challenge(rank, now);
+        challenge.run(() -> endChallenge(rank));
       } else if (elapsed >= wait.getAsLong()) {
         startWatching(standing, rank, now);
       }
     }
   }
 
-  /** Replaces a watcher that has lost the store, if the store answers this entry. */
-  private void challenge(int rank, long now) {
-    lastFailedChallengeMillis = now;
-    var unused =
-        store
-            .readStale(StorePing.KEY, timing.pingTimeoutMillis())
-            .thenAccept(
-                result ->
-                    loop.execute(
-                        () -> {
-                          if (!(result instanceof ReadResult.Failed)) {
-                            endChallenge(rank);
-                          }
-                        }));
-  }
-
   private void endChallenge(int rank) {
     long now = clock.millis();
     boolean stillLost = followed.standing(now) == WatcherStanding.STORE_LOST;
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/StorePing.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/StorePing.java
@@ -32,7 +32,7 @@
    * Creates a test that is not running.
    *
    * @param store the store to test
-   * @param watch is told of the loss and the return of the store
+   * @param watch receives the loss and the return of the store
    * @param loop the control loop
    * @param clock measures the time between tests
    * @param timing that time, and how long an answer is awaited
--- a/wagtailpin/src/main/java/org/wagtailpin/json/JsonObjectReader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/json/JsonObjectReader.java
@@ -1,13 +1,11 @@
 package org.wagtailpin.json;
 
-import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.regex.Pattern;
 
 /**
  * Reads the members of one JSON object.
@@ -20,9 +18,6 @@
  */
 public final class JsonObjectReader {
 
-  private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,127}");
-  private static final String NAME_EXPECTED =
-      "a name of 1 to 128 letters, digits, dots, hyphens and underscores";
   private static final int MAX_STRING_CHARS = 1024;
 
   private final JsonValue.ObjectValue object;
@@ -31,17 +26,6 @@
   private final ValueChecks checks;
   private final Set<String> requestedKeys = new LinkedHashSet<>();
 
-  /**
-   * Creates a reader of an object that checks all values.
-   *
-   * @param object the object to read
-   * @param path the path of the object, empty for the outermost one
-   * @param problems receives the problems found
-   */
-  public JsonObjectReader(JsonValue.ObjectValue object, String path, JsonProblems problems) {
-    this(object, path, problems, ValueChecks.ALL);
-  }
-
   /**
    * Creates a reader of an object.
    *
@@ -80,7 +64,7 @@
     problems.add(new JsonProblem(value.position(), path, value.describe(), "an object"));
     JsonValue.ObjectValue emptyObject = new JsonValue.ObjectValue(value.position(), Map.of());
     // Discards the problems of missing members, which would only follow from the wrong type.
-    return new JsonObjectReader(emptyObject, path, new JsonProblems());
+    return new JsonObjectReader(emptyObject, path, new JsonProblems(), checks);
   }
 
   /** Returns where the object begins. */
@@ -115,7 +99,7 @@
    */
   public String name(String key) {
     String text = string(key);
-    requireValue(!has(key) || NAME.matcher(text).matches(), key, NAME_EXPECTED);
+    requireValue(!has(key) || ValueFormats.isName(text), key, ValueFormats.NAME_EXPECTED);
     return text;
   }
 
@@ -165,7 +149,7 @@
    * @param max the maximum value, inclusive
    */
   public long integer(String key, long min, long max) {
-    return required(key, describeIntegerRange(min, max))
+    return required(key, ValueFormats.describeRange(min, max))
         .map(value -> integerOf(key, value, min, max))
         .orElse(min);
   }
@@ -183,29 +167,14 @@
   }
 
   private long integerOf(String key, JsonValue value, long min, long max) {
-    Optional<Long> exact =
-        value instanceof JsonValue.NumberValue integerValue
-            ? exactLong(integerValue.value())
-            : Optional.empty();
+    Optional<Long> exact = ValueFormats.exactLong(value);
     if (exact.isPresent() && allowed(exact.get() >= min && exact.get() <= max)) {
       return exact.get();
     }
-    addProblem(key, value, describeIntegerRange(min, max));
+    addProblem(key, value, ValueFormats.describeRange(min, max));
     return min;
   }
 
-  private static Optional<Long> exactLong(BigDecimal value) {
-    try {
-      return Optional.of(value.longValueExact());
-    } catch (ArithmeticException e) {
-      return Optional.empty();
-    }
-  }
-
-  private static String describeIntegerRange(long min, long max) {
-    return "a whole number from " + min + " to " + max;
-  }
-
   /**
    * Reads a required number.
    *
@@ -214,7 +183,7 @@
    * @param max the maximum value, inclusive
    */
   public double number(String key, double min, double max) {
-    return required(key, describeNumberRange(min, max))
+    return required(key, ValueFormats.describeRange(min, max))
         .map(value -> numberOf(key, value, min, max))
         .orElse(min);
   }
@@ -238,17 +207,10 @@
         return number;
       }
     }
-    addProblem(key, value, describeNumberRange(min, max));
+    addProblem(key, value, ValueFormats.describeRange(min, max));
     return min;
   }
 
-  private static String describeNumberRange(double min, double max) {
-    return "a number from "
-        + JsonMessageFormat.formatNumber(min)
-        + " to "
-        + JsonMessageFormat.formatNumber(max);
-  }
-
   /**
    * Reads a boolean with a default.
    *
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -36,18 +36,6 @@
  */
 public final class RegistryWatcher implements StoreWatch {
 
-  /**
-   * Time after a store outage within which servers may register again, in milliseconds. The
-   * platform states about two seconds.
-   */
-  public static final long REREGISTRATION_GRACE_MILLIS = 2_200;
-
-  /**
-   * Number of renewal intervals without the store from which on a registration may lapse. It lapses
-   * after three without a renewal, of which one may precede the outage.
-   */
-  private static final int MIN_LAPSE_INTERVALS = 2;
-
   /** Without a document nothing can be served, so changes are gathered for longer. */
   private static final long BATCHES_BEFORE_DOCUMENT = 2;
 
@@ -57,14 +45,11 @@
   private final Clock clock;
   private final ConfigMerger merger;
   private final RegistryFormat format;
-  private final long minLapseMillis;
   private final EventLog events;
+  private final StoreAvailability availability;
   private final PrefixWatcher prefixWatcher;
   private long documentRevision;
   private boolean listed;
-  private boolean storeUnreachable;
-  private long storeRegainedMillis = NEVER;
-  private long lastContactMillis;
   private volatile long lastAnswerMillis = NEVER;
 
   /**
@@ -93,8 +78,7 @@
     this.clock = clock;
     this.merger = merger;
     this.format = format;
-    this.lastContactMillis = clock.millis();
-    this.minLapseMillis = MIN_LAPSE_INTERVALS * format.renewalMillis();
+    this.availability = new StoreAvailability(clock, format.renewalMillis(), events);
     this.events = events;
     this.prefixWatcher =
         new PrefixWatcher(
@@ -128,7 +112,7 @@
 
   @Override
   public boolean current() {
-    return listed && !storeUnreachable;
+    return listed && availability.reachable();
   }
 
   private void addDocumentState(StoreEntry entry, List<VersionedObject> states) {
@@ -160,17 +144,15 @@
     if (reachable && prefixWatcher.running()) {
       prefixWatcher.restart();
     } else if (reachable) {
-      recordStoreRegained();
+      availability.answered();
     } else {
-      recordStoreLost("no answer to a renewal");
+      availability.lost("no answer to a test");
     }
   }
 
   @Override
   public void storeAnswered() {
-    if (!storeUnreachable) {
-      lastContactMillis = clock.millis();
-    }
+    availability.tested();
   }
 
   @Override
@@ -183,38 +165,6 @@
         .anyMatch(object -> object.id().kind() == ConfigKind.DOCUMENT);
   }
 
-  private void recordStoreLost(String detail) {
-    if (!storeUnreachable) {
-      storeUnreachable = true;
-      events.recordEvent(
-          Event.of(EventKind.STORE_LOST)
-              .with("detail", detail)
-              .with("silentMillis", sinceContactMillis()));
-    }
-  }
-
-  /** Returns the time since the store last answered or, before that, since this was created. */
-  private long sinceContactMillis() {
-    return clock.millis() - lastContactMillis;
-  }
-
-  private void recordStoreRegained() {
-    long now = clock.millis();
-    if (storeUnreachable) {
-      storeUnreachable = false;
-      long awayMillis = sinceContactMillis();
-      boolean mayHaveLapsed = awayMillis >= minLapseMillis;
-      if (mayHaveLapsed) {
-        storeRegainedMillis = now;
-      }
-      events.recordEvent(
-          Event.of(EventKind.STORE_REGAINED)
-              .with("awayMillis", awayMillis)
-              .with("graceMillis", mayHaveLapsed ? REREGISTRATION_GRACE_MILLIS : 0));
-    }
-    lastContactMillis = now;
-  }
-
   /** Converts the content of the store into object states. */
   private final class StoreListener implements PrefixWatcher.Listener {
     @Override
@@ -254,13 +204,13 @@
 
     @Override
     public void callFailed(Fault fault) {
-      RegistryWatcher.this.recordStoreLost(fault.toString());
+      availability.lost(fault);
     }
 
     @Override
     public void callSucceeded() {
       lastAnswerMillis = clock.millis();
-      recordStoreRegained();
+      availability.answered();
     }
 
     @Override
@@ -361,9 +311,9 @@
   }
 
   private void removeAfterGracePeriod(String name, long revision, List<VersionedObject> states) {
-    long waitMillis = storeRegainedMillis + REREGISTRATION_GRACE_MILLIS - clock.millis();
+    long waitMillis = availability.graceMillis();
     boolean leaving = registered(name).map(known -> known.server().leaving()).orElse(false);
-    if (waitMillis <= 0 || leaving) {
+    if (waitMillis == 0 || leaving) {
       removeUnlessReregistered(name, revision, states);
       return;
     }
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/RegistryWatcherTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/RegistryWatcherTest.java
@@ -228,7 +228,7 @@
     assertThat(server("b")).isPresent();
 
     register("a", "staying 1 2");
-    loop.advance(RegistryWatcher.REREGISTRATION_GRACE_MILLIS);
+    loop.advance(StoreAvailability.REREGISTRATION_GRACE_MILLIS);
     assertThat(server("a")).isPresent();
     assertThat(server("b")).isEmpty();
   }
