--- a/wagtailpin/src/test/java/org/wagtailpin/call/AnswerMatchingTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/AnswerMatchingTest.java
@@ -281,8 +281,10 @@
   }
 
   private static String loadReport(String header, int inFlight) {
-    return "HTTP/1.1 200 OK\r\n%sWagtailpin-Load: inflight=%d, queued=0\r\nContent-Length: 0\r\n\r\n"
-        .formatted(header, inFlight);
+    return "HTTP/1.1 200 OK\r\n"
+        + header
+        + "Wagtailpin-Load: inflight=%d, queued=0\r\n".formatted(inFlight)
+        + "Content-Length: 0\r\n\r\n";
   }
 
   @Test
