--- a/wagtailpin/src/main/java/org/wagtailpin/registry/StoreAvailability.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/StoreAvailability.java
@@ -75,7 +75,7 @@
     }
   }
 
-  /** Records an answer that does not end an outage, as it tells nothing of the keys. */
+  /** Records an answer that holds no keys, so that it does not end an outage. */
   void tested() {
     if (!unreachable) {
       lastContactMillis = clock.millis();
