Make each call of the store client end in a result

Callers saw: nothing yet; shown by tests. Had a call of the store client thrown, or ended with an exception, an entry and its followers would have kept the configuration that they had. Cause: all who call the store go on in the result of the call; one that threw, ended exceptionally or never ended stopped the watch, the tests of the store or a lease for good. Change: GuardedStore turns each of these into a failure; the entry wraps the platform's client in it. Measured: BrokenStoreClientTest (the first watch throws, the second ends with an exception) without the wrapper: a server registered later was not known after 10 s. With it: passed, as GuardedStoreTest.

--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -45,6 +45,7 @@
 import org.wagtailpin.membership.PeerEventRecorder;
 import org.wagtailpin.membership.PullConfigSync;
 import org.wagtailpin.registry.RegistryWatcher;
+import org.wagtailpin.store.GuardedStore;
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreHttpClient;
 import org.wagtailpin.store.StoreTimeouts;
@@ -54,6 +55,9 @@
 
   private static final long FLUSH_TIMEOUT_MILLIS = 2_000;
 
+  /** Above the timeouts of all store clients, also for a list of several pages. */
+  private static final long MAX_STORE_CALL_MILLIS = 10_000;
+
   /** Regions may lose each other for an hour. */
   private static final long FLEET_SIZE_MEMORY_MILLIS = 2 * 3_600_000;
 
@@ -85,7 +89,9 @@
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     incarnation = clock.wallMillis();
     storeClient = new StoreHttpClient(StoreTimeouts.defaults());
-    store = platform.createStore(storeClient.client(), settings);
+    store =
+        new GuardedStore(
+            platform.createStore(storeClient.client(), settings), loop, MAX_STORE_CALL_MILLIS);
     published = new PublishedConfig(List.of(tunableDefaults(settings.constants())));
     merger = new ConfigMerger(clock, merged, published);
     configWatcher = new StoreConfigWatcher(store, loop, merger, random);
