List the store again when a waiting watch lags behind a test

Callers would see: after a spell in which answers of the store are lost, requests handled by an old version for up to half a minute, in fleets whose watchers all lost their answer. Cause: the answer of a waiting watch was lost, while the tests of the store use other connections and went on to be answered; the watch ends only with its own timeout, 29.5 s after it began. Change: a test passes on the revision that it read. If the watch has not told it 0.6 s later, all keys are listed (event watch-silent). If such a list shows that nothing was missed, the comparison pauses, for longer each time, so that a store that counts other changes costs no lists.

--- a/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
@@ -75,6 +75,7 @@
   STORE_REGAINED("store-regained", false, "awayMillis", "graceMillis"),
   STORE_RESULT_FAILED("store-result-failed", false, "revision", "detail"),
   HISTORY_LOST("history-lost", false, "revision"),
+  WATCH_SILENT("watch-silent", false, "revision", "seen"),
   LIST_OLDER("list-older", false, "revision", "known"),
   CONFIG_READ("config-read", false, "config", "revision"),
   CONFIG_TAKEN("config-taken", false, "revision", "source", "peer"),
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/StorePing.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/StorePing.java
@@ -88,10 +88,17 @@
       lost = false;
       watch.storeReachabilityChanged(true);
     } else {
-      watch.storeAnswered();
+      watch.storeAnswered(revision(result));
     }
   }
 
+  private static long revision(ReadResult result) {
+    if (result instanceof ReadResult.Found found) {
+      return found.storeRevision();
+    }
+    return result instanceof ReadResult.Absent absent ? absent.storeRevision() : 0;
+  }
+
   /** Ends a test whose call neither succeeded nor failed, which would block all later ones. */
   private void abandon(long sentSequence) {
     if (pending && sentSequence == sequence) {
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
@@ -67,6 +67,12 @@
   private static final long FIRST_RETRY_MILLIS = 300;
   private static final long MAX_RETRY_MILLIS = 3_000;
 
+  /** How much later than another call's answer that of a watch may come, if the store is slow. */
+  private static final long MAX_WATCH_LAG_MILLIS = 600;
+
+  /** Longest pause after a list that showed that the watch had missed nothing. */
+  private static final long MAX_LAG_PAUSE_MILLIS = 60_000;
+
   private final Store store;
   private final ControlLoop loop;
   private final String prefix;
@@ -79,6 +85,11 @@
   private long generation;
   private boolean running;
   private long revision;
+  private long watches;
+  private boolean awaitingChanges;
+  private boolean lagCheckScheduled;
+  private long lagPauseMillis = MAX_WATCH_LAG_MILLIS;
+  private long laggingRevision;
 
   PrefixWatcher(
       Store store,
@@ -110,6 +121,33 @@
     return running;
   }
 
+  /**
+   * Compares the revision that another call has read with that of the watch. The answer of a watch
+   * can be lost while other connections work; the keys are then listed again.
+   *
+   * @param seenRevision the store's revision, at most its present one
+   */
+  void revisionSeen(long seenRevision) {
+    if (!awaitingChanges || seenRevision <= revision || lagCheckScheduled) {
+      return;
+    }
+    lagCheckScheduled = true;
+    long seenWatch = watches;
+    loop.schedule(
+        MAX_WATCH_LAG_MILLIS,
+        () -> {
+          lagCheckScheduled = false;
+          if (awaitingChanges && watches == seenWatch && running) {
+            events.recordEvent(
+                Event.of(EventKind.WATCH_SILENT)
+                    .with("revision", revision)
+                    .with("seen", seenRevision));
+            laggingRevision = revision;
+            restart();
+          }
+        });
+  }
+
   /** Abandons the outstanding call, if any, and lists the keys again; no effect if stopped. */
   void restart() {
     if (running) {
@@ -124,6 +162,7 @@
   }
 
   private void list() {
+    awaitingChanges = false;
     onLoop(store.list(prefix), this::afterList);
   }
 
@@ -131,6 +170,7 @@
     if (result instanceof ListResult.Listed list && list.storeRevision() >= revision) {
       listener.callSucceeded();
       revision = list.storeRevision();
+      endLag(list.entries());
       if (process(() -> listener.listed(list.entries(), revision))) {
         watch();
       }
@@ -146,11 +186,33 @@
     }
   }
 
+  /**
+   * Pauses the comparison of revisions, for longer each time, if the watch had missed no change: a
+   * store may count changes that a watch does not tell.
+   */
+  private void endLag(List<StoreEntry> entries) {
+    if (laggingRevision == 0) {
+      return;
+    }
+    long before = laggingRevision;
+    laggingRevision = 0;
+    if (entries.stream().anyMatch(entry -> entry.revision() > before)) {
+      lagPauseMillis = MAX_WATCH_LAG_MILLIS;
+      return;
+    }
+    lagPauseMillis = Math.min(MAX_LAG_PAUSE_MILLIS, 2 * lagPauseMillis);
+    lagCheckScheduled = true;
+    loop.schedule(lagPauseMillis, () -> lagCheckScheduled = false);
+  }
+
   private void watch() {
+    awaitingChanges = true;
+    watches++;
     onLoop(store.watch(prefix, revision, WATCH_WAIT_MILLIS), this::afterWatch);
   }
 
   private void afterWatch(WatchResult result) {
+    awaitingChanges = false;
     if (result instanceof WatchResult.Changed changed && changed.storeRevision() >= revision) {
       listener.callSucceeded();
       revision = changed.storeRevision();
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -151,8 +151,9 @@
   }
 
   @Override
-  public void storeAnswered() {
+  public void storeAnswered(long storeRevision) {
     availability.tested();
+    prefixWatcher.revisionSeen(storeRevision);
   }
 
   @Override
--- a/wagtailpin/src/main/java/org/wagtailpin/store/StoreWatch.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/StoreWatch.java
@@ -23,8 +23,13 @@
    */
   void storeReachabilityChanged(boolean reachable);
 
-  /** Called when a test of the store succeeded while it was taken to be reachable. */
-  void storeAnswered();
+  /**
+   * Called when a test of the store succeeded while it was taken to be reachable.
+   *
+   * @param storeRevision the store's revision that the test read, which may be seconds old, 0 if it
+   *     is not known
+   */
+  void storeAnswered(long storeRevision);
 
   /** Returns when a call last succeeded, by the monotonic clock. Thread-safe. */
   long lastAnswerMillis();
--- a/wagtailpin/src/test/java/org/wagtailpin/fleet/DomainFleetTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/fleet/DomainFleetTest.java
@@ -265,6 +265,28 @@
     }
   }
 
+  // Guards against versions that were not in force for half a minute: the store's answer to the
+  // waiting watches was lost, while tests on other connections went on to be answered.
+  @Test
+  void changesAreInForceInTimeAfterTheAnswersOfAllWaitingWatchesWereLost() {
+    for (int domains : new int[] {1, 2, 6}) {
+      for (long calmMillis = 0; calmMillis < 3_000; calmMillis += 250) {
+        SimulatedDomains fleet = started(domains, 3);
+        fleet.advance(calmMillis);
+        fleet.members().forEach(SimulatedMember::loseWatchAnswer);
+        int lost = fleet.changeDocument();
+        fleet.advance(SimulatedDomains.CALM_MILLIS);
+
+        for (SimulatedMember member : fleet.members()) {
+          assertWithMessage("%s of %s domains, after %s ms", member.id(), domains, calmMillis)
+              .that(member.version())
+              .isEqualTo(lost);
+        }
+        changeReachesAllBut(fleet, null);
+      }
+    }
+  }
+
   @Test
   void ofSeveralWatchersOfTheOnlyDomainOneRemains() {
     for (int entries : new int[] {5, 8, 12, 17}) {
--- a/wagtailpin/src/test/java/org/wagtailpin/fleet/SilentConnections.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/fleet/SilentConnections.java
@@ -24,6 +24,7 @@
   private final ControlLoop loop;
   private final long timeoutMillis;
   private long generation;
+  private long watchGeneration;
   private boolean idleSilent;
   private int calls;
 
@@ -38,6 +39,11 @@
     idleSilent = true;
   }
 
+  /** Has the watch that waits now get no answer. All other calls use other connections. */
+  void loseWatchAnswer() {
+    watchGeneration++;
+  }
+
   /** Returns how many calls were made, without stale reads, which cost little. */
   int calls() {
     return calls;
@@ -59,12 +65,14 @@
       return answer;
     }
     long started = generation;
+    long watchStarted = watchGeneration;
+    boolean isWatch = method.getName().equals("watch");
     try {
       CompletableFuture<?> inner = (CompletableFuture<?>) method.invoke(store, args);
       var unused =
           inner.thenAccept(
               result -> {
-                if (generation == started) {
+                if (generation == started && !(isWatch && watchGeneration != watchStarted)) {
                   answer.complete(result);
                 }
               });
--- a/wagtailpin/src/test/java/org/wagtailpin/fleet/SimulatedMember.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/fleet/SimulatedMember.java
@@ -100,6 +100,11 @@
     storeConnections.ifPresent(SilentConnections::silence);
   }
 
+  /** Has the watch of the store that waits now get no answer. */
+  void loseWatchAnswer() {
+    storeConnections.ifPresent(SilentConnections::loseWatchAnswer);
+  }
+
   void kill() {
     disturbed();
     loop.kill();
