Show which configuration is in force, who confirmed it and what the watch waits for

Callers of one entry would see an old configuration for long, and nothing in the logs or metrics said whether the entry's watch of the store had ended, or the entry followed a watcher without its state. config-taken, which watchers and followers write, had neither the revision before nor the age of the entry's knowledge.

config-taken gets the fields before, confirmedBy and confirmedMillis. New metrics: wagtailpin_config_revision, wagtailpin_config_revision_age_seconds, wagtailpin_config_confirmation_age_seconds by who confirmed, and wagtailpin_store_watch_wait_seconds by what the watch waits for. No behaviour changes.

--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -6,18 +6,21 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.wagtailpin.claims.ClaimSettings;
 import org.wagtailpin.claims.ShardedClaims;
 import org.wagtailpin.clock.Clock;
+import org.wagtailpin.config.ConfigInForce;
 import org.wagtailpin.config.ConfigLimit;
 import org.wagtailpin.config.ConfigMerger;
 import org.wagtailpin.config.ConfigReport;
 import org.wagtailpin.config.EventLogConfigListener;
 import org.wagtailpin.config.MergedConfig;
 import org.wagtailpin.config.PublishedConfig;
+import org.wagtailpin.config.StateConfirmation;
 import org.wagtailpin.config.StoreConfigWatcher;
 import org.wagtailpin.config.Tunable;
 import org.wagtailpin.control.ControlLoop;
@@ -45,6 +48,7 @@
 import org.wagtailpin.membership.PeerEventRecorder;
 import org.wagtailpin.membership.PullConfigSync;
 import org.wagtailpin.registry.RegistryWatcher;
+import org.wagtailpin.registry.WatchPhase;
 import org.wagtailpin.store.GuardedStore;
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreHttpClient;
@@ -72,6 +76,8 @@
   private final NettyPeerMessenger messenger;
   private final FleetMembership membership;
   private final LimitShares shares;
+  private final Supplier<Optional<StateConfirmation>> confirmation;
+  private final EventLogConfigListener configEvents;
   private final ShardedClaims claims;
   private final ControlLoop loop;
   private final Clock clock;
@@ -127,7 +133,9 @@
     PeerEventRecorder peerEventRecorder =
         new PeerEventRecorder(events, platform.membershipSettings().suspicionTimeoutMillis());
     membership.setStatusListener(status -> peerEventRecorder.update(status.peers()));
-    merger.addListener(new EventLogConfigListener(events, merger::origin));
+    confirmation = fleet.confirmation();
+    configEvents = new EventLogConfigListener(events, merger::origin, confirmation, clock);
+    merger.addListener(configEvents);
     claims =
         new ShardedClaims(
             ClaimSettings.defaults(),
@@ -141,7 +149,10 @@
   }
 
   /** The other entries, and this entry's shares of what all use together. */
-  private record Fleet(FleetMembership membership, LimitShares shares) {}
+  private record Fleet(
+      FleetMembership membership,
+      LimitShares shares,
+      Supplier<Optional<StateConfirmation>> confirmation) {}
 
   private Fleet domainFleet(
       EntrySettings settings,
@@ -168,7 +179,8 @@
             events);
     return new Fleet(
         fleet,
-        new EqualShares(new HighestCount(fleet::fleetSize, clock, FLEET_SIZE_MEMORY_MILLIS)));
+        new EqualShares(new HighestCount(fleet::fleetSize, clock, FLEET_SIZE_MEMORY_MILLIS)),
+        fleet::confirmation);
   }
 
   private Fleet meshFleet(
@@ -190,7 +202,7 @@
             random,
             platform.membershipSettings(),
             seedNames(settings));
-    return new Fleet(mesh, mesh);
+    return new Fleet(mesh, mesh, Optional::empty);
   }
 
   private static ConfigLimit tunableDefaults(Map<Tunable, Double> tunables) {
@@ -280,6 +292,21 @@
     return registryWatcher.map(watcher -> clock.millis() - watcher.lastAnswerMillis());
   }
 
+  /** Returns the configuration in force, without its servers. */
+  ConfigInForce configInForce() {
+    return configEvents.inForce();
+  }
+
+  /** Returns when this entry's state was last known to be the store's, empty if it never was. */
+  Optional<StateConfirmation> stateConfirmation() {
+    return confirmation.get();
+  }
+
+  /** Returns what the watch of the store waits for, empty if there is no registry. */
+  Optional<WatchPhase> watchPhase() {
+    return registryWatcher.map(RegistryWatcher::phase);
+  }
+
   /** Returns the milliseconds since the last change of the active configuration. */
   long configAgeMillis() {
     return clock.wallMillis() - merger.origin().sinceWallMillis();
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryGauges.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryGauges.java
@@ -49,6 +49,12 @@
         "wagtailpin_backend_stale_answers",
         "Answers discarded because they belonged to an earlier request.",
         node.traffic()::staleAnswers);
+    ConfigGauges.register(
+        registry,
+        node.clock(),
+        node.control()::configInForce,
+        node.control()::stateConfirmation,
+        node.control()::watchPhase);
     registerServerGauges(registry, node);
     registerPeerGauges(registry, node);
     registerCounter(
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
@@ -238,6 +238,11 @@
     return traffic;
   }
 
+  /** Returns the clock of this entry. */
+  Clock clock() {
+    return clock;
+  }
+
   /** Returns this entry's shares of fleet-wide limits. */
   public LimitShares shares() {
     return control.shares();
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/BeatExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/BeatExchange.java
@@ -178,6 +178,9 @@
       configSync.onPeerStamp(sender.id(), new ConfigStamp(state.getConfigDigest(), 0));
     }
     if (otherWatcher && state.getConfigDigest() == merger.merged().digest()) {
+      if (followed.is(sender.id())) {
+        followed.stateEqual(clock.millis());
+      }
       merger.markCompleteAsOf(state.getCompleteTicket());
     }
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -10,6 +10,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigMerger;
+import org.wagtailpin.config.StateConfirmation;
 import org.wagtailpin.control.ControlLoop;
 import org.wagtailpin.entrypeer.MutableAddressBook;
 import org.wagtailpin.entrypeer.PeerMessenger;
@@ -346,6 +347,19 @@
     return status.fleetSize();
   }
 
+  /**
+   * Returns when this entry's state was last known to be the store's: by an answer to its own watch
+   * or by the watcher it follows, whichever was later. Thread-safe.
+   */
+  public Optional<StateConfirmation> confirmation() {
+    long answerMillis = watch.lastAnswerMillis();
+    Optional<StateConfirmation> told = followed.confirmation();
+    return answerMillis == StoreWatch.NEVER
+            || told.filter(last -> last.atMillis() > answerMillis).isPresent()
+        ? told
+        : Optional.of(new StateConfirmation(StateConfirmation.STORE, answerMillis));
+  }
+
   @Override
   public void announceLeaving() {
     leaving = true;
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/FollowedWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/FollowedWatcher.java
@@ -1,10 +1,11 @@
 package org.wagtailpin.fleet;
 
 import java.util.Optional;
+import org.wagtailpin.config.StateConfirmation;
 
 /**
- * The watcher that this entry follows, and how current its state is. Confined to the control loop.
- * All times are of the monotonic clock.
+ * The watcher that this entry follows, and how current its state is. Confined to the control loop,
+ * except for {@link #confirmation}. All times are of the monotonic clock.
  */
 final class FollowedWatcher {
 
@@ -14,6 +15,7 @@
   private long sinceMillis;
   private long lastGoodMillis;
   private long followedSinceMillis;
+  private volatile Optional<StateConfirmation> confirmation = Optional.empty();
 
   FollowedWatcher(FleetTiming timing, long nowMillis) {
     this.timing = timing;
@@ -57,6 +59,16 @@
     set(WatcherStanding.FOLLOWED, sentMillis);
   }
 
+  /** Records that the watcher had this entry's state and that of the store. */
+  void stateEqual(long nowMillis) {
+    confirmation = id.map(watcher -> new StateConfirmation(watcher, nowMillis));
+  }
+
+  /** Returns when a followed watcher last had this entry's state. Thread-safe. */
+  Optional<StateConfirmation> confirmation() {
+    return confirmation;
+  }
+
   /** Records another standing, which lasts until the watcher confirms its state. */
   void record(WatcherStanding next, long nowMillis) {
     set(next, nowMillis);
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
@@ -59,6 +59,9 @@
      * @param cause the exception
      */
     void processingFailed(long revision, RuntimeException cause);
+
+    /** Called when the watcher begins to wait for something else. */
+    default void phaseChanged(WatchPhase.Awaits awaits) {}
   }
 
   /** Below the maximum wait of stores, 30 s; dead connections are detected by other means. */
@@ -159,10 +162,12 @@
   void stop() {
     running = false;
     generation++;
+    listener.phaseChanged(WatchPhase.Awaits.STOPPED);
   }
 
   private void list() {
     awaitingChanges = false;
+    listener.phaseChanged(WatchPhase.Awaits.LIST);
     onLoop(store.list(prefix), this::afterList);
   }
 
@@ -208,6 +213,7 @@
   private void watch() {
     awaitingChanges = true;
     watches++;
+    listener.phaseChanged(WatchPhase.Awaits.WATCH);
     onLoop(store.watch(prefix, revision, WATCH_WAIT_MILLIS), this::afterWatch);
   }
 
@@ -257,6 +263,7 @@
 
   private void scheduleNext(long delayMillis, Runnable next) {
     long startedGeneration = generation;
+    listener.phaseChanged(WatchPhase.Awaits.PAUSE);
     loop.schedule(
         delayMillis,
         () -> {
@@ -274,6 +281,7 @@
                 loop.execute(
                     () -> {
                       if (generation == startedGeneration) {
+                        listener.phaseChanged(WatchPhase.Awaits.NOTHING);
                         next.accept(value);
                       }
                     }));
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -32,15 +32,14 @@
  * from the store and from other entries can be merged in any order. A server whose registration is
  * missing after a store outage is kept for a grace period, since its lease may have expired only
  * because the server could not reach the store either. An interruption that is too short for that
- * holds no removal back. Runs on the control loop only, except for {@link #lastAnswerMillis}.
+ * holds no removal back. Runs on the control loop only, except for {@link #lastAnswerMillis} and
+ * {@link #phase}.
  */
 public final class RegistryWatcher implements StoreWatch {
 
   /** Without a document nothing can be served, so changes are gathered for longer. */
   private static final long BATCHES_BEFORE_DOCUMENT = 2;
 
-  private static final long NEVER = Long.MIN_VALUE / 2;
-
   private final ControlLoop loop;
   private final Clock clock;
   private final ConfigMerger merger;
@@ -51,6 +50,7 @@
   private long documentRevision;
   private boolean listed;
   private volatile long lastAnswerMillis = NEVER;
+  private volatile WatchPhase phase = new WatchPhase(WatchPhase.Awaits.STOPPED, 0);
 
   /**
    * Creates a watcher that is not started.
@@ -161,6 +161,11 @@
     return lastAnswerMillis;
   }
 
+  /** Returns what the watch waits for, and since when. Thread-safe. */
+  public WatchPhase phase() {
+    return phase;
+  }
+
   private boolean documentKnown() {
     return merger.merged().objects().stream()
         .anyMatch(object -> object.id().kind() == ConfigKind.DOCUMENT);
@@ -223,6 +228,11 @@
               .with("revision", revision)
               .with("detail", cause.toString()));
     }
+
+    @Override
+    public void phaseChanged(WatchPhase.Awaits awaits) {
+      phase = new WatchPhase(awaits, clock.millis());
+    }
   }
 
   private Optional<String> serverName(String key) {
--- a/wagtailpin/src/main/java/org/wagtailpin/store/StoreWatch.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/StoreWatch.java
@@ -3,6 +3,9 @@
 /** A watch of keys in the store that can be started and stopped. Runs on the control loop. */
 public interface StoreWatch {
 
+  /** Time of an answer that there was none of. */
+  long NEVER = Long.MIN_VALUE / 2;
+
   /** Starts to list and watch the keys; has no effect while it is running. */
   void start();
 
@@ -31,6 +34,6 @@
    */
   void storeAnswered(long storeRevision);
 
-  /** Returns when a call last succeeded, by the monotonic clock. Thread-safe. */
+  /** Returns when a call last succeeded, by the monotonic clock, or NEVER. Thread-safe. */
   long lastAnswerMillis();
 }
--- a/wagtailpin/src/test/java/org/wagtailpin/config/EventLogConfigListenerTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/config/EventLogConfigListenerTest.java
@@ -13,8 +13,12 @@
 class EventLogConfigListenerTest {
 
   private final RecordingEventLog events = new RecordingEventLog();
+  private final ManualClock clock = new ManualClock(1_000);
   private final ConfigMerger merger =
-      new ConfigMerger(new ManualClock(0), new MergedConfig(), new PublishedConfig());
+      new ConfigMerger(clock, new MergedConfig(), new PublishedConfig());
+  private Optional<StateConfirmation> confirmation = Optional.empty();
+  private final EventLogConfigListener listener =
+      new EventLogConfigListener(events, merger::origin, () -> confirmation, clock);
 
   private static VersionedObject service(long revision) {
     ConfigService service = new ConfigService("work", false, List.of(), Optional.empty());
@@ -32,7 +36,7 @@
 
   @Test
   void aConfigurationIsLoggedOnceWithItsFirstSource() {
-    merger.addListener(new EventLogConfigListener(events, merger::origin));
+    merger.addListener(listener);
 
     merger.mergeFromPeer(List.of(service(7)), "e2");
     merger.mergeFromStore(List.of(service(7)));
@@ -47,11 +51,40 @@
 
   @Test
   void aChangeOfServersAloneIsNotLogged() {
-    merger.addListener(new EventLogConfigListener(events, merger::origin));
+    merger.addListener(listener);
 
     merger.mergeFromStore(List.of(service(7)));
     merger.mergeFromStore(List.of(servers(12)));
 
     assertThat(taken()).hasSize(1);
   }
+
+  @Test
+  void aConfigurationIsLoggedWithTheOneBeforeAndTheAgeOfTheLastConfirmation() {
+    merger.addListener(listener);
+
+    merger.mergeFromPeer(List.of(service(7)), "e2");
+    confirmation = Optional.of(new StateConfirmation("e2", clock.millis()));
+    clock.advance(250);
+    merger.mergeFromPeer(List.of(service(9)), "e2");
+
+    assertThat(taken().get(0).value("before")).isEqualTo(Optional.of(0L));
+    assertThat(taken().get(0).value("confirmedBy")).isEmpty();
+    assertThat(taken().get(1).value("before")).isEqualTo(Optional.of(7L));
+    assertThat(taken().get(1).value("confirmedBy")).isEqualTo(Optional.of("e2"));
+    assertThat(taken().get(1).value("confirmedMillis")).isEqualTo(Optional.of(250L));
+  }
+
+  @Test
+  void theConfigurationInForceHasTheTimeOfItsOwnRevision() {
+    merger.addListener(listener);
+
+    clock.advance(100);
+    merger.mergeFromStore(List.of(service(7)));
+    long takenMillis = clock.millis();
+    clock.advance(100);
+    merger.mergeFromStore(List.of(servers(12)));
+
+    assertThat(listener.inForce()).isEqualTo(new ConfigInForce(7, takenMillis));
+  }
 }
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/PrefixWatcherTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/PrefixWatcherTest.java
@@ -34,6 +34,13 @@
     private final List<String> keys = new ArrayList<>();
     private int failuresLeft;
     private int failures;
+    private final List<WatchPhase.Awaits> phases = new ArrayList<>();
+    private WatchPhase.Awaits phaseOfLastResult = WatchPhase.Awaits.STOPPED;
+
+    @Override
+    public void phaseChanged(WatchPhase.Awaits awaits) {
+      phases.add(awaits);
+    }
 
     @Override
     public void listed(List<StoreEntry> entries, long revision) {
@@ -43,6 +50,7 @@
 
     @Override
     public void changed(List<StoreChange> changes, long revision) {
+      phaseOfLastResult = phases.get(phases.size() - 1);
       failIfDue();
       changes.forEach(change -> keys.add(change.key()));
     }
@@ -93,4 +101,32 @@
     assertThat(listener.failures).isEqualTo(2);
     assertThat(listener.keys).containsAtLeast("a", "b");
   }
+
+  @Test
+  void whatTheWatchWaitsForIsReportedFromItsStartToItsStop() {
+    watcher.start();
+    loop.advance(WAIT_MILLIS);
+    assertThat(listener.phases)
+        .containsExactly(WatchPhase.Awaits.LIST, WatchPhase.Awaits.NOTHING, WatchPhase.Awaits.WATCH)
+        .inOrder();
+
+    listener.phases.clear();
+    put("a");
+    watcher.stop();
+    assertThat(listener.phases)
+        .containsExactly(
+            WatchPhase.Awaits.NOTHING,
+            WatchPhase.Awaits.PAUSE,
+            WatchPhase.Awaits.WATCH,
+            WatchPhase.Awaits.STOPPED)
+        .inOrder();
+  }
+
+  @Test
+  void whileAResultIsProcessedTheWatchWaitsForNothing() {
+    watcher.start();
+    put("a");
+
+    assertThat(listener.phaseOfLastResult).isEqualTo(WatchPhase.Awaits.NOTHING);
+  }
 }
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/RegistryWatcherTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/RegistryWatcherTest.java
@@ -296,6 +296,33 @@
     assertThat(published.current().service("one")).isPresent();
   }
 
+  @Test
+  void aWatchThatIsNotAnsweredShowsHowLongItHasWaited() {
+    watcher.stop();
+    assertThat(watcher.phase().awaits()).isEqualTo(WatchPhase.Awaits.STOPPED);
+    StalledWatchStore stalledStore = new StalledWatchStore(faulty.client("other"));
+    watcher =
+        new RegistryWatcher(
+            stalledStore,
+            loop,
+            clock,
+            merger,
+            new SharedRandom(3),
+            new TestRegistryFormat(),
+            BATCH_MILLIS,
+            new NoOpEventLog());
+    watcher.start();
+    loop.advance(SHORT_WAIT_MILLIS);
+    stalledStore.failPendingWatch();
+    loop.advance(SHORT_WAIT_MILLIS);
+    WatchPhase unanswered = watcher.phase();
+    loop.advance(SHORT_WAIT_MILLIS);
+
+    assertThat(unanswered.awaits()).isEqualTo(WatchPhase.Awaits.WATCH);
+    assertThat(watcher.phase()).isEqualTo(unanswered);
+    assertThat(clock.millis() - unanswered.sinceMillis()).isAtLeast(SHORT_WAIT_MILLIS);
+  }
+
   @Test
   void changesLostByCompactionAreReadAgain() {
     register("a", "staying 1 1");
