Reuse no connection on which bytes follow an answer

Callers saw: a 200 in place of the server's 500, with the signature of the failed answer. A server that sent the start of a second answer in one packet with the first one gave the status line of the second answer to the next request on the connection.

Cause: input on an idle connection closes it, but bytes that came in one read with the end of an answer stayed in the decoder, and the next answer was read as their continuation.

Change: the decoder of answers is our own, tells whether bytes follow an answer that has ended, and then the connection is not reused. It no longer counts requests; an answer is read as one to HEAD if the request that awaits it is.

Measured: SurplusAnswerTest.theStartOfASecondAnswerBesideTheFirstIsNotJoinedWithTheNextAnswer, which cuts the second answer at each byte, got 502 with 1 to 12 bytes and 200 in place of 500 with 13 before, and 500 with all cuts after. AnswerMatchingTest, EndlessAnswerTest, StreamingTest pass.

--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClientConfig.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClientConfig.java
@@ -1,7 +1,9 @@
 package org.wagtailpin.backend;
 
 import io.netty.channel.Channel;
+import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.time.Duration;
 import org.asynchttpclient.AsyncHttpClientConfig;
 import org.asynchttpclient.AsyncHttpClientConfig.ResponseBodyPartFactory;
@@ -25,7 +27,7 @@
     DefaultAsyncHttpClientConfig.Builder options = new DefaultAsyncHttpClientConfig.Builder();
     disableRepeats(options);
     disableMessageRewriting(options);
-    limitConnections(options, settings, pool);
+    limitConnections(options, pool);
     disableClientTimeouts(options, settings);
     TcpKeepAlive.addTo(options);
     return options
@@ -60,16 +62,14 @@
   }
 
   private static void limitConnections(
-      DefaultAsyncHttpClientConfig.Builder options, BackendSettings settings, ConnectionPool pool) {
+      DefaultAsyncHttpClientConfig.Builder options, ConnectionPool pool) {
     options
         .setKeepAlive(true)
         .setChannelPool(pool)
         .setConnectionSemaphoreFactory(config -> pool)
         .setMaxConnections(UNBOUNDED)
         .setMaxConnectionsPerHost(UNBOUNDED)
-        .setAcquireFreeChannelTimeout(0)
-        .setHttpClientCodecMaxInitialLineLength(settings.maxStatusLineBytes())
-        .setHttpClientCodecMaxHeaderSize(settings.maxHeadBytes());
+        .setAcquireFreeChannelTimeout(0);
   }
 
   /**
@@ -93,6 +93,13 @@
     channel.config().setAutoRead(false);
     BackendConnectionHandler handler = new BackendConnectionHandler(clock);
     handler.attach(channel);
+    channel
+        .pipeline()
+        .replace(
+            HTTP_CODEC_NAME,
+            HTTP_CODEC_NAME,
+            new CombinedChannelDuplexHandler<>(
+                new AnswerDecoder(handler, settings), new HttpRequestEncoder()));
     channel.pipeline().addAfter(HTTP_CODEC_NAME, "gate", handler);
     channel
         .pipeline()
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
@@ -50,6 +50,7 @@
   private boolean headReceived;
   private boolean interimAnswer;
   private boolean staleAnswer;
+  private boolean bytesFollowAnswer;
   private boolean usedBefore;
   private volatile long maxIdleMillis = Long.MAX_VALUE;
   private boolean paused;
@@ -206,8 +207,13 @@
     exchange = null;
     idleSinceMillis = clock.millis();
     // RFC 9112 section 9.6: a connection on which a request was not sent completely cannot carry
-    // another one.
-    reusable = reusable && requestWritten;
+    // another one. Bytes after an answer would be taken for the start of the next one.
+    reusable = reusable && requestWritten && !bytesFollowAnswer;
+  }
+
+  /** Records whether the decoder holds more bytes as it passes on the end of an answer. */
+  void setBytesFollowAnswer(boolean bytesFollow) {
+    bytesFollowAnswer = bytesFollow;
   }
 
   /** Returns whether the head of an answer is due. Called on the connection's event loop. */
@@ -215,6 +221,12 @@
     return awaitingAnswer && !headReceived;
   }
 
+  /** Returns whether the request that awaits an answer is a HEAD request. */
+  boolean awaitsAnswerToHead() {
+    BackendExchange current = exchange;
+    return current != null && current.isHead();
+  }
+
   /** Returns how many requests were begun. Called on the connection's event loop. */
   long requestNumber() {
     return requestNumber;
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
@@ -207,8 +207,13 @@
     return Optional.empty();
   }
 
+  /** Returns whether the request is a HEAD request, whose answer has no body. */
+  boolean isHead() {
+    return HttpMethod.HEAD.name().equals(request.method());
+  }
+
   private boolean mayHaveBody() {
-    return !HttpMethod.HEAD.name().equals(request.method())
+    return !isHead()
         && status != HttpResponseStatus.NO_CONTENT.code()
         && status != HttpResponseStatus.NOT_MODIFIED.code();
   }
