Record each answer and input of a backend server that matches no request

An answer that was skipped left a count only, and refused input on an idle connection left nothing at all, so that the log could not say whether a server answers twice, how late, or with which identifier.

The event answer-unmatched names the server, the reason, what was awaited (identifier, method), what came (identifier, status), the identifier before, how many requests the connection had carried and how long it was idle; at most 10 lines a second, the ones left out are counted in the next line. wagtailpin_backend_unmatched_answers_total counts all of them by reason. No behaviour changes, and no work is added to answers that match.

--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryGauges.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryGauges.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
+import java.util.function.ToDoubleFunction;
+import org.wagtailpin.backend.UnmatchedReason;
 import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.config.ConfigService;
 import org.wagtailpin.config.ConfigSnapshot;
@@ -49,6 +51,7 @@
         "wagtailpin_backend_stale_answers",
         "Answers discarded because they belonged to an earlier request.",
         node.traffic()::staleAnswers);
+    registerUnmatchedAnswers(registry, node.traffic()::unmatchedAnswers);
     ConfigGauges.register(
         registry,
         node.clock(),
@@ -66,6 +69,22 @@
         node.events()::notSampled);
   }
 
+  /** Registers the counter of input that matched no request. */
+  static void registerUnmatchedAnswers(
+      PrometheusRegistry registry, ToDoubleFunction<UnmatchedReason> count) {
+    CounterWithCallback.builder()
+        .name("wagtailpin_backend_unmatched_answers")
+        .help("Input of backend servers that was discarded or refused, as it matched no request.")
+        .labelNames("reason")
+        .callback(
+            counter -> {
+              for (UnmatchedReason reason : UnmatchedReason.values()) {
+                counter.call(count.applyAsDouble(reason), reason.label());
+              }
+            })
+        .register(registry);
+  }
+
   private static void registerServerGauges(PrometheusRegistry registry, EntryNode node) {
     GaugeWithCallback.builder()
         .name("wagtailpin_servers")
--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -8,6 +8,7 @@
 import org.wagtailpin.backend.BackendClient;
 import org.wagtailpin.backend.BackendLoadProbe;
 import org.wagtailpin.backend.BackendSettings;
+import org.wagtailpin.backend.UnmatchedReason;
 import org.wagtailpin.call.CallEnvironment;
 import org.wagtailpin.call.CallSettings;
 import org.wagtailpin.call.PrometheusCallMetrics;
@@ -64,7 +65,8 @@
             trafficLoops,
             server -> shares.integerShare("connections/" + server.name(), server.connections()),
             clock,
-            platform.dialect());
+            platform.dialect(),
+            events);
     QueueingPlacement placement =
         new QueueingPlacement(
             control.published(),
@@ -134,6 +136,11 @@
     return backend.staleAnswers();
   }
 
+  /** Returns how much input of backend servers was discarded or refused for a reason. */
+  long unmatchedAnswers(UnmatchedReason reason) {
+    return backend.unmatchedAnswers(reason);
+  }
+
   @Override
   public void close() {
     backend.close();
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/AnswerHeadGuard.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/AnswerHeadGuard.java
@@ -42,6 +42,7 @@
       bytes += buffer.readableBytes();
     }
     if (bytes > maxBytes || connection.awaitsNothing()) {
+      connection.recordRefused(message);
       ReferenceCountUtil.release(message);
       connection.rejectInput();
       ctx.fireExceptionCaught(
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClient.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClient.java
@@ -12,6 +12,8 @@
 import org.asynchttpclient.uri.Uri;
 import org.tinylog.Logger;
 import org.wagtailpin.clock.Clock;
+import org.wagtailpin.eventlog.EventLog;
+import org.wagtailpin.eventlog.NoOpEventLog;
 import org.wagtailpin.transport.HttpDialect;
 
 /** HTTP client that sends requests to backend servers over pooled connections. Thread-safe. */
@@ -25,11 +27,12 @@
   private final Clock clock;
   private final HttpDialect dialect;
   private final ConnectionPool pool = new ConnectionPool();
+  private final UnmatchedAnswers unmatched;
   private final AsyncHttpClient client;
   private final Future<?> idleSweep;
 
   /**
-   * Creates a client with {@link HttpDialect#standard()}.
+   * Creates a client with {@link HttpDialect#standard()} and without events.
    *
    * @param settings the timeouts and size limits of connections
    * @param loops the event loops, from {@link org.wagtailpin.transport.EventLoops#createAffine}
@@ -38,7 +41,7 @@
    */
   public BackendClient(
       BackendSettings settings, EventLoopGroup loops, ConnectionLimits limits, Clock clock) {
-    this(settings, loops, limits, clock, HttpDialect.standard());
+    this(settings, loops, limits, clock, HttpDialect.standard(), new NoOpEventLog());
   }
 
   /**
@@ -49,18 +52,22 @@
    * @param limits the maximum number of connections to each server
    * @param clock measures how long connections are idle
    * @param dialect the header names and HTTP conventions of the backend servers
+   * @param events receives an event for input that matches no request
    */
   public BackendClient(
       BackendSettings settings,
       EventLoopGroup loops,
       ConnectionLimits limits,
       Clock clock,
-      HttpDialect dialect) {
+      HttpDialect dialect,
+      EventLog events) {
     this.settings = settings;
     this.limits = limits;
     this.clock = clock;
     this.dialect = dialect;
-    this.client = new DefaultAsyncHttpClient(BackendClientConfig.of(settings, loops, pool, clock));
+    this.unmatched = new UnmatchedAnswers(events, clock, dialect);
+    this.client =
+        new DefaultAsyncHttpClient(BackendClientConfig.of(settings, loops, pool, clock, unmatched));
     this.idleSweep =
         loops
             .next()
@@ -124,6 +131,11 @@
     return pool.staleAnswers();
   }
 
+  /** Returns how much input was discarded or refused for a reason. */
+  public long unmatchedAnswers(UnmatchedReason reason) {
+    return unmatched.count(reason);
+  }
+
   private void closeIdle() {
     pool.closeExpired(clock.millis());
     pool.closeIdleSince(clock.millis() - settings.idleTimeoutMillis());
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClientConfig.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClientConfig.java
@@ -23,7 +23,11 @@
   private BackendClientConfig() {}
 
   static AsyncHttpClientConfig of(
-      BackendSettings settings, EventLoopGroup loops, ConnectionPool pool, Clock clock) {
+      BackendSettings settings,
+      EventLoopGroup loops,
+      ConnectionPool pool,
+      Clock clock,
+      UnmatchedAnswers unmatched) {
     DefaultAsyncHttpClientConfig.Builder options = new DefaultAsyncHttpClientConfig.Builder();
     disableRepeats(options);
     disableMessageRewriting(options);
@@ -34,7 +38,8 @@
         .setEventLoopGroup(loops)
         .setTcpNoDelay(true)
         .setSslEngineFactory(new PlainTextSslEngineFactory())
-        .setHttpAdditionalChannelInitializer(channel -> addHandlers(channel, settings, clock))
+        .setHttpAdditionalChannelInitializer(
+            channel -> addHandlers(channel, settings, clock, unmatched))
         .build();
   }
 
@@ -88,10 +93,11 @@
         .setShutdownQuietPeriod(Duration.ZERO);
   }
 
-  private static void addHandlers(Channel channel, BackendSettings settings, Clock clock) {
+  private static void addHandlers(
+      Channel channel, BackendSettings settings, Clock clock, UnmatchedAnswers unmatched) {
     // AsyncHttpClient requests each read, and the handler may defer it.
     channel.config().setAutoRead(false);
-    BackendConnectionHandler handler = new BackendConnectionHandler(clock);
+    BackendConnectionHandler handler = new BackendConnectionHandler(clock, unmatched);
     handler.attach(channel);
     channel
         .pipeline()
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
@@ -1,10 +1,12 @@
 package org.wagtailpin.backend;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -36,6 +38,7 @@
   private static final long MILLIS_PER_SECOND = 1_000;
 
   private final Clock clock;
+  private final UnmatchedAnswers unmatched;
   private volatile BackendExchange exchange;
   private volatile ServerConnections connections;
   private volatile boolean reusable = true;
@@ -55,9 +58,14 @@
   private volatile long maxIdleMillis = Long.MAX_VALUE;
   private boolean paused;
   private boolean readDeferred;
+  private boolean refusalRecorded;
+  private String identifier = "";
+  private String identifierBefore = "";
+  private String method = "";
 
-  BackendConnectionHandler(Clock clock) {
+  BackendConnectionHandler(Clock clock, UnmatchedAnswers unmatched) {
     this.clock = clock;
+    this.unmatched = unmatched;
   }
 
   static BackendConnectionHandler of(Channel channel) {
@@ -121,11 +129,17 @@
     awaitingAnswer = true;
     requestNumber++;
     headReceived = false;
+    identifierBefore = identifier;
+    identifier = current.identifier();
+    method = request.method().name();
     return true;
   }
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
+    if (!awaitingAnswer || isMalformed(message)) {
+      recordRefused(message);
+    }
     if (!awaitingAnswer) {
       rejectAndClose(message);
       return;
@@ -134,6 +148,7 @@
         && head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
         // RFC 9110 section 15.2.2: not allowed, because the request had no Upgrade header.
+        recordRefused(message);
         rejectAndClose(message);
         return;
       }
@@ -146,6 +161,10 @@
     if (message instanceof HttpResponse head) {
       staleAnswer = usedBefore && exchange != null && exchange.isStaleAnswer(head.headers());
       readKeepAlive(head);
+      if (staleAnswer) {
+        recordUnmatched(
+            UnmatchedReason.STALE, head.status().code(), exchange.identifierOf(head.headers()));
+      }
     }
     if (staleAnswer) {
       skipStaleAnswer(message);
@@ -243,6 +262,47 @@
     context.close();
   }
 
+  /** Records an answer to another request. Called on the connection's event loop. */
+  void recordUnmatched(UnmatchedReason reason, int status, String received) {
+    unmatched.recordAnswer(reason, history(), status, received);
+  }
+
+  /**
+   * Records input that is refused, once a connection, since it may come in many parts. Called on
+   * the connection's event loop.
+   */
+  void recordRefused(Object message) {
+    if (refusalRecorded) {
+      return;
+    }
+    refusalRecorded = true;
+    UnmatchedReason reason =
+        awaitingAnswer ? UnmatchedReason.MALFORMED : UnmatchedReason.UNSOLICITED;
+    if (message instanceof ByteBuf input) {
+      unmatched.recordInput(reason, history(), input);
+    } else if (message instanceof HttpResponse head) {
+      unmatched.recordHead(reason, history(), head);
+    } else {
+      unmatched.recordAnswer(reason, history(), 0, null);
+    }
+  }
+
+  private static boolean isMalformed(Object message) {
+    return message instanceof HttpObject part && part.decoderResult().isFailure();
+  }
+
+  private UnmatchedAnswers.ConnectionHistory history() {
+    ServerConnections owner = connections;
+    return new UnmatchedAnswers.ConnectionHistory(
+        owner == null ? "" : owner.name(),
+        requestNumber,
+        awaitingAnswer,
+        identifier,
+        method,
+        identifierBefore,
+        awaitingAnswer ? -1 : clock.millis() - idleSinceMillis);
+  }
+
   private void rejectAndClose(Object message) {
     ReferenceCountUtil.release(message);
     rejectInput();
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
@@ -143,10 +143,20 @@
    * Returns whether an answer belongs to another request, such as an earlier one answered twice.
    */
   boolean isStaleAnswer(HttpHeaders headers) {
-    String echo = headers.get(dialect.echoedHeader());
+    String echo = identifierOf(headers);
     return echo != null && !echo.equals(request.attempt());
   }
 
+  /** Returns the identifier that an answer bears, null if it bears none. */
+  String identifierOf(HttpHeaders headers) {
+    return headers.get(dialect.echoedHeader());
+  }
+
+  /** Returns the identifier of the request, empty for a probe. */
+  String identifier() {
+    return request.attempt();
+  }
+
   private void bind(Channel channel) {
     step = Step.SEND_REQUEST;
     BackendConnectionHandler handler = BackendConnectionHandler.of(channel);
@@ -182,9 +192,12 @@
   }
 
   private Optional<String> rejectionReason(HttpHeaders headers) {
-    String echo = headers.get(dialect.echoedHeader());
+    String echo = identifierOf(headers);
     boolean mismatched = echo == null ? request.echoesAttempt() : !echo.equals(request.attempt());
     if (mismatched) {
+      UnmatchedReason reason =
+          echo == null ? UnmatchedReason.NO_IDENTIFIER : UnmatchedReason.FOREIGN_IDENTIFIER;
+      connection.recordUnmatched(reason, status, echo);
       return Optional.of("the answer belongs to another request");
     }
     boolean success =
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/ServerConnections.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/ServerConnections.java
@@ -19,6 +19,10 @@
     this.name = name;
   }
 
+  String name() {
+    return name;
+  }
+
   void setMaxOpen(int connections) {
     maxOpen = connections;
   }
--- a/wagtailpin/src/test/java/org/wagtailpin/call/TestEntry.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/TestEntry.java
@@ -146,7 +146,8 @@
             loops,
             server -> builder.maxConnections,
             clock,
-            builder.dialect());
+            builder.dialect(),
+            events);
     environment =
         new CallEnvironment(
             settings(builder.maxAnswerBytes),
