Refuse an answer whose head contains another status line

Callers saw: a 200 in place of the server's 500, with the signature and body of the failed answer. The second answer to an earlier request broke off within its head after the next request had come, and the answer to that request followed.

Cause: the decoder read both heads as one, with the status of the first and the identifier of the second, so that the answer counted as the due one.

Change: a reason phrase or header value that contains a status line makes an answer malformed, and a status code has three digits. A malformed answer is never skipped as a surplus one, since the decoder reads nothing after it: the exchange fails at once.

--- a/wagtailpin/src/main/java/org/wagtailpin/backend/AnswerDecoder.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/AnswerDecoder.java
@@ -7,13 +7,22 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
 
 /**
  * Decodes the answers of a backend server, and tells the connection whether bytes follow an answer
  * that has ended.
+ *
+ * <p>A head that contains the status line of another answer is malformed: an answer broke off
+ * within its head, and the next one followed on the connection.
  */
 final class AnswerDecoder extends HttpResponseDecoder {
 
+  private static final String PROTOCOL = "HTTP/";
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+  private static final Pattern STATUS_CODE = Pattern.compile("[1-9]\\d{2}");
+
   private final BackendConnectionHandler connection;
 
   /**
@@ -30,8 +39,28 @@
     this.connection = connection;
   }
 
+  @Override
+  protected HttpMessage createMessage(String[] statusLine) {
+    String code = statusLine[1];
+    String reason = statusLine[2];
+    if (!STATUS_CODE.matcher(code).matches() || containsStatusLine(reason)) {
+      throw new IllegalArgumentException("malformed status line");
+    }
+    return super.createMessage(statusLine);
+  }
+
+  private static boolean containsStatusLine(String text) {
+    return text.contains(PROTOCOL) && STATUS_LINE.matcher(text).find();
+  }
+
+  /** Called by the decoder once a head is complete; an exception makes the answer malformed. */
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage answer) {
+    for (Map.Entry<String, String> header : answer.headers()) {
+      if (containsStatusLine(header.getValue())) {
+        throw new IllegalArgumentException("a head contains another status line");
+      }
+    }
     return super.isContentAlwaysEmpty(answer) || connection.awaitsAnswerToHead();
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
@@ -166,6 +166,8 @@
             UnmatchedReason.STALE, head.status().code(), exchange.identifierOf(head.headers()));
       }
     }
+    // Nothing follows a malformed answer, so the exchange fails with it.
+    staleAnswer = staleAnswer && ((HttpObject) message).decoderResult().isSuccess();
     if (staleAnswer) {
       skipStaleAnswer(message);
       return;
--- a/wagtailpin/src/test/java/org/wagtailpin/call/SurplusAnswerTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/SurplusAnswerTest.java
@@ -111,6 +111,14 @@
     assertWithMessage(cut).that(answer.text()).isEqualTo(DUE);
   }
 
+  private static void assertDueOrUnknown(String cut, RawHttpMessage answer) {
+    if (answer.status() == 502) {
+      assertWithMessage(cut).that(answer.header("wagtailpin-outcome")).isEqualTo("unknown");
+    } else {
+      assertDue(cut, answer);
+    }
+  }
+
   // Guards against a success in place of a failure: the start of a second answer stayed in the
   // decoder and gave its status line to the answer to the next request on the connection.
   @Test
@@ -161,4 +169,13 @@
             }),
         SurplusAnswerTest::assertDue);
   }
+
+  // Guards against a success in place of a failure: a second answer that broke off within its head
+  // gave its status line to the answer that followed.
+  @Test
+  void aSecondAnswerThatBreaksOffIsNotJoinedWithTheDueOne() throws Exception {
+    callWithAllCuts(
+        answersTwice(false, (request, to, surplus) -> to.send(surplus.start() + failure(request))),
+        SurplusAnswerTest::assertDueOrUnknown);
+  }
 }
