Send no request on a connection that carried its identifier for another call

Callers would see: the answer to an earlier call, or "not run" for a request that ran, if they use an identifier again and the server repeats the answer that bears it on the same connection.

Cause: only the sendings of one call kept off the connections that had carried their identifier.

--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
@@ -39,6 +39,7 @@
 
   private final Clock clock;
   private final UnmatchedAnswers unmatched;
+  private final CarriedRequests carriedRequests = new CarriedRequests();
   private volatile BackendExchange exchange;
   private volatile ServerConnections connections;
   private volatile boolean reusable = true;
@@ -95,6 +96,11 @@
     return idleSinceMillis;
   }
 
+  /** Returns whether one of the last requests had an identifier. Thread-safe. */
+  boolean carried(String identifier) {
+    return carriedRequests.contains(identifier);
+  }
+
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     context = ctx;
@@ -131,6 +137,9 @@
     headReceived = false;
     identifierBefore = identifier;
     identifier = current.identifier();
+    if (!identifier.isEmpty()) {
+      carriedRequests.add(identifier);
+    }
     method = request.method().name();
     return true;
   }
@@ -167,7 +176,7 @@
       }
     }
     // Nothing follows a malformed answer, so the exchange fails with it.
-    staleAnswer = staleAnswer && ((HttpObject) message).decoderResult().isSuccess();
+    staleAnswer = staleAnswer && !isMalformed(message);
     if (staleAnswer) {
       skipStaleAnswer(message);
       return;
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendRequest.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendRequest.java
@@ -49,7 +49,7 @@
         new RequestBody.None(),
         "",
         false,
-        new SentConnections());
+        new SentConnections(""));
   }
 
   /** Returns whether the request is a probe. */
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/ConnectionPool.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/ConnectionPool.java
@@ -93,7 +93,7 @@
   @Override
   public void flushPartitions(Predicate<Object> predicate) {
     for (ServerConnections connections : servers.values()) {
-      if (predicate.test(new ConnectionChoice(connections, new SentConnections()))) {
+      if (predicate.test(new ConnectionChoice(connections, new SentConnections("")))) {
         connections.closeIdleSince(Long.MAX_VALUE);
       }
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/SentConnections.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/SentConnections.java
@@ -10,20 +10,27 @@
  * <p>A server may repeat an answer where the next one is due. Answers are matched by the
  * identifier, so a request that is sent again under the same identifier must not use a connection
  * that carried it before: a repeated rejection would be taken for the answer to the second sending.
- * Thread-safe.
+ * The same holds for another call whose caller uses the identifier again. Thread-safe.
  */
 public final class SentConnections {
 
+  private final String identifier;
   private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
 
-  /** Creates an empty set, for an identifier that has not been sent. */
-  public SentConnections() {}
+  /**
+   * Creates a set for a call that has not been sent yet.
+   *
+   * @param identifier the identifier, empty if the request has none
+   */
+  public SentConnections(String identifier) {
+    this.identifier = identifier;
+  }
 
   void add(Channel channel) {
     channels.add(channel);
   }
 
   boolean contains(Channel channel) {
-    return channels.contains(channel);
+    return channels.contains(channel) || BackendConnectionHandler.of(channel).carried(identifier);
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/call/AttemptRequestFactory.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/AttemptRequestFactory.java
@@ -17,7 +17,7 @@
   private final ConfigService service;
   private final RequestBody body;
   private final HttpDialect dialect;
-  private final SentConnections sentOn = new SentConnections();
+  private final SentConnections sentOn;
 
   AttemptRequestFactory(
       IncomingRequest request, ConfigService service, RequestBody body, HttpDialect dialect) {
@@ -25,6 +25,7 @@
     this.service = service;
     this.body = body;
     this.dialect = dialect;
+    this.sentOn = new SentConnections(request.id());
   }
 
   RequestBody body() {
@@ -46,7 +47,7 @@
     SentConnections carriers = sentOn;
     if (dialect.attempt().isPresent()) {
       attempt = request.id() + "." + number;
-      carriers = new SentConnections();
+      carriers = new SentConnections(attempt);
       headers.set(dialect.attempt().get(), attempt);
       addOrigin(headers);
     }
--- a/wagtailpin/src/test/java/org/wagtailpin/call/TestEntry.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/TestEntry.java
@@ -58,6 +58,8 @@
     private CallerLimits limits = CallerLimits.defaults();
     private Optional<AsciiString> attemptHeader = HttpDialect.standard().attempt();
     private Set<Integer> notRunStatuses = HttpDialect.standard().notRunStatuses();
+    private boolean callersSetIdentifiers;
+    private boolean allowsUnframedAnswers;
 
     public Builder server(int port) {
       ports.add(port);
@@ -95,6 +97,18 @@
       return this;
     }
 
+    /** Has callers supply the identifiers of their calls. */
+    public Builder callersSetIdentifiers() {
+      callersSetIdentifiers = true;
+      return this;
+    }
+
+    /** Has servers be allowed to end an answer by closing the connection. */
+    public Builder allowsUnframedAnswers() {
+      allowsUnframedAnswers = true;
+      return this;
+    }
+
     /** Has callers recognize requests that were not run by the status code. */
     public Builder notRunStatuses(Integer... statuses) {
       notRunStatuses = Set.of(statuses);
@@ -114,9 +128,9 @@
           standard.target(),
           standard.signature(),
           standard.instance(),
-          standard.callerSetsRequestId(),
+          callersSetIdentifiers,
           notRunStatuses,
-          standard.allowsUnframedAnswers(),
+          allowsUnframedAnswers,
           standard.allowsFractionalRetryAfter(),
           standard.buffersAnswers());
     }
