Log a state that nobody has confirmed for long, at watchers and at followers

An entry on an old configuration wrote no line at all after its last config-taken, so a log alone could not tell a watch that had ended at all watchers, at one of them, or followers without their watcher's state.

config-unconfirmed is written when a watcher has had no answer of the store for 40 s (a watch lasts 28 s) or a follower no confirmation for 5 s, again whenever that time has doubled, and config-confirmed when it is over: ten lines for an hour at most. They name the revision in force, who confirmed it last, and what the watch waits for and how long. No behaviour changes.

--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -81,6 +81,7 @@
   private final ShardedClaims claims;
   private final ControlLoop loop;
   private final Clock clock;
+  private final EventLog events;
   private final Optional<HostListPoller> hostListPoller;
 
   ControlParts(
@@ -92,6 +93,7 @@
       long seed) {
     this.loop = loop;
     this.clock = clock;
+    this.events = events;
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     incarnation = clock.wallMillis();
     storeClient = new StoreHttpClient(StoreTimeouts.defaults());
@@ -270,9 +272,15 @@
       throw new IOException(failed.fault().toString());
     }
     loop.execute(membership::start);
+    registryWatcher.ifPresent(watch -> loop.execute(confirmationRecorder(watch)::start));
     hostListPoller.ifPresent(poller -> loop.execute(poller::start));
   }
 
+  private ConfirmationRecorder confirmationRecorder(RegistryWatcher watch) {
+    return new ConfirmationRecorder(
+        loop, clock, events, configEvents::inForce, confirmation, watch::phase);
+  }
+
   CompletableFuture<Void> leave() {
     CompletableFuture<Void> left = new CompletableFuture<>();
     loop.execute(
