Report a loss of the store again if the watch was answered between failed tests

Callers would see: in a domain whose watcher is cut from the store, an old version until the watcher's waiting watch times out, up to 29.5 s, as its followers go on to follow it. Cause: StorePing reports the first failed test only, until one succeeds. An answer to the watch that comes after the first failed test makes the watcher current again; the tests that go on to fail were not reported any more. Change: a failed test is reported whenever the watch is taken to be current.

--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/StorePing.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/StorePing.java
@@ -109,10 +109,14 @@
 
   /** After the first failure a second test follows at once, which opens a connection. */
   private void recordLost() {
-    if (!lost) {
-      lost = true;
+    boolean first = !lost;
+    lost = true;
+    // An answer to the watch may have ended the loss, while the tests went on to fail.
+    if (first || watch.current()) {
       watch.storeReachabilityChanged(false);
       onLoss.run();
+    }
+    if (first) {
       send();
     }
   }
