Keep watching after a loss of the store if the challenge was won before

Callers would see: after a short loss of the store, no version for seconds in a domain whose watcher had replaced another one long before. Cause: a watcher that replaces one that has lost the store gives way to it if its own first list fails. It remembered that one for good, so at any later loss it stopped watching and followed an entry that may be dead, and the domain had no watcher until the next test of the store by a follower. Change: the other one is forgotten with the first list that succeeds.

--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -258,6 +258,10 @@
       stopWatching(other.get(), now);
       return;
     }
+    if (watch.current()) {
+      // From its first list on, this watcher does not give way to the one that it replaced.
+      challenged = Optional.empty();
+    }
     boolean failedChallenge =
         challenged.isPresent() && !watch.current() && now - watchingSinceMillis >= CHALLENGE_MILLIS;
     if (failedChallenge) {
--- a/wagtailpin/src/test/java/org/wagtailpin/fleet/DomainFleetTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/fleet/DomainFleetTest.java
@@ -301,6 +301,34 @@
     }
   }
 
+  // Guards against a domain without a watcher: one that had replaced another long ago gave way to
+  // that one with the next loss of the store, whether or not it still watched or ran.
+  @Test
+  void aWatcherThatReplacedAnotherLongAgoKeepsWatchingThroughALossOfTheStore() {
+    for (long downMillis = 500; downMillis <= 5_000; downMillis += 500) {
+      SimulatedDomains fleet = started(1, 2);
+      SimulatedMember replaced = watcher(fleet, "d0");
+      fleet.cutFromStore(replaced.id(), true);
+      fleet.advance(SETTLE_MILLIS);
+      replaced.kill();
+      fleet.advance(SETTLE_MILLIS);
+      fleet.setStoreDown(true);
+      fleet.advance(downMillis);
+      int missed = fleet.changeDocument();
+      fleet.setStoreDown(false);
+      fleet.advance(SimulatedDomains.CALM_MILLIS);
+
+      for (SimulatedMember member : fleet.members()) {
+        if (member != replaced) {
+          assertWithMessage("%s after %s ms", member.id(), downMillis)
+              .that(member.version())
+              .isEqualTo(missed);
+        }
+      }
+      changeReachesAllBut(fleet, replaced);
+    }
+  }
+
   @Test
   void ofSeveralWatchersOfTheOnlyDomainOneRemains() {
     for (int entries : new int[] {5, 8, 12, 17}) {
