Read a repeated answer by the method of the request that it answers

Callers saw: a HEAD answered with a part of the body of an earlier answer, if that looked like an answer; or no answer before the deadline, as the repeated answer to a HEAD was read with as many bytes as its length states, which were those of the due answer.

Cause: whether an answer has a body was told by the method of the request that awaited an answer, also for repeated answers to earlier requests.

Change: a connection remembers which of its last 64 requests were HEAD requests, and a repeated answer is read by the method of the request whose identifier it bears.

--- a/wagtailpin/src/main/java/org/wagtailpin/backend/AnswerDecoder.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/AnswerDecoder.java
@@ -61,7 +61,7 @@
         throw new IllegalArgumentException("a head contains another status line");
       }
     }
-    return super.isContentAlwaysEmpty(answer) || connection.awaitsAnswerToHead();
+    return super.isContentAlwaysEmpty(answer) || connection.answersHead(answer.headers());
   }
 
   @Override
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -138,7 +139,7 @@
     identifierBefore = identifier;
     identifier = current.identifier();
     if (!identifier.isEmpty()) {
-      carriedRequests.add(identifier);
+      carriedRequests.add(identifier, current.isHead());
     }
     method = request.method().name();
     return true;
@@ -172,7 +173,7 @@
       readKeepAlive(head);
       if (staleAnswer) {
         recordUnmatched(
-            UnmatchedReason.STALE, head.status().code(), exchange.identifierOf(head.headers()));
+            UnmatchedReason.STALE, head.status().code(), exchange.answeredIdentifier(head.headers()));
       }
     }
     // Nothing follows a malformed answer, so the exchange fails with it.
@@ -251,10 +252,15 @@
     return awaitingAnswer && !headReceived;
   }
 
-  /** Returns whether the request that awaits an answer is a HEAD request. */
-  boolean awaitsAnswerToHead() {
+  /** Returns whether an answer is one to a HEAD request, which states a length but has no body. */
+  boolean answersHead(HttpHeaders headers) {
     BackendExchange current = exchange;
-    return current != null && current.isHead();
+    if (current == null) {
+      return false;
+    }
+    return current.isStaleAnswer(headers)
+        ? carriedRequests.isHead(current.answeredIdentifier(headers))
+        : current.isHead();
   }
 
   /** Returns how many requests were begun. Called on the connection's event loop. */
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
@@ -143,12 +143,12 @@
    * Returns whether an answer belongs to another request, such as an earlier one answered twice.
    */
   boolean isStaleAnswer(HttpHeaders headers) {
-    String echo = identifierOf(headers);
+    String echo = answeredIdentifier(headers);
     return echo != null && !echo.equals(request.attempt());
   }
 
-  /** Returns the identifier that an answer bears, null if it bears none. */
-  String identifierOf(HttpHeaders headers) {
+  /** Returns the identifier of the request that an answer belongs to, null if it bears none. */
+  String answeredIdentifier(HttpHeaders headers) {
     return headers.get(dialect.echoedHeader());
   }
 
@@ -192,7 +192,7 @@
   }
 
   private Optional<String> rejectionReason(HttpHeaders headers) {
-    String echo = identifierOf(headers);
+    String echo = answeredIdentifier(headers);
     boolean mismatched = echo == null ? request.echoesAttempt() : !echo.equals(request.attempt());
     if (mismatched) {
       UnmatchedReason reason =
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/CarriedRequests.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/CarriedRequests.java
@@ -1,13 +1,14 @@
 package org.wagtailpin.backend;
 
+import java.util.BitSet;
 import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * The identifiers of the last requests that a connection carried.
+ * The last requests that a connection carried: their identifiers, and which were HEAD requests.
  *
- * <p>Only their hashes are kept, to bound the memory. Two identifiers with one hash do no harm: a
- * request then uses another connection. One thread adds, any thread asks.
+ * <p>Only the hashes of identifiers are kept, to bound the memory. Two identifiers with one hash do
+ * no harm: a request then uses another connection. One thread adds, any thread asks.
  */
 final class CarriedRequests {
 
@@ -15,22 +16,37 @@
   private static final int CAPACITY = 64;
 
   private final AtomicIntegerArray hashes = new AtomicIntegerArray(CAPACITY);
+  private final BitSet heads = new BitSet(CAPACITY);
   private final AtomicLong count = new AtomicLong();
 
-  void add(String identifier) {
+  void add(String identifier, boolean head) {
     long added = count.get();
-    hashes.set((int) (added % CAPACITY), identifier.hashCode());
+    int place = (int) (added % CAPACITY);
+    hashes.set(place, identifier.hashCode());
+    heads.set(place, head);
     count.set(added + 1);
   }
 
+  /** Returns whether one of the requests had an identifier. */
   boolean contains(String identifier) {
+    return placeOf(identifier) >= 0;
+  }
+
+  /**
+   * Returns whether the request with an identifier was a HEAD request. Only for the adding thread.
+   */
+  boolean isHead(String identifier) {
+    int place = placeOf(identifier);
+    return place >= 0 && heads.get(place);
+  }
+
+  private int placeOf(String identifier) {
     int hash = identifier.hashCode();
-    long kept = Math.min(count.get(), CAPACITY);
-    for (int i = 0; i < kept; i++) {
+    for (int i = (int) Math.min(count.get(), CAPACITY) - 1; i >= 0; i--) {
       if (hashes.get(i) == hash) {
-        return true;
+        return i;
       }
     }
-    return false;
+    return -1;
   }
 }
