Refuse an answer that bears more than one identifier

Callers would see: parts of two answers as one, if two heads are run together such that the first identifier is the due one. With the due one second, the call waited for its deadline.

Cause: only the first identifier of a head was looked at.

Change: an answer that bears more than one is refused, and is never skipped as a surplus one.

Measured: AnsweredIdentifierTest.anAnswerWithTwoIdentifiersIsNotPassedOn got 200 before, 502 after. The other identifiers tried there (none, empty, longer, shorter, listed, quoted, other case) were refused before, too.

--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
@@ -173,7 +173,9 @@
       readKeepAlive(head);
       if (staleAnswer) {
         recordUnmatched(
-            UnmatchedReason.STALE, head.status().code(), exchange.answeredIdentifier(head.headers()));
+            UnmatchedReason.STALE,
+            head.status().code(),
+            exchange.answeredIdentifier(head.headers()).orElse(""));
       }
     }
     // Nothing follows a malformed answer, so the exchange fails with it.
@@ -259,7 +261,7 @@
       return false;
     }
     return current.isStaleAnswer(headers)
-        ? carriedRequests.isHead(current.answeredIdentifier(headers))
+        ? current.answeredIdentifier(headers).map(carriedRequests::isHead).orElse(false)
         : current.isHead();
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.atomic.AtomicReference;
@@ -143,13 +144,14 @@
    * Returns whether an answer belongs to another request, such as an earlier one answered twice.
    */
   boolean isStaleAnswer(HttpHeaders headers) {
-    String echo = answeredIdentifier(headers);
-    return echo != null && !echo.equals(request.attempt());
+    Optional<String> answered = answeredIdentifier(headers);
+    return answered.isPresent() && !answered.get().equals(request.attempt());
   }
 
-  /** Returns the identifier of the request that an answer belongs to, null if it bears none. */
-  String answeredIdentifier(HttpHeaders headers) {
-    return headers.get(dialect.echoedHeader());
+  /** Returns the identifier of the request that an answer belongs to, if it bears exactly one. */
+  Optional<String> answeredIdentifier(HttpHeaders headers) {
+    List<String> echoes = headers.getAll(dialect.echoedHeader());
+    return echoes.size() == 1 ? Optional.of(echoes.get(0)) : Optional.empty();
   }
 
   /** Returns the identifier of the request, empty for a probe. */
@@ -192,7 +194,12 @@
   }
 
   private Optional<String> rejectionReason(HttpHeaders headers) {
-    String echo = answeredIdentifier(headers);
+    if (headers.getAll(dialect.echoedHeader()).size() > 1) {
+      connection.recordUnmatched(
+          UnmatchedReason.FOREIGN_IDENTIFIER, status, headers.get(dialect.echoedHeader()));
+      return Optional.of("the answer bears more than one identifier");
+    }
+    String echo = headers.get(dialect.echoedHeader());
     boolean mismatched = echo == null ? request.echoesAttempt() : !echo.equals(request.attempt());
     if (mismatched) {
       UnmatchedReason reason =
