Refuse an answer whose transfer coding is not chunked

Callers would see: a body in a coding that the answer no longer names, or a part of a body as a whole one, from a server that sends a transfer coding other than chunked.

Cause: any Transfer-Encoding header counted as framing, and the header is removed on the way.

Change: an answer is refused unless its only transfer coding is chunked.

Measured: of the twelve heads of BrokenAnswerTest.anAnswerThatCanBeReadInTwoWaysIsNotPassedOn, the three with another coding got 200 before and the other nine were refused; all are refused after. An answer cut at any byte, and one without a length whose connection is reset while the request is being written, were refused before, too.

--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -216,6 +217,13 @@
         && !headers.contains(dialect.signature().get())) {
       return Optional.of("the answer does not bear the server's signature");
     }
+    List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    boolean chunkedOnly =
+        codings.size() == 1
+            && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0).strip());
+    if (!codings.isEmpty() && !chunkedOnly) {
+      return Optional.of("the answer's transfer coding is not understood");
+    }
     // RFC 9112 section 6.3: a body delimited by the end of the connection cannot be distinguished
     // from a truncated one.
     boolean framed =
