Reset a connection whose close would end an HTTP/1.0 answer early

Callers would see: a part of an answer as a whole one, if they use HTTP/1.0 and the listener's grace time ends, or the caller stalls, while an answer without a length is on its way.

Cause: such an answer ends with its connection, which was closed in an orderly way.

Change: from the head of such an answer until its last byte is written, whatever closes the connection resets it.

Measured: BrokenAnswerTest.anAnswerToHttp10ThatIsCutByTheEndOfTheListenerIsNotComplete read the end of the stream after half of the answer before, and a reset after; a whole answer still ends in an orderly way. DrainTest, BadInputTest, StreamingTest pass.

--- a/wagtailpin/src/main/java/org/wagtailpin/caller/AnswerWriter.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/AnswerWriter.java
@@ -46,6 +46,7 @@
     void answerBlocked();
   }
 
+  private static final int LINGER_DISABLED = -1;
   private static final int MILLIS_SCALE = 3;
   private static final long MILLIS_PER_SECOND = 1_000;
 
@@ -58,6 +59,7 @@
   private boolean answersHead;
   private boolean http11;
   private boolean chunked;
+  private boolean endsWithConnection;
   private String requestId = "";
 
   AnswerWriter(Channel channel, AnswerEncoder encoder, Owner owner, HttpDialect dialect) {
@@ -74,6 +76,7 @@
     http11 = request.protocolVersion().equals(HttpVersion.HTTP_1_1);
     requestId = "";
     chunked = false;
+    endsWithConnection = false;
     encoder.setAnswersHead(answersHead);
   }
 
@@ -106,10 +109,23 @@
       // RFC 9110 section 8.6: no Content-Length with 204.
       headers.remove(HttpHeaderNames.CONTENT_LENGTH);
     }
-    if (!bodyless && !headers.contains(HttpHeaderNames.CONTENT_LENGTH) && http11 && !answersHead) {
-      chunked = true;
+    boolean unframed =
+        !bodyless && !answersHead && !headers.contains(HttpHeaderNames.CONTENT_LENGTH);
+    chunked = unframed && http11;
+    endsWithConnection = unframed && !http11;
+    if (chunked) {
       headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     }
+    if (endsWithConnection && channel.isActive()) {
+      // Whatever closes the connection before the answer has ended resets it.
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    }
+  }
+
+  private void answerWritten(boolean whole) {
+    if (whole && endsWithConnection && channel.isActive()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, LINGER_DISABLED);
+    }
   }
 
   @Override
@@ -133,7 +149,9 @@
       last = new DefaultLastHttpContent(Unpooled.EMPTY_BUFFER);
       last.trailingHeaders().set(trailers);
     }
-    owner.answerEnded(channel.writeAndFlush(last));
+    ChannelFuture lastWrite = channel.writeAndFlush(last);
+    lastWrite.addListener(written -> answerWritten(written.isSuccess()));
+    owner.answerEnded(lastWrite);
   }
 
   @Override
--- a/wagtailpin/src/test/java/org/wagtailpin/call/BrokenAnswerTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/BrokenAnswerTest.java
@@ -144,4 +144,51 @@
       sent.get();
     }
   }
+
+  /** Makes a call with HTTP/1.0 whose answer breaks off when the listener ends. */
+  private static void callHttp10UntilListenerEnds(RawServer server) throws Exception {
+    try (TestEntry entry = new TestEntry.Builder().server(server.port()).start();
+        RawCaller caller = entry.caller()) {
+      caller.send("GET /x HTTP/1.0\r\nHost: a\r\n\r\n");
+      InputStream in = caller.socket().getInputStream();
+      readHead(in);
+      assertThat(in.readNBytes(4)).isEqualTo(RawHttpMessage.bytes("body"));
+      entry.listener().drain(0);
+
+      assertThrows(IOException.class, in::read);
+    }
+  }
+
+  // Guards against a part of an answer as a whole one: an answer to HTTP/1.0 ends with its
+  // connection, which the entry closed at the end of the grace time.
+  @Test
+  void anAnswerToHttp10ThatIsCutByTheEndOfTheListenerIsNotComplete() throws Exception {
+    try (RawServer server =
+        new RawServer(
+            (request, to) -> {
+              to.send(OK + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n");
+              return true;
+            })) {
+      callHttp10UntilListenerEnds(server);
+    }
+  }
+
+  @Test
+  void aWholeAnswerToHttp10EndsWithItsConnectionInAnOrderlyWay() throws Exception {
+    try (RawServer server =
+            new RawServer(
+                (request, to) -> {
+                  to.send(
+                      OK + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n4\r\n end\r\n0\r\n\r\n");
+                  return true;
+                });
+        TestEntry entry = new TestEntry.Builder().server(server.port()).start();
+        RawCaller caller = entry.caller()) {
+      caller.send("GET /x HTTP/1.0\r\nHost: a\r\n\r\n");
+      InputStream in = caller.socket().getInputStream();
+      readHead(in);
+
+      assertThat(in.readAllBytes()).isEqualTo(RawHttpMessage.bytes("body end"));
+    }
+  }
 }
