Time a request to another entry only once it can be found

A run of the tests on a machine with a load above 70 saw NettyPeerMessengerTest. requestWithoutHandlerHasNoAnswer wait for 30 s (100 ms are its timeout).

Cause: the timeout was scheduled before the request was added. If the adding thread stood still for that long in between, the timeout found nothing, and the request never ended. In an entry requests are sent from the control loop, on which the timeout can't overtake them.

Change: the request is added first; its end cancels the timeout.

--- a/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PendingRequests.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/entrypeer/PendingRequests.java
@@ -17,8 +17,7 @@
  */
 public final class PendingRequests {
 
-  private record Pending(
-      String entry, CompletableFuture<PeerReply> future, ScheduledTask timeout) {}
+  private record Pending(String entry, CompletableFuture<PeerReply> future) {}
 
   private final ControlLoop loop;
   private final AtomicLong lastId = new AtomicLong();
@@ -49,8 +48,10 @@
   public CompletableFuture<PeerReply> add(long id, String entry, long timeoutMillis) {
     CompletableFuture<PeerReply> future = new CompletableFuture<>();
     Runnable onTimeout = () -> failUnanswered(id, "no answer within " + timeoutMillis + " ms");
-    // Requests are added before they are sent, so an answer always finds its request.
-    pending.put(id, new Pending(entry, future, loop.schedule(timeoutMillis, onTimeout)));
+    // Requests are added before they are sent and timed, so an answer or a timeout finds them.
+    pending.put(id, new Pending(entry, future));
+    ScheduledTask timeout = loop.schedule(timeoutMillis, onTimeout);
+    var unused = future.thenRun(timeout::cancel);
     return future;
   }
 
@@ -118,10 +119,8 @@
 
   private void completeRequest(long id, PeerReply reply) {
     Pending request = pending.remove(id);
-    if (request == null) {
-      return;
+    if (request != null) {
+      loop.execute(() -> request.future().complete(reply));
     }
-    request.timeout().cancel();
-    loop.execute(() -> request.future().complete(reply));
   }
 }
