Go on with the watch of the store after an error of the program

Callers would see: an old version for good at all entries of a failure domain, if its watcher once lacked memory in a burst of requests while it processed a change. Cause: an exception in the listener of a watch leads to a new list, but an error, such as OutOfMemoryError, ended the watch. It left no line in the log, and the entry went on as current. Change: errors are treated like exceptions by the watch and by the guard of store calls, and the control loop logs them. Measured: PrefixWatcherTest.anErrorOfTheListenerEndsNoWatch before: the error left the control loop's task and no later change was told. After: passed.

--- a/wagtailpin/src/main/java/org/wagtailpin/control/ThreadControlLoop.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/control/ThreadControlLoop.java
@@ -7,8 +7,8 @@
 import org.tinylog.Logger;
 
 /**
- * Control loop on a daemon thread of its own. A {@link RuntimeException} of a task is logged and
- * does not stop the loop.
+ * Control loop on a daemon thread of its own. An exception or error of a task is logged and does
+ * not stop the loop.
  */
 public final class ThreadControlLoop implements ControlLoop, AutoCloseable {
 
@@ -49,7 +49,7 @@
     return () -> {
       try {
         task.run();
-      } catch (RuntimeException e) {
+      } catch (RuntimeException | Error e) {
         Logger.error(e, "uncaught exception in a task of the control loop");
       }
     };
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
@@ -52,13 +52,13 @@
     void callSucceeded();
 
     /**
-     * Called when {@link #listed} or {@link #changed} threw an exception. The keys are listed again
-     * after a pause.
+     * Called when {@link #listed} or {@link #changed} threw an exception or error. The keys are
+     * listed again after a pause.
      *
      * @param revision the store revision of the result that was not processed
      * @param cause the exception
      */
-    void processingFailed(long revision, RuntimeException cause);
+    void processingFailed(long revision, Throwable cause);
 
     /** Called when the watcher begins to wait for something else. */
     default void phaseChanged(WatchPhase.Awaits awaits) {}
@@ -241,7 +241,8 @@
   }
 
   /**
-   * Passes a result on. An exception must not end the watch, on which all later changes depend.
+   * Passes a result on. An exception must not end the watch, on which all later changes depend, and
+   * neither must an error, such as one for lack of memory in a burst of requests.
    *
    * @return whether the result was processed; if not, the next list is scheduled
    */
@@ -250,7 +251,7 @@
       notification.run();
       backoff.reset();
       return true;
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       listener.processingFailed(revision, e);
       scheduleRetry(this::list);
       return false;
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -220,7 +220,7 @@
     }
 
     @Override
-    public void processingFailed(long revision, RuntimeException cause) {
+    public void processingFailed(long revision, Throwable cause) {
       listed = false;
       Logger.error(cause, "failed to process a result of the store");
       events.recordEvent(
--- a/wagtailpin/src/main/java/org/wagtailpin/store/GuardedStore.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/GuardedStore.java
@@ -14,9 +14,9 @@
 /**
  * A store client of which each call ends in a result, whatever the client that it wraps does.
  *
- * <p>A call that throws an exception, whose future completes exceptionally or without a result, or
- * that does not end in time becomes a failure. Callers that continue with the result of a call, as
- * a watch does, therefore never stop. Thread-safe.
+ * <p>A call that throws an exception or error, whose future completes exceptionally or without a
+ * result, or that does not end in time becomes a failure. Callers that continue with the result of
+ * a call, as a watch does, therefore never stop. Thread-safe.
  */
 public final class GuardedStore implements Store {
 
@@ -124,7 +124,7 @@
               (result, error) ->
                   guarded.complete(
                       result != null ? result : failureResult.apply(fault(step, error))));
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       guarded.complete(failureResult.apply(fault(step, e)));
     }
     return guarded;
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/PrefixWatcherTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/PrefixWatcherTest.java
@@ -34,6 +34,7 @@
     private final List<String> keys = new ArrayList<>();
     private int failuresLeft;
     private int failures;
+    private Error error;
     private final List<WatchPhase.Awaits> phases = new ArrayList<>();
     private WatchPhase.Awaits phaseOfLastResult = WatchPhase.Awaits.STOPPED;
 
@@ -62,13 +63,16 @@
     public void callSucceeded() {}
 
     @Override
-    public void processingFailed(long revision, RuntimeException cause) {
+    public void processingFailed(long revision, Throwable cause) {
       failures++;
     }
 
     private void failIfDue() {
       if (failuresLeft > 0) {
         failuresLeft--;
+        if (error != null) {
+          throw error;
+        }
         throw new IllegalStateException("test");
       }
     }
@@ -129,4 +133,17 @@
 
     assertThat(listener.phaseOfLastResult).isEqualTo(WatchPhase.Awaits.NOTHING);
   }
+
+  // Guards against a watch that ended for good for lack of memory in a burst of requests.
+  @Test
+  void anErrorOfTheListenerEndsNoWatch() {
+    listener.error = new LinkageError("test");
+    watcher.start();
+    listener.failuresLeft = 1;
+    put("a");
+    put("b");
+
+    assertThat(listener.failures).isEqualTo(1);
+    assertThat(listener.keys).containsAtLeast("a", "b");
+  }
 }
--- a/wagtailpin/src/test/java/org/wagtailpin/store/GuardedStoreTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/store/GuardedStoreTest.java
@@ -55,6 +55,11 @@
             () -> {
               throw new IllegalStateException("test");
             }));
+    assertAllFailed(
+        allCalls(
+            () -> {
+              throw new LinkageError("test");
+            }));
   }
 
   @Test
