Abandon no list of the store because a test of it succeeds

Callers would see: no version at a domain for as long as a list takes longer than the pause between tests, 0.7 s, such as a list of several pages while the store is slow. Cause: while the keys are not listed, each test that succeeds started a new list and discarded the answer to the one before. Change: a list that is under way stays valid beside the new one, and the first answer is taken; at most three are under way.

--- a/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
@@ -70,6 +70,9 @@
   private static final long FIRST_RETRY_MILLIS = 300;
   private static final long MAX_RETRY_MILLIS = 3_000;
 
+  /** More than one only if the answer to an earlier one is late; the first answer is taken. */
+  private static final int MAX_LISTS_UNDER_WAY = 3;
+
   /** How much later than another call's answer that of a watch may come, if the store is slow. */
   private static final long MAX_WATCH_LAG_MILLIS = 400;
 
@@ -87,6 +90,7 @@
   // Incremented by start, restart and stop; answers to calls of an earlier generation are ignored.
   private long generation;
   private boolean running;
+  private int listsUnderWay;
   private long revision;
   private long watches;
   private boolean awaitingChanges;
@@ -115,6 +119,7 @@
     if (!running) {
       running = true;
       generation++;
+      listsUnderWay = 0;
       backoff.reset();
       list();
     }
@@ -151,10 +156,15 @@
         });
   }
 
-  /** Abandons the outstanding call, if any, and lists the keys again; no effect if stopped. */
+  /**
+   * Abandons the outstanding watch, if any, and lists the keys again; no effect if stopped. A list
+   * that is outstanding is not abandoned, since each one would be if the store answers late.
+   */
   void restart() {
-    if (running) {
-      generation++;
+    if (running && listsUnderWay < MAX_LISTS_UNDER_WAY) {
+      if (listsUnderWay == 0) {
+        generation++;
+      }
       list();
     }
   }
@@ -168,11 +178,15 @@
   private void list() {
     awaitingChanges = false;
     listener.phaseChanged(WatchPhase.Awaits.LIST);
+    listsUnderWay++;
     onLoop(store.list(prefix), this::afterList);
   }
 
   private void afterList(ListResult result) {
+    listsUnderWay--;
     if (result instanceof ListResult.Listed list && list.storeRevision() >= revision) {
+      generation++;
+      listsUnderWay = 0;
       listener.callSucceeded();
       revision = list.storeRevision();
       endLag(list.entries());
@@ -184,9 +198,15 @@
           Event.of(EventKind.LIST_OLDER)
               .with("revision", stale.storeRevision())
               .with("known", revision));
-      scheduleRetry(this::list);
+      retryList();
     } else if (result instanceof ListResult.Failed failed) {
       listener.callFailed(failed.fault());
+      retryList();
+    }
+  }
+
+  private void retryList() {
+    if (listsUnderWay == 0) {
       scheduleRetry(this::list);
     }
   }
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/PrefixWatcherTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/PrefixWatcherTest.java
@@ -2,16 +2,21 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 import org.wagtailpin.clock.ManualClock;
 import org.wagtailpin.control.ManualControlLoop;
 import org.wagtailpin.error.Fault;
 import org.wagtailpin.eventlog.NoOpEventLog;
 import org.wagtailpin.routing.SharedRandom;
+import org.wagtailpin.store.ListResult;
+import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreChange;
 import org.wagtailpin.store.StoreEntry;
 import org.wagtailpin.store.WriteCondition;
@@ -146,4 +151,45 @@
     assertThat(listener.failures).isEqualTo(1);
     assertThat(listener.keys).containsAtLeast("a", "b");
   }
+
+  // Guards against a list that is abandoned with each test of the store that succeeds, so that the
+  // entry has no configuration for as long as lists take longer than the pause between tests.
+  @Test
+  void aListThatTakesLongIsNotAbandonedWhenTheStoreIsFoundToAnswer() {
+    PrefixWatcher slow = watcherOf(answeringListsAfter(1_200));
+    store.write("a", new byte[0], new WriteCondition.Always(), Optional.empty());
+    slow.start();
+    for (int i = 0; i < 4; i++) {
+      loop.advance(700);
+      slow.restart();
+    }
+
+    assertThat(listener.keys).contains("a");
+  }
+
+  private Store answeringListsAfter(long millis) {
+    return answeringLists(list -> delayed(list, millis));
+  }
+
+  private Store answeringLists(UnaryOperator<CompletableFuture<ListResult>> change) {
+    return (Store)
+        Proxy.newProxyInstance(
+            Store.class.getClassLoader(),
+            new Class<?>[] {Store.class},
+            (proxy, method, args) ->
+                method.getName().equals("list")
+                    ? change.apply(store.list((String) args[0]))
+                    : method.invoke(store, args));
+  }
+
+  private <R> CompletableFuture<R> delayed(CompletableFuture<R> answer, long millis) {
+    CompletableFuture<R> late = new CompletableFuture<>();
+    loop.schedule(millis, () -> late.complete(answer.join()));
+    return late;
+  }
+
+  private PrefixWatcher watcherOf(Store client) {
+    return new PrefixWatcher(
+        client, loop, "", new SharedRandom(1), () -> 10, listener, new NoOpEventLog());
+  }
 }
