Take lists of the store that stay behind the known revision

Callers would see: no further version at a domain after one answer with a revision that the store does not have. Cause: a list older than the last known revision is not taken, however often it comes. Change: the third such list in a row is taken. Objects are merged by their own revisions, so that an old list can't take any of them back. Measured: PrefixWatcherTest.listsThatStayBehindAWrongRevisionAreTaken failed before, passed after; aListThatLiesBehindOnceIsNotTaken passed before and after. Open: such a wrong revision also counts as the one that the state is complete as of, so that objects that were not known by then stay refused up to it.

--- a/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
@@ -76,6 +76,12 @@
   /** How much later than another call's answer that of a watch may come, if the store is slow. */
   private static final long MAX_WATCH_LAG_MILLIS = 400;
 
+  /**
+   * How many lists in a row with an earlier revision show that the known one is wrong. To take one
+   * list too early does no harm, since objects are merged by their own revisions.
+   */
+  private static final int OLDER_LISTS_TO_TAKE = 3;
+
   /** Longest pause after a list that showed that the watch had missed nothing. */
   private static final long MAX_LAG_PAUSE_MILLIS = 60_000;
 
@@ -92,6 +98,7 @@
   private boolean running;
   private int listsUnderWay;
   private long revision;
+  private int olderLists;
   private long watches;
   private boolean awaitingChanges;
   private boolean lagCheckScheduled;
@@ -184,7 +191,8 @@
 
   private void afterList(ListResult result) {
     listsUnderWay--;
-    if (result instanceof ListResult.Listed list && list.storeRevision() >= revision) {
+    if (result instanceof ListResult.Listed list && mayTake(list)) {
+      olderLists = 0;
       generation++;
       listsUnderWay = 0;
       listener.callSucceeded();
@@ -205,6 +213,11 @@
     }
   }
 
+  private boolean mayTake(ListResult.Listed list) {
+    olderLists = list.storeRevision() >= revision ? 0 : olderLists + 1;
+    return olderLists == 0 || olderLists >= OLDER_LISTS_TO_TAKE;
+  }
+
   private void retryList() {
     if (listsUnderWay == 0) {
       scheduleRetry(this::list);
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/PrefixWatcherTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/PrefixWatcherTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 import org.wagtailpin.clock.ManualClock;
@@ -25,6 +26,7 @@
 class PrefixWatcherTest {
 
   private static final long WAIT_MILLIS = 5_000;
+  private static final long LONGEST_WATCH_MILLIS = 30_000;
 
   private final ManualClock clock = new ManualClock(1_000_000);
   private final ManualControlLoop loop = new ManualControlLoop(clock);
@@ -192,4 +194,39 @@
     return new PrefixWatcher(
         client, loop, "", new SharedRandom(1), () -> 10, listener, new NoOpEventLog());
   }
+
+  /** Returns a store whose n-th list tells no keys and a revision. */
+  private Store answeringList(int number, long revision) {
+    AtomicInteger lists = new AtomicInteger();
+    return answeringLists(
+        list ->
+            lists.incrementAndGet() == number
+                ? CompletableFuture.completedFuture(new ListResult.Listed(List.of(), revision))
+                : list);
+  }
+
+  // Guards against an entry that takes no version any more after one answer with a revision that
+  // the store does not have.
+  @Test
+  void listsThatStayBehindAWrongRevisionAreTaken() {
+    watcherOf(answeringList(1, 1_000_000)).start();
+    put("a");
+    loop.advance(LONGEST_WATCH_MILLIS);
+    put("b");
+
+    assertThat(listener.keys).containsAtLeast("a", "b");
+  }
+
+  @Test
+  void aListThatLiesBehindOnceIsNotTaken() {
+    put("a");
+    put("b");
+    PrefixWatcher misled = watcherOf(answeringList(2, 1));
+    misled.start();
+    loop.advance(1);
+    misled.restart();
+    loop.advance(WAIT_MILLIS);
+
+    assertThat(listener.keys).containsExactly("a", "b", "a", "b");
+  }
 }
