--- a/wagtailpin/src/test/java/org/wagtailpin/call/TestEntry.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/TestEntry.java
@@ -60,6 +60,7 @@
     private Set<Integer> notRunStatuses = HttpDialect.standard().notRunStatuses();
     private boolean callersSetIdentifiers;
     private boolean allowsUnframedAnswers;
+    private boolean buffersAnswers;
 
     public Builder server(int port) {
       ports.add(port);
@@ -109,6 +110,12 @@
       return this;
     }
 
+    /** Has the entry hold short answers until they are complete. */
+    public Builder buffersAnswers() {
+      buffersAnswers = true;
+      return this;
+    }
+
     /** Has callers recognize requests that were not run by the status code. */
     public Builder notRunStatuses(Integer... statuses) {
       notRunStatuses = Set.of(statuses);
@@ -132,7 +139,7 @@
           notRunStatuses,
           allowsUnframedAnswers,
           standard.allowsFractionalRetryAfter(),
-          standard.buffersAnswers());
+          buffersAnswers);
     }
 
     public Builder internal() {
