Make up for a publication of the configuration that failed

Callers would see: an old version until the next change, at an entry that once failed while it put a version in force, for example for lack of memory; its followers not told. Cause: the states counted as held before they were published. The same state, read again, was not newer, so that nothing was published and no listener told. Change: the merger remembers that a change is to be published; the next merge, whatever it brings, or the next step of the membership makes up for it.

--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigMerger.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigMerger.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import org.tinylog.Logger;
 import org.wagtailpin.clock.Clock;
 
@@ -19,6 +20,8 @@
   private final MergedConfig merged;
   private final PublishedConfig published;
   private final List<ConfigListener> listeners = new ArrayList<>();
+  private Optional<ConfigOrigin> unpublished = Optional.empty();
+  private boolean publicationFailed;
   private volatile ConfigOrigin origin = ConfigOrigin.none();
   private volatile ConfigReport report;
 
@@ -68,12 +71,37 @@
 
   private boolean merge(
       Collection<VersionedObject> states, ConfigOrigin.Source source, String peerName) {
-    if (!merged.mergeAll(states)) {
+    if (merged.mergeAll(states)) {
+      unpublished = Optional.of(new ConfigOrigin(source, peerName, 0));
+    }
+    return publishChange();
+  }
+
+  /**
+   * Publishes a change whose publication failed when it was merged, if there is one. Its states
+   * count as held, so that nothing else might come that is newer.
+   */
+  public void publishMissed() {
+    try {
+      publishChange();
+    } catch (RuntimeException e) {
+      if (!publicationFailed) {
+        publicationFailed = true;
+        Logger.error(e, "failed to publish the configuration");
+      }
+    }
+  }
+
+  private boolean publishChange() {
+    if (unpublished.isEmpty()) {
       return false;
     }
+    ConfigOrigin from = unpublished.get();
     published.publish(merged);
-    origin = new ConfigOrigin(source, peerName, clock.wallMillis());
+    origin = new ConfigOrigin(from.source(), from.peerName(), clock.wallMillis());
     report = ConfigReport.of(merged, origin);
+    unpublished = Optional.empty();
+    publicationFailed = false;
     listeners.forEach(this::notifyOfChange);
     return true;
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -177,6 +177,7 @@
     }
     knowledge.forgetOld(now);
     status.publish(now, leaving);
+    merger.publishMissed();
   }
 
   private void followStep(long now) {
