Take no failed write for the end of an answer

Callers would see: a part of an answer as a whole one, where the native transport is not available, if a server answers without a length before it has read the request, and the connection is reset.

Cause: a write that fails closes the connection without an error on the reading side, and the decoder ends an answer without a length there. AsyncHttpClient passes over such a failure on a kept connection.

Change: once a write has failed for another reason than a closed connection, the end of input fails the exchange.

Measured: BackendConnectionHandlerTest.anAnswerWithoutALengthDoesNotEndWhereAWriteFails saw the answer end before, and a failure after. With io.netty.transport.noNative=true, BrokenAnswerTest.anAnswerWithoutALengthThatIsResetWhileTheRequestIsWrittenIsNotComplete failed in two runs of two before and passed in one of one after; on the native transport it passed before, too.

--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendConnectionHandler.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AttributeKey;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -50,6 +51,7 @@
   private ChannelHandlerContext context;
   private boolean requestRefused;
   private boolean requestWritten = true;
+  private boolean writeFailed;
   private boolean awaitingAnswer;
   private long requestNumber;
   private boolean headReceived;
@@ -121,7 +123,11 @@
     if (message instanceof LastHttpContent) {
       requestWritten = true;
     }
-    ctx.write(message, promise);
+    ctx.write(message, promise.unvoid().addListener(written -> recordWrite(written.cause())));
+  }
+
+  private void recordWrite(Throwable failure) {
+    writeFailed = writeFailed || (failure != null && !(failure instanceof ClosedChannelException));
   }
 
   private boolean beginRequest(HttpRequest request) {
@@ -154,6 +160,12 @@
       rejectAndClose(message);
       return;
     }
+    if (writeFailed && !ctx.channel().isActive()) {
+      // The failed write closed the connection: the server did not end an answer without a length.
+      ReferenceCountUtil.release(message);
+      ctx.fireExceptionCaught(new IOException("the connection broke while the request was sent"));
+      return;
+    }
     if (message instanceof HttpResponse head
         && head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
