--- a/wagtailpin/src/test/java/org/wagtailpin/backend/BackendConnectionHandlerTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/backend/BackendConnectionHandlerTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.api.Test;
 import org.wagtailpin.clock.SystemClock;
 import org.wagtailpin.config.ConfigServer;
+import org.wagtailpin.eventlog.NoOpEventLog;
 import org.wagtailpin.transport.HttpDialect;
 
 class BackendConnectionHandlerTest {
@@ -81,7 +82,10 @@
   private static Recorder answerWithoutLength(boolean breaks) {
     Wire wire = new Wire();
     Recorder recorder = new Recorder();
-    BackendConnectionHandler connection = new BackendConnectionHandler(new SystemClock());
+    SystemClock clock = new SystemClock();
+    BackendConnectionHandler connection =
+        new BackendConnectionHandler(
+            clock, new UnmatchedAnswers(new NoOpEventLog(), clock, HttpDialect.standard()));
     EmbeddedChannel channel =
         new EmbeddedChannel(
             wire,
