Pass on answers that name a proxy by its protocol and address

Callers would see: 502 for each answer of a server behind a proxy that writes 'Via: HTTP/1.1 192.168.0.7', though the request ran.

Cause: the check for a second status line in a head matched the first three digits of the address. Change: a status code ends with a space or the value. Measured: BrokenAnswerTest.anAnswerOfAServerBehindAProxyIsPassedOn got 502 before, 200 after; the cuts of SurplusAnswerTest are unchanged.

--- a/wagtailpin/src/main/java/org/wagtailpin/backend/AnswerDecoder.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/AnswerDecoder.java
@@ -20,7 +20,7 @@
 final class AnswerDecoder extends HttpResponseDecoder {
 
   private static final String PROTOCOL = "HTTP/";
-  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}(?: |$)");
   private static final Pattern STATUS_CODE = Pattern.compile("[1-9]\\d{2}");
 
   private final BackendConnectionHandler connection;
--- a/wagtailpin/src/test/java/org/wagtailpin/call/BrokenAnswerTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/BrokenAnswerTest.java
@@ -64,6 +64,14 @@
     }
   }
 
+  // Guards against a refusal of answers that name a proxy by its protocol and address.
+  @Test
+  void anAnswerOfAServerBehindAProxyIsPassedOn() throws Exception {
+    String via = "Via: HTTP/1.1 192.168.0.7\r\nContent-Length: 4\r\n\r\nbody";
+
+    assertThat(statusOfCallAnsweredBy(OK + via)).isEqualTo(200);
+  }
+
   @Test
   void anAnswerThatCanBeReadInTwoWaysIsNotPassedOn() throws Exception {
     for (Map.Entry<String, String> answer : ambiguousAnswers().entrySet()) {
