Go on with the rounds of a queue after an error of the program

Callers would see: a service that serves nothing more at an entry that once lacked memory in a round of its queue, while the entry stays ready.

Cause: only exceptions were caught, so an error left the count of rounds above zero for good. Change: errors are logged like exceptions; the arrivals are taken within the guard as well. Measured: CallQueueTest.anErrorInOneRoundEndsNoLaterRound failed with the error before, passed after.

--- a/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
@@ -100,8 +100,11 @@
     }
     int served = 1;
     do {
-      addArrivals();
-      runGuarded(round);
+      runGuarded(
+          () -> {
+            addArrivals();
+            round.run();
+          });
       size = shortWork.size() + longWork.size();
       for (int priority = 0; priority < PRIORITIES; priority++) {
         sizeAhead.set(priority, shortWork.sizeAhead(priority) + longWork.sizeAhead(priority));
@@ -114,7 +117,7 @@
   private static void runGuarded(Runnable round) {
     try {
       round.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       Logger.error(e, "failed to dispatch queued calls");
     }
   }
