Publish also what a merge that failed midway has taken, and isolate errors of listeners

By reading, from the review of the mend of failed publications: states merged before an error count as held and would not have been published, and an error of one listener hid the change from the others. ConfigMergerTest passed; neither case has a test of its own.

--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigMerger.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigMerger.java
@@ -71,8 +71,11 @@
 
   private boolean merge(
       Collection<VersionedObject> states, ConfigOrigin.Source source, String peerName) {
-    if (merged.mergeAll(states)) {
-      unpublished = Optional.of(new ConfigOrigin(source, peerName, 0));
+    Optional<ConfigOrigin> before = unpublished;
+    // Set first, since the merge may fail after some states, which then count as held.
+    unpublished = Optional.of(new ConfigOrigin(source, peerName, 0));
+    if (!merged.mergeAll(states)) {
+      unpublished = before;
     }
     return publishChange();
   }
@@ -84,7 +87,7 @@
   public void publishMissed() {
     try {
       publishChange();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       if (!publicationFailed) {
         publicationFailed = true;
         Logger.error(e, "failed to publish the configuration");
@@ -110,7 +113,7 @@
   private void notifyOfChange(ConfigListener listener) {
     try {
       listener.configChanged(merged);
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       Logger.error(e, "a listener of the configuration failed");
     }
   }
