Bound the pauses of the watch's comparison, the guard of long lists and a log line

From the review, by reading: after a lost answer that told of a removal only, the comparison of revisions could pause for up to 60 s (5 s now); the guard of store calls ended a slow list of six pages and more (30 s now); identifiers of callers are shortened in answer-unmatched. The comments of the watch say what it does now.

--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -59,8 +59,8 @@
 
   private static final long FLUSH_TIMEOUT_MILLIS = 2_000;
 
-  /** Above the timeouts of all store clients, also for a list of several pages. */
-  private static final long MAX_STORE_CALL_MILLIS = 10_000;
+  /** Above the timeouts of all store clients, also for a list of ten pages. */
+  private static final long MAX_STORE_CALL_MILLIS = 30_000;
 
   /** Regions may lose each other for an hour. */
   private static final long FLEET_SIZE_MEMORY_MILLIS = 2 * 3_600_000;
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/UnmatchedAnswers.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/UnmatchedAnswers.java
@@ -95,9 +95,9 @@
             .with("server", history.server())
             .with("reason", reason.label())
             .with("awaiting", history.awaiting())
-            .with("identifier", history.identifier())
+            .with("identifier", shortened(history.identifier()))
             .with("method", history.method())
-            .with("before", history.before())
+            .with("before", shortened(history.before()))
             .with("received", identifier == null ? "" : shortened(identifier))
             .with("status", status)
             .with("carried", history.carried());
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
@@ -20,9 +20,9 @@
 /**
  * Lists the keys with a prefix once, and then watches the store for changes to them.
  *
- * <p>At most one store call is outstanding. The keys are listed again when a watch fails, when the
- * store has compacted the changes, when the store's revision has decreased, and when the listener
- * threw an exception. Runs on the control loop only.
+ * <p>At most one watch or a few lists are outstanding. The keys are listed again when a watch fails
+ * or lags behind, when the store has compacted the changes, when the store's revision has
+ * decreased, and when the listener threw an exception. Runs on the control loop only.
  */
 final class PrefixWatcher {
 
@@ -64,7 +64,7 @@
     default void phaseChanged(WatchPhase.Awaits awaits) {}
   }
 
-  /** Below the maximum wait of stores, 30 s; dead connections are detected by other means. */
+  /** Below the maximum wait of stores, 30 s; {@link #revisionSeen} detects lost answers. */
   private static final long WATCH_WAIT_MILLIS = 28_000;
 
   private static final long FIRST_RETRY_MILLIS = 300;
@@ -77,13 +77,13 @@
   private static final long MAX_WATCH_LAG_MILLIS = 400;
 
   /**
-   * How many lists in a row with an earlier revision show that the known one is wrong. To take one
-   * list too early does no harm, since objects are merged by their own revisions.
+   * How many lists in a row with an earlier revision show that the known one is wrong. Objects are
+   * merged by their own revisions, so that none is taken back by an early list.
    */
   private static final int OLDER_LISTS_TO_TAKE = 3;
 
   /** Longest pause after a list that showed that the watch had missed nothing. */
-  private static final long MAX_LAG_PAUSE_MILLIS = 60_000;
+  private static final long MAX_LAG_PAUSE_MILLIS = 5_000;
 
   private final Store store;
   private final ControlLoop loop;
