Keep hashes of identifiers that don't collide

Callers saw nothing; servers got more connections than needed: kept 32-bit string hashes, which collide for identifiers that differ in two neighbouring digits, and a request whose hash was known took another connection.

Change: 64-bit xxh3 hashes.

--- a/wagtailpin/src/main/java/org/wagtailpin/backend/CarriedRequests.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/CarriedRequests.java
@@ -1,8 +1,9 @@
 package org.wagtailpin.backend;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.BitSet;
-import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicLongArray;
 
 /**
  * The last requests that a connection carried: their identifiers, and which were HEAD requests.
@@ -15,14 +16,14 @@
   /** A server repeats an answer where one of the next answers is due. */
   private static final int CAPACITY = 64;
 
-  private final AtomicIntegerArray hashes = new AtomicIntegerArray(CAPACITY);
+  private final AtomicLongArray hashes = new AtomicLongArray(CAPACITY);
   private final BitSet heads = new BitSet(CAPACITY);
   private final AtomicLong count = new AtomicLong();
 
   void add(String identifier, boolean head) {
     long added = count.get();
     int place = (int) (added % CAPACITY);
-    hashes.set(place, identifier.hashCode());
+    hashes.set(place, hash(identifier));
     heads.set(place, head);
     count.set(added + 1);
   }
@@ -40,8 +41,12 @@
     return place >= 0 && heads.get(place);
   }
 
+  private static long hash(String identifier) {
+    return Hashing.xxh3_64().hashCharsToLong(identifier);
+  }
+
   private int placeOf(String identifier) {
-    int hash = identifier.hashCode();
+    long hash = hash(identifier);
     for (int i = (int) Math.min(count.get(), CAPACITY) - 1; i >= 0; i--) {
       if (hashes.get(i) == hash) {
         return i;
