--- a/wagtailpin/src/test/java/org/wagtailpin/fleet/SimulatedDomains.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/fleet/SimulatedDomains.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.UnaryOperator;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.wagtailpin.clock.ManualClock;
@@ -52,6 +53,7 @@
   private final Set<String> storeCut = new HashSet<>();
   private final List<String> seeds = new ArrayList<>();
   private boolean storeDown;
+  private Optional<UnaryOperator<StoreFaults.Builder>> storeHarm = Optional.empty();
   private long storeDisturbedMillis = -CALM_MILLIS;
   private long incarnations;
   private int version;
@@ -129,6 +131,12 @@
     changeStoreFaults();
   }
 
+  /** Has the store lose answers or history, or answer late, or ends that. */
+  void harmStore(Optional<UnaryOperator<StoreFaults.Builder>> harm) {
+    storeHarm = harm;
+    changeStoreFaults();
+  }
+
   void cutFromStore(String entry, boolean cut) {
     if (cut) {
       storeCut.add(entry);
@@ -149,13 +157,14 @@
   }
 
   private void changeStoreFaults() {
-    if (storeDown) {
+    if (storeDown || storeHarm.isPresent()) {
       storeDisturbedMillis = Long.MAX_VALUE / 2;
     } else if (storeDisturbedMillis > clock.millis()) {
       storeDisturbedMillis = clock.millis();
     }
-    faulty.changeFaults(
-        StoreFaults.builder().down(storeDown).partition(Set.copyOf(storeCut)).build());
+    StoreFaults.Builder faults =
+        StoreFaults.builder().down(storeDown).partition(Set.copyOf(storeCut));
+    faulty.changeFaults(storeHarm.map(harm -> harm.apply(faults)).orElse(faults).build());
   }
 
   /** Returns whether the store has been without faults for long enough. */
