--- a/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
@@ -93,8 +93,8 @@
   private final LongSupplier batchMillis;
   private final EventLog events;
 
-  // Incremented by start, stop, a restart of the watch and a list that is taken; answers to calls of
-  // an earlier generation are ignored.
+  // Incremented by start, stop, restart and a list that is taken; answers to calls of an earlier
+  // generation are ignored.
   private long generation;
   private boolean running;
   private int listsUnderWay;
