--- a/daemon/src/main/java/org/wagtailpin/daemon/ConfirmationRecorder.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ConfirmationRecorder.java
@@ -17,7 +17,7 @@
  */
 final class ConfirmationRecorder {
 
-  /** A watcher hears the store at least once per watch, which lasts up to 28 s. */
+  /** The store answers a watcher at least once per watch, which lasts up to 28 s. */
   static final long WATCHER_LIMIT_MILLIS = 40_000;
 
   static final long FOLLOWER_LIMIT_MILLIS = 5_000;
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/AnswerDecoder.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/AnswerDecoder.java
@@ -11,8 +11,8 @@
 import java.util.regex.Pattern;
 
 /**
- * Decodes the answers of a backend server, and tells the connection whether bytes follow an answer
- * that has ended.
+ * Decodes the answers of a backend server, and reports to the connection whether bytes follow an
+ * answer that has ended.
  *
  * <p>A head that contains the status line of another answer is malformed: an answer broke off
  * within its head, and the next one followed on the connection.
@@ -28,7 +28,7 @@
   /**
    * Creates a decoder.
    *
-   * @param connection knows what the connection awaits
+   * @param connection the state of the connection
    * @param settings the size limits of a status line and a head
    */
   AnswerDecoder(BackendConnectionHandler connection, BackendSettings settings) {
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/AnswerHeadGuard.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/AnswerHeadGuard.java
@@ -23,7 +23,7 @@
   /**
    * Creates a guard.
    *
-   * @param connection knows what the connection awaits
+   * @param connection the state of the connection
    * @param maxBytes the maximum number of bytes before the head of an answer has ended
    */
   AnswerHeadGuard(BackendConnectionHandler connection, int maxBytes) {
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/CarriedRequests.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/CarriedRequests.java
@@ -9,7 +9,7 @@
  * The last requests that a connection carried: their identifiers, and which were HEAD requests.
  *
  * <p>Only the hashes of identifiers are kept, to bound the memory. Two identifiers with one hash do
- * no harm: a request then uses another connection. One thread adds, any thread asks.
+ * no harm: a request then uses another connection. One thread writes, any thread reads.
  */
 final class CarriedRequests {
 
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
@@ -227,7 +227,7 @@
 
   /**
    * Pauses the comparison of revisions, for longer each time, if the watch had missed no change: a
-   * store may count changes that a watch does not tell.
+   * store may count changes that a watch does not report.
    */
   private void endLag(List<StoreEntry> entries) {
     if (laggingRevision == 0) {
