Log the time that a placement reserved for a call, what was left and what it knew of the route

A refusal by the deadline or the queue named the median of its service only. So the log could not tell a request that was known to be too long from one whose route had never been answered. placed and refused now have requiredMillis, remainingMillis and routeAnswers; the tests of routing, limits and event log pass.

--- a/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
@@ -23,7 +23,10 @@
       "estimatedLoad",
       "reportAgeMillis",
       "longWork",
-      "medianMillis"),
+      "medianMillis",
+      "requiredMillis",
+      "remainingMillis",
+      "routeAnswers"),
   REFUSED(
       "refused",
       true,
@@ -38,6 +41,9 @@
       "reportAgeMillis",
       "longWork",
       "medianMillis",
+      "requiredMillis",
+      "remainingMillis",
+      "routeAnswers",
       "step",
       "detail"),
   ATTEMPT(
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/QuantileEstimator.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/QuantileEstimator.java
@@ -16,7 +16,7 @@
 
   private final double quantile;
   private final double[] samples;
-  private long count;
+  private volatile long count;
   private volatile double estimateMillis = Double.NaN;
   private volatile long lastSampleMillis;
 
@@ -45,6 +45,11 @@
     return Double.isNaN(estimate) ? fallback : estimate;
   }
 
+  /** Returns how many samples the estimate is based on. */
+  int size() {
+    return (int) Math.min(count, samples.length);
+  }
+
   /** Returns the time of the last sample, 0 before the first. */
   long lastSampleMillis() {
     return lastSampleMillis;
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/RouteStatistics.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/RouteStatistics.java
@@ -104,6 +104,17 @@
     return median.millisOrElse(DEFAULT_MILLIS) * Math.exp(-idleMillis / IDLE_DECAY_MILLIS);
   }
 
+  /**
+   * Returns how many of the last answers of a route its expected time is based on, 0 before its
+   * first.
+   *
+   * @param route the route
+   */
+  public int answers(String route) {
+    QuantileEstimator median = routeMedians.get(route);
+    return median == null ? 0 : median.size();
+  }
+
   /**
    * Returns the time that 95% of the attempts on a route do not exceed, in milliseconds.
    *
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -109,7 +109,8 @@
         request.queuedMillis(),
         service.queue().size(),
         request.longWork(),
-        statistics.medianMillis(service.name()));
+        statistics.medianMillis(service.name()),
+        request.work());
   }
 
   /** Returns whether the service has any server that takes work. */
@@ -279,6 +280,7 @@
                 request.queuedMillis(),
                 service.queue().size(),
                 request.longWork(),
-                statistics.medianMillis(service.name()))));
+                statistics.medianMillis(service.name()),
+                request.work())));
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/EventLogPlacementObserver.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/EventLogPlacementObserver.java
@@ -46,7 +46,10 @@
         .with("estimatedLoad", reason.estimatedLoad())
         .with("reportAgeMillis", reason.reportAgeMillis())
         .with("longWork", reason.longWork())
-        .with("medianMillis", reason.medianMillis());
+        .with("medianMillis", reason.medianMillis())
+        .with("requiredMillis", reason.work().requiredMillis())
+        .with("remainingMillis", reason.work().remainingMillis())
+        .with("routeAnswers", reason.work().routeAnswers());
   }
 
   @Override
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementReason.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementReason.java
@@ -15,6 +15,7 @@
  * @param queueLength how many calls of the service are queued here
  * @param longWork whether the call counted as long work
  * @param medianMillis the median service time of the service, as known to this entry
+ * @param work how long the call's work is expected to take
  */
 public record PlacementReason(
     PlacementRule rule,
@@ -25,10 +26,12 @@
     double queuedMillis,
     int queueLength,
     boolean longWork,
-    double medianMillis) {
+    double medianMillis,
+    WorkEstimate work) {
 
   /** Creates the reason of a refusal for a service that is not known. */
-  static PlacementReason unknownService(PlacementRule rule, double queuedMillis) {
-    return new PlacementReason(rule, 0, 0, 0, -1, queuedMillis, 0, false, 0);
+  static PlacementReason unknownService(
+      PlacementRule rule, double queuedMillis, WorkEstimate work) {
+    return new PlacementReason(rule, 0, 0, 0, -1, queuedMillis, 0, false, 0, work);
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementRequest.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementRequest.java
@@ -8,10 +8,12 @@
  * @param nowMillis the current time, in milliseconds
  * @param queuedMillis how long the call has been queued here, in milliseconds
  * @param bytes the number of bytes that the call is expected to transfer
+ * @param work how long the work is expected to take
  */
 record PlacementRequest(
     AttemptHistory history,
     boolean longWork,
     double nowMillis,
     double queuedMillis,
-    double bytes) {}
+    double bytes,
+    WorkEstimate work) {}
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueuedCall.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueuedCall.java
@@ -12,6 +12,7 @@
   private final double weight;
   private final boolean longWork;
   private final long queuedAtMillis;
+  private final double requiredMillis;
   private final long latestStartMillis;
   private final AtomicBoolean waiting = new AtomicBoolean(true);
 
@@ -22,6 +23,7 @@
       double weight,
       boolean longWork,
       long queuedAtMillis,
+      double requiredMillis,
       long latestStartMillis) {
     this.call = call;
     this.history = history;
@@ -29,6 +31,7 @@
     this.weight = weight;
     this.longWork = longWork;
     this.queuedAtMillis = queuedAtMillis;
+    this.requiredMillis = requiredMillis;
     this.latestStartMillis = latestStartMillis;
   }
 
@@ -52,6 +55,11 @@
     return queuedAtMillis;
   }
 
+  /** Returns the time reserved for the work before the deadline, in milliseconds. */
+  double requiredMillis() {
+    return requiredMillis;
+  }
+
   /** Returns the maximum wait from when the call was queued, in milliseconds. */
   long maxWaitMillis() {
     return latestStartMillis - queuedAtMillis;
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -164,6 +164,7 @@
         table.groupWeight(call.callerGroup()),
         statistics.isLongWork(service, route, longWorkFactor),
         clock.millis(),
+        requiredMillis,
         computeLatestStart(call, settings, requiredMillis));
   }
 
@@ -221,7 +222,15 @@
         queued.longWork(),
         now,
         Math.max(0, now - queued.queuedAtMillis()),
-        statistics.expectedBytes(queued.call().route().name()));
+        statistics.expectedBytes(queued.call().route().name()),
+        workEstimate(queued));
+  }
+
+  private WorkEstimate workEstimate(QueuedCall queued) {
+    return new WorkEstimate(
+        queued.requiredMillis(),
+        queued.call().deadlineMillis() - clock.exactMillis(),
+        statistics.answers(queued.call().route().name()));
   }
 
   private boolean grant(ServiceState service, QueuedCall queued, Dispatcher.Dispatch dispatch) {
@@ -249,7 +258,8 @@
     return table
         .service(queued.call().route().service())
         .map(service -> dispatcher.refusalReason(rule, service, request))
-        .orElseGet(() -> PlacementReason.unknownService(rule, request.queuedMillis()));
+        .orElseGet(
+            () -> PlacementReason.unknownService(rule, request.queuedMillis(), request.work()));
   }
 
   private ReturnTime.Backlog backlog(QueuedCall queued) {
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/EventLogPlacementObserverTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/EventLogPlacementObserverTest.java
@@ -35,4 +35,20 @@
     assertThat(refused.value("medianMillis")).isPresent();
     assertThat(refused.value("queueLength")).isPresent();
   }
+
+  @Test
+  void aRefusalIsLoggedWithTheTimeThatItsWorkNeedsAndWhereThatIsKnownFrom() {
+    fixture.servers(1, 1).publish();
+    QueueingPlacement placement =
+        fixture.placement(PlacementFixture.SEED, new EventLogPlacementObserver(events));
+    fixture.statistics.recordServiceTime(PlacementFixture.SERVICE, "short", 300);
+    fixture.statistics.recordServiceTime(PlacementFixture.SERVICE, "short", 300);
+    placement.request(fixture.call(5_000), AttemptHistory.none(), new RecordingListener());
+    placement.request(fixture.call(200), AttemptHistory.none(), new RecordingListener());
+
+    Event refused = events.of(EventKind.REFUSED).get(0);
+    assertThat(refused.value("requiredMillis")).isEqualTo(Optional.of(600.0));
+    assertThat(refused.value("remainingMillis")).isEqualTo(Optional.of(200.0));
+    assertThat(refused.value("routeAnswers")).isEqualTo(Optional.of(2));
+  }
 }
