Give a call without time to wait a free slot before refusing it

Cause: a call was judged before a server was looked for, by the time that it needs if it has to wait. It was refused if twice its expected time, or the wait for a slot that one of this entry's few attempts frees, exceeded what was left. Neither matters if a slot is free.

A call is now refused at once only if its work is expected to take longer than is left. Else it gets a free slot, and is judged by the wait if there is none. The log has the expected time in place of the time with the margin, which only the wait uses.

--- a/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
@@ -24,7 +24,7 @@
       "reportAgeMillis",
       "longWork",
       "medianMillis",
-      "requiredMillis",
+      "expectedMillis",
       "remainingMillis",
       "routeAnswers"),
   REFUSED(
@@ -41,7 +41,7 @@
       "reportAgeMillis",
       "longWork",
       "medianMillis",
-      "requiredMillis",
+      "expectedMillis",
       "remainingMillis",
       "routeAnswers",
       "step",
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/EventLogPlacementObserver.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/EventLogPlacementObserver.java
@@ -47,7 +47,7 @@
         .with("reportAgeMillis", reason.reportAgeMillis())
         .with("longWork", reason.longWork())
         .with("medianMillis", reason.medianMillis())
-        .with("requiredMillis", reason.work().requiredMillis())
+        .with("expectedMillis", reason.work().expectedMillis())
         .with("remainingMillis", reason.work().remainingMillis())
         .with("routeAnswers", reason.work().routeAnswers());
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementRule.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementRule.java
@@ -16,9 +16,9 @@
   ALL_BAD("all-bad"),
   /** Refused: the service has no server that takes work. */
   NO_SERVER("no-server"),
-  /** Refused: the deadline has passed or is too near to complete the work. */
+  /** Refused: the deadline has passed, or the work is expected to take longer than is left. */
   DEADLINE("deadline"),
-  /** Refused: the queue is too long to start the work in time. */
+  /** Refused: no slot is free, and the queue is too long to start the work in time. */
   QUEUE_TOO_LONG("queue-too-long"),
   /** Refused: by the limits that all servers name, none takes the call in time. */
   SERVER_LIMITS("server-limits"),
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueuedCall.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueuedCall.java
@@ -12,7 +12,7 @@
   private final double weight;
   private final boolean longWork;
   private final long queuedAtMillis;
-  private final double requiredMillis;
+  private final double expectedMillis;
   private final long latestStartMillis;
   private final AtomicBoolean waiting = new AtomicBoolean(true);
 
@@ -23,7 +23,7 @@
       double weight,
       boolean longWork,
       long queuedAtMillis,
-      double requiredMillis,
+      double expectedMillis,
       long latestStartMillis) {
     this.call = call;
     this.history = history;
@@ -31,7 +31,7 @@
     this.weight = weight;
     this.longWork = longWork;
     this.queuedAtMillis = queuedAtMillis;
-    this.requiredMillis = requiredMillis;
+    this.expectedMillis = expectedMillis;
     this.latestStartMillis = latestStartMillis;
   }
 
@@ -55,9 +55,9 @@
     return queuedAtMillis;
   }
 
-  /** Returns the time reserved for the work before the deadline, in milliseconds. */
-  double requiredMillis() {
-    return requiredMillis;
+  /** Returns the time that the work is expected to take, in milliseconds. */
+  double expectedMillis() {
+    return expectedMillis;
   }
 
   /** Returns the maximum wait from when the call was queued, in milliseconds. */
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -134,7 +134,7 @@
       probes.run(
           service.get(), placementRequest(queued), () -> grantOrEnqueue(service.get(), queued));
     } else {
-      enqueue(service.get(), queued);
+      enqueueInTime(service.get(), queued);
     }
     return queued;
   }
@@ -144,7 +144,16 @@
       return;
     }
     if (!service.queue().isEmpty() || !tryGrant(service, queued)) {
+      enqueueInTime(service, queued);
+    }
+  }
+
+  /** Queues a call that found no free slot, or refuses it if it cannot wait for one. */
+  private void enqueueInTime(ServiceState service, QueuedCall queued) {
+    if (canWait(service, queued)) {
       enqueue(service, queued);
+    } else {
+      refuse(queued, Step.ADMIT, PlacementRule.QUEUE_TOO_LONG);
     }
   }
 
@@ -156,7 +165,7 @@
         table.service(service).map(state -> state.view().settings());
     double longWorkFactor = settings.map(s -> s.value(Tunable.LONG_WORK_FACTOR)).orElse(1.0);
     double deadlineMargin = settings.map(s -> s.value(Tunable.DEADLINE_MARGIN)).orElse(1.0);
-    double requiredMillis = deadlineMargin * statistics.expectedMillis(service, route);
+    double expectedMillis = statistics.expectedMillis(service, route);
     return new QueuedCall(
         call,
         history,
@@ -164,8 +173,8 @@
         table.groupWeight(call.callerGroup()),
         statistics.isLongWork(service, route, longWorkFactor),
         clock.millis(),
-        requiredMillis,
-        computeLatestStart(call, settings, requiredMillis));
+        expectedMillis,
+        computeLatestStart(call, settings, deadlineMargin * expectedMillis));
   }
 
   private long computeLatestStart(
@@ -179,33 +188,38 @@
   }
 
   /**
-   * Returns the rule by which a call is refused, if any. While the service has no attempt in
-   * flight, a call is admitted whatever its expected time, so that a new answer can lower the
-   * estimate.
+   * Returns the rule by which a call is refused whether a server has a free slot or not, if any.
+   * While the service has no attempt in flight, a call is admitted whatever its expected time, so
+   * that a new answer can lower the estimate.
    */
   private Optional<PlacementRule> admissionRefusal(ServiceState service, QueuedCall queued) {
     long now = clock.millis();
     if (now >= queued.call().deadlineMillis()) {
       return Optional.of(PlacementRule.DEADLINE);
     }
-    boolean checkQueueWait = queued.depth() == 0 && !queued.mayWait();
-    int ahead = checkQueueWait ? service.queue().sizeAhead(queued.priority()) : 0;
+    int ahead = isQueueWaitChecked(queued) ? service.queue().sizeAhead(queued.priority()) : 0;
     double limitWaitMillis = dispatcher.limitWaitMillis(service, ahead);
     if (limitWaitMillis > 0 && now + limitWaitMillis > queued.latestStartMillis()) {
       return Optional.of(PlacementRule.SERVER_LIMITS);
     }
+    boolean tooLong = now + queued.expectedMillis() > queued.call().deadlineMillis();
+    return tooLong && service.inFlight() > 0
+        ? Optional.of(PlacementRule.DEADLINE)
+        : Optional.empty();
+  }
+
+  private boolean canWait(ServiceState service, QueuedCall queued) {
+    long now = clock.millis();
     if (service.inFlight() == 0) {
-      return Optional.empty();
-    }
-    if (now > queued.latestStartMillis()) {
-      return Optional.of(PlacementRule.DEADLINE);
+      return true;
     }
-    if (checkQueueWait
-        && now + dispatcher.queueWaitMillis(service, queued.priority())
-            > queued.latestStartMillis()) {
-      return Optional.of(PlacementRule.QUEUE_TOO_LONG);
-    }
-    return Optional.empty();
+    double waitMillis =
+        isQueueWaitChecked(queued) ? dispatcher.queueWaitMillis(service, queued.priority()) : 0;
+    return now + waitMillis <= queued.latestStartMillis();
+  }
+
+  private static boolean isQueueWaitChecked(QueuedCall queued) {
+    return queued.depth() == 0 && !queued.mayWait();
   }
 
   private boolean tryGrant(ServiceState service, QueuedCall queued) {
@@ -228,7 +242,7 @@
 
   private WorkEstimate workEstimate(QueuedCall queued) {
     return new WorkEstimate(
-        queued.requiredMillis(),
+        queued.expectedMillis(),
         queued.call().deadlineMillis() - clock.exactMillis(),
         statistics.answers(queued.call().route().name()));
   }
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/EventLogPlacementObserverTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/EventLogPlacementObserverTest.java
@@ -47,7 +47,7 @@
     placement.request(fixture.call(200), AttemptHistory.none(), new RecordingListener());
 
     Event refused = events.of(EventKind.REFUSED).get(0);
-    assertThat(refused.value("requiredMillis")).isEqualTo(Optional.of(600.0));
+    assertThat(refused.value("expectedMillis")).isEqualTo(Optional.of(300.0));
     assertThat(refused.value("remainingMillis")).isEqualTo(Optional.of(200.0));
     assertThat(refused.value("routeAnswers")).isEqualTo(Optional.of(2));
   }
