Retry a call whose route has no answers yet, whatever other routes of its service take

BudgetedRetryPolicyTest: a call with 500 ms left, on a route without answers of a service with answers after 600 ms, was not retried before, and is now. That a route with such answers of its own isn't retried is tested beside it; the test of a deadline 10 ms away holds as it was.

--- a/wagtailpin/src/main/java/org/wagtailpin/limits/BudgetedRetryPolicy.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/BudgetedRetryPolicy.java
@@ -117,8 +117,8 @@
     }
     boolean immediate = outcome instanceof AttemptOutcome.NotRun && history.attempts() <= 1;
     long delayMillis = immediate ? 0 : backoffMillis(snapshot, service, history.attempts());
-    double expectedServiceMillis = statistics.expectedMillis(service, call.route().name());
-    if (clock.millis() + delayMillis + expectedServiceMillis > call.deadlineMillis()) {
+    double knownServiceMillis = statistics.knownMillis(call.route().name());
+    if (clock.millis() + delayMillis + knownServiceMillis > call.deadlineMillis()) {
       return RetryDecision.no("deadline");
     }
     if (!budget(service).spend()) {
--- a/wagtailpin/src/test/java/org/wagtailpin/limits/BudgetedRetryPolicyTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/limits/BudgetedRetryPolicyTest.java
@@ -86,6 +86,22 @@
     assertThat(retried).isAtLeast(95);
   }
 
+  @Test
+  void aCallOfARouteWithoutAnswersIsRetriedWhateverTheOtherRoutesOfItsServiceTake() {
+    statistics.recordServiceTime("service", "other", 600);
+    earn(1);
+
+    assertThat(decide(call(true, 0, 500), NOT_RUN).retry()).isTrue();
+  }
+
+  @Test
+  void aCallIsNotRetriedIfItsRouteIsKnownToTakeLongerThanIsLeft() {
+    statistics.recordServiceTime("service", "route", 600);
+    earn(1);
+
+    assertThat(decide(call(true, 0, 500), NOT_RUN).rule()).isEqualTo("deadline");
+  }
+
   @Test
   void workThatMayNotBeRepeatedIsRetriedOnlyWithProofThatItDidNotRun() {
     earn(5);
