Admit calls of a route without answers however short their time

At admission nothing is now assumed of such a route. A retry still assumes 20 ms, since it keeps no route from its first answer.

AddedRouteTest, 10 ms and 1 ms left beside one call in flight: refused before, a free slot now.

--- a/wagtailpin/src/main/java/org/wagtailpin/limits/BudgetedRetryPolicy.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/BudgetedRetryPolicy.java
@@ -117,8 +117,9 @@
     }
     boolean immediate = outcome instanceof AttemptOutcome.NotRun && history.attempts() <= 1;
     long delayMillis = immediate ? 0 : backoffMillis(snapshot, service, history.attempts());
-    double knownServiceMillis = statistics.knownMillis(call.route().name());
-    if (clock.millis() + delayMillis + knownServiceMillis > call.deadlineMillis()) {
+    double serviceMillis =
+        statistics.measuredMillis(call.route().name()).orElse(RouteStatistics.DEFAULT_MILLIS);
+    if (clock.millis() + delayMillis + serviceMillis > call.deadlineMillis()) {
       return RetryDecision.no("deadline");
     }
     if (!budget(service).spend()) {
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/RouteStatistics.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/RouteStatistics.java
@@ -14,7 +14,7 @@
 public final class RouteStatistics {
 
   /** Time expected of a service or a route that has not answered yet. */
-  private static final double DEFAULT_MILLIS = 20;
+  static final double DEFAULT_MILLIS = 20;
 
   private static final double MEDIAN_QUANTILE = 0.5;
   private static final double TAIL_QUANTILE = 0.95;
@@ -102,16 +102,12 @@
   }
 
   /**
-   * Returns the time that an attempt on a route takes, as far as answers of the route itself show
-   * it, in milliseconds; a short time before its first answer.
+   * Returns the time that an attempt on a route is expected to take by the answers of the route
+   * itself, in milliseconds; empty before its first answer.
    *
    * @param route the route
    */
-  public double knownMillis(String route) {
-    return measuredMillis(route).orElse(DEFAULT_MILLIS);
-  }
-
-  private OptionalDouble measuredMillis(String route) {
+  public OptionalDouble measuredMillis(String route) {
     QuantileEstimator median = routeMedians.get(route);
     if (median == null) {
       return OptionalDouble.empty();
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -204,8 +204,8 @@
     }
     // The work of other routes shows nothing about a route that has not been answered yet, and a
     // route whose calls are refused gets no answer.
-    double knownMillis = statistics.knownMillis(queued.call().route().name());
-    boolean tooLong = now + knownMillis > queued.call().deadlineMillis();
+    double measuredMillis = statistics.measuredMillis(queued.call().route().name()).orElse(0);
+    boolean tooLong = now + measuredMillis > queued.call().deadlineMillis();
     return tooLong && service.inFlight() > 0
         ? Optional.of(PlacementRule.DEADLINE)
         : Optional.empty();
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/AddedRouteTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/AddedRouteTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wagtailpin.config.Tunable;
 
 /** Requests with little time left, on routes whose work this entry has and has not yet seen. */
@@ -157,11 +158,12 @@
     return placement;
   }
 
-  @Test
-  void aRouteWithoutAnswersIsNotRefusedByTheWorkOfOtherRoutes() {
+  @ParameterizedTest
+  @ValueSource(ints = {LONG_MILLIS - 100, SHORT_MILLIS, 1})
+  void aRouteWithoutAnswersIsNotRefusedByTheWorkOfOtherRoutes(int leftMillis) {
     QueueingPlacement placement = placementWithOneCallInFlight(2, SLOTS);
 
-    assertThat(submit(placement, "added", LONG_MILLIS - 100).grant()).isPresent();
+    assertThat(submit(placement, "added", leftMillis).grant()).isPresent();
   }
 
   @Test
