Move the decision on admission into a class of its own

Admission holds both questions: is the call refused whether a slot is free or not, and may it wait for one. FleetKnowledge names the watchers of other domains in place of three chains in DomainFleet. No change of behaviour; the tests of routing, limits and of the fleet's sizes pass.

--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -234,10 +234,7 @@
     announcedCurrent = false;
     announce();
     seeds.forEach(beats::send);
-    knowledge
-        .directory()
-        .successorOf(self.failureDomain())
-        .ifPresent(next -> beats.send(next.member().id()));
+    knowledge.nextWatcher().ifPresent(beats::send);
   }
 
   /** Sends a beat to all live entries of the own domain. */
@@ -306,7 +303,7 @@
 
   /** Sends a beat to one partner: another watcher, or a seed, which names it to new entries. */
   private void exchange() {
-    List<String> partners = new ArrayList<>(knowledge.directory().othersThan(self.failureDomain()));
+    List<String> partners = new ArrayList<>(knowledge.otherWatchers());
     partners.addAll(seeds);
     if (!partners.isEmpty()) {
       beats.send(partners.get(random.nextInt(partners.size())));
@@ -321,7 +318,7 @@
     if (watch.missedChanges() > missedChanges) {
       missedChanges = watch.missedChanges();
       // All watches wait for the same change, so that the others may have missed it, too.
-      knowledge.directory().othersThan(self.failureDomain()).forEach(beats::send);
+      knowledge.otherWatchers().forEach(beats::send);
     }
     scheduleSuccessorCheck();
   }
@@ -340,10 +337,7 @@
         () -> {
           successorCheckScheduled = false;
           if (watch.running() && !stopped) {
-            knowledge
-                .directory()
-                .successorOf(self.failureDomain())
-                .ifPresent(next -> beats.send(next.member().id()));
+            knowledge.nextWatcher().ifPresent(beats::send);
           }
         });
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/FleetKnowledge.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/FleetKnowledge.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.wagtailpin.config.IpAddressSyntax;
 import org.wagtailpin.entrypeer.MutableAddressBook;
@@ -50,6 +51,18 @@
     return member.failureDomain().equals(self.failureDomain());
   }
 
+  /** Returns the identifiers of the watchers of the other domains, as far as known. */
+  List<String> otherWatchers() {
+    return directory.notOf(self.failureDomain()).stream()
+        .map(watcher -> watcher.member().id())
+        .toList();
+  }
+
+  /** Returns the identifier of the watcher of the next domain by name, if another is known. */
+  Optional<String> nextWatcher() {
+    return directory.successorOf(self.failureDomain()).map(watcher -> watcher.member().id());
+  }
+
   /** Returns the number of live entries in the own domain. */
   int ownSize(long now) {
     return Math.max(1, ownMembers().live(now).size());
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/WatcherDirectory.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/WatcherDirectory.java
@@ -83,12 +83,8 @@
         .or(() -> others.stream().findFirst());
   }
 
-  /** Returns the watchers of all domains but one, by their identifiers. */
-  List<String> othersThan(String domain) {
-    return notOf(domain).stream().map(watcher -> watcher.member().id()).toList();
-  }
-
-  private List<Watcher> notOf(String domain) {
+  /** Returns the watchers of all domains but one, ordered by domain. */
+  List<Watcher> notOf(String domain) {
     return watchers.values().stream()
         .filter(watcher -> !watcher.member().failureDomain().equals(domain))
         .toList();
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -32,6 +32,7 @@
   private final PlacementObserver observer;
   private final RoutingTable table;
   private final Dispatcher dispatcher;
+  private final Admission admission;
   private final AttemptRecorder recorder;
   private final ProbeRounds probes;
   private final QueueProbes queueProbes;
@@ -108,6 +109,7 @@
     RequestLimits limits = new RequestLimits(shares, clock, random, observer);
     ServerPicker picker = new ServerPicker(clock, random, leavingHosts, costs, limits);
     this.dispatcher = new Dispatcher(picker, links, shares, statistics, costs, clock, limits);
+    this.admission = new Admission(clock, statistics, dispatcher);
     this.probes =
         new ProbeRounds(
             clock, picker, costs, probe, limits, new ProbeBudget(clock, shares), scheduler);
@@ -125,7 +127,7 @@
       refuse(queued, Step.PICK_SERVER, PlacementRule.NO_SERVER);
       return queued;
     }
-    Optional<PlacementRule> refusal = admissionRefusal(service.get(), queued);
+    Optional<PlacementRule> refusal = admission.refusal(service.get(), queued);
     if (refusal.isPresent()) {
       refuse(queued, Step.ADMIT, refusal.get());
       return queued;
@@ -150,7 +152,7 @@
 
   /** Queues a call that found no free slot, or refuses it if it cannot wait for one. */
   private void enqueueInTime(ServiceState service, QueuedCall queued) {
-    if (canWait(service, queued)) {
+    if (admission.canWait(service, queued)) {
       enqueue(service, queued);
     } else {
       refuse(queued, Step.ADMIT, PlacementRule.QUEUE_TOO_LONG);
@@ -187,44 +189,6 @@
     return Math.min(latestStart, clock.millis() + maxQueueMillis);
   }
 
-  /**
-   * Returns the rule by which a call is refused whether a server has a free slot or not, if any.
-   * While the service has no attempt in flight, a call is admitted whatever its expected time, so
-   * that a new answer can lower the estimate.
-   */
-  private Optional<PlacementRule> admissionRefusal(ServiceState service, QueuedCall queued) {
-    long now = clock.millis();
-    if (now >= queued.call().deadlineMillis()) {
-      return Optional.of(PlacementRule.DEADLINE);
-    }
-    int ahead = isQueueWaitChecked(queued) ? service.queue().sizeAhead(queued.priority()) : 0;
-    double limitWaitMillis = dispatcher.limitWaitMillis(service, ahead);
-    if (limitWaitMillis > 0 && now + limitWaitMillis > queued.latestStartMillis()) {
-      return Optional.of(PlacementRule.SERVER_LIMITS);
-    }
-    // The work of other routes shows nothing about a route that has not been answered yet, and a
-    // route whose calls are refused gets no answer.
-    double measuredMillis = statistics.measuredMillis(queued.call().route().name()).orElse(0);
-    boolean tooLong = now + measuredMillis > queued.call().deadlineMillis();
-    return tooLong && service.inFlight() > 0
-        ? Optional.of(PlacementRule.DEADLINE)
-        : Optional.empty();
-  }
-
-  private boolean canWait(ServiceState service, QueuedCall queued) {
-    long now = clock.millis();
-    if (service.inFlight() == 0) {
-      return true;
-    }
-    double waitMillis =
-        isQueueWaitChecked(queued) ? dispatcher.queueWaitMillis(service, queued.priority()) : 0;
-    return now + waitMillis <= queued.latestStartMillis();
-  }
-
-  private static boolean isQueueWaitChecked(QueuedCall queued) {
-    return queued.depth() == 0 && !queued.mayWait();
-  }
-
   private boolean tryGrant(ServiceState service, QueuedCall queued) {
     return dispatcher
         .dispatch(service, placementRequest(queued))
