--- a/wagtailpin/src/test/java/org/wagtailpin/routing/AddedRouteTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/AddedRouteTest.java
@@ -25,6 +25,8 @@
   private static final int ADDED_AFTER_MILLIS = 4_000;
   private static final LoadReport OTHERS_USE_HALF = new LoadReport(3, 0, false);
 
+  private final PlacementFixture fixture = new PlacementFixture();
+
   /** A call that was submitted, and how long its work takes once it has a server. */
   private record Submitted(String route, RecordingListener listener, int workMillis) {}
 
@@ -140,8 +142,6 @@
     assertThat(shares.get("first").value()).isAtLeast(0.9);
   }
 
-  private final PlacementFixture fixture = new PlacementFixture();
-
   private RecordingListener submit(QueueingPlacement placement, String route, int deadlineMillis) {
     RecordingListener listener = new RecordingListener();
     placement.request(
