Name the watcher's count of compared changes for what it counts

Read as a newcomer would: the field had the name of the method that it is compared with, and the comment on the queue's wait read as if it spoke of waiting. No change of behaviour; DomainSizesTest and AddedRouteTest pass.

--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -73,7 +73,7 @@
   private long lastExchangeMillis = NEVER;
   private boolean announcedCurrent;
   private boolean successorCheckScheduled;
-  private int missedChanges;
+  private int comparedMissedChanges;
   private boolean leaving;
   private boolean stopped;
 
@@ -315,8 +315,8 @@
       return;
     }
     beats.push(pusher.changes());
-    if (watch.missedChanges() > missedChanges) {
-      missedChanges = watch.missedChanges();
+    if (watch.missedChanges() > comparedMissedChanges) {
+      comparedMissedChanges = watch.missedChanges();
       // All watches wait for the same change, so that the others may have missed it, too.
       knowledge.otherWatchers().forEach(beats::send);
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Admission.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Admission.java
@@ -63,7 +63,7 @@
     return clock.millis() + waitMillis <= queued.latestStartMillis();
   }
 
-  /** Deep calls are not refused on an estimate of the queue, and work that may wait is not. */
+  /** Neither deep calls nor work that may wait are refused by an estimate of the queue. */
   private static boolean isQueueWaitChecked(QueuedCall queued) {
     return queued.depth() == 0 && !queued.mayWait();
   }
