--- a/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
@@ -135,6 +135,8 @@
   SERVER_RETURNED("server-returned", false, "server"),
   SERVER_LIMITED("server-limited", false, "server", "perSecond", "sharePerSecond"),
   SERVER_UNLIMITED("server-unlimited", false, "server"),
+  BUDGET_EXHAUSTED("budget-exhausted", false, "kind", "name"),
+  BUDGET_AVAILABLE("budget-available", false, "kind", "name", "exhaustedMillis", "denied"),
   WATCHER_ELECTED("watcher-elected", false, "reason", "rank", "before"),
   WATCHER_REPLACED("watcher-replaced", false, "watcher"),
   WATCHER_FOLLOWED("watcher-followed", false, "watcher"),
