Add customers, evacuations and slow start to the configuration model

Cause: nothing in the configuration named customers and their keys, allowed regions, evacuated failure domains or cold servers.

Change: ConfigCustomer, ConfigEvacuation and new fields of ConfigRoute and ConfigService, with their JSON form; CallDescriptor has the customer, the priority and the allowed regions. CustomerIndex is a trie of fixed depth whose versions share what has not changed.

--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigKind.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigKind.java
@@ -12,6 +12,10 @@
   CALLER_GROUP("callerGroup"),
   /** Objects that are replaced together; read from the operator's document, never in a ticket. */
   DOCUMENT("document"),
+  /** Part of the operator's document, never in a ticket, since it contains secret keys. */
+  CUSTOMER("customer"),
+  /** An evacuated failure domain; read from a store key of its own, never in a ticket. */
+  EVACUATION("evacuation"),
   /** The number up to which tickets are closed; written by compaction, never in a ticket. */
   TICKET_FLOOR("ticketFloor");
 
@@ -28,7 +32,10 @@
 
   /** Returns whether a ticket may contain objects of this kind. */
   public boolean isAllowedInTickets() {
-    return this != TICKET_FLOOR && this != DOCUMENT;
+    return switch (this) {
+      case SERVICE, ROUTE, SERVER_SET, LINK, LIMIT, CALLER_GROUP -> true;
+      case DOCUMENT, CUSTOMER, EVACUATION, TICKET_FLOOR -> false;
+    };
   }
 
   /**
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigObject.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigObject.java
@@ -8,7 +8,9 @@
         ConfigLink,
         ConfigLimit,
         ConfigCallerGroup,
-        ConfigDocument {
+        ConfigDocument,
+        ConfigCustomer,
+        ConfigEvacuation {
 
   /** Returns the kind, which is the same for all objects of a type. */
   ConfigKind kind();
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigRoute.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigRoute.java
@@ -24,6 +24,8 @@
  * @param targetLatencyMillis the latency within which an answer keeps its full value, in
  *     milliseconds, empty if not specified
  * @param priority the priority under load, 0 for the most urgent
+ * @param publicAccess whether requests need no customer's key
+ * @param allowedRegions the regions in which its requests may run; empty for all regions
  */
 public record ConfigRoute(
     String name,
@@ -38,7 +40,9 @@
     List<WeightedService> split,
     Optional<Integer> maxAttempts,
     Optional<Long> targetLatencyMillis,
-    int priority)
+    int priority,
+    boolean publicAccess,
+    List<String> allowedRegions)
     implements ConfigObject {
 
   // The safe methods of RFC 9110 section 9.2.1; repeating them has no additional effect.
@@ -48,6 +52,40 @@
   public ConfigRoute {
     methods = Set.copyOf(methods);
     split = List.copyOf(split);
+    allowedRegions = List.copyOf(allowedRegions);
+  }
+
+  /** Creates a route that needs a key if there are customers, and may run in all regions. */
+  public ConfigRoute(
+      String name,
+      Optional<String> host,
+      String pathPrefix,
+      Set<String> methods,
+      String service,
+      Optional<Boolean> repeatable,
+      long deadlineMillis,
+      IdempotencyKeyRule keyRule,
+      boolean mayWait,
+      List<WeightedService> split,
+      Optional<Integer> maxAttempts,
+      Optional<Long> targetLatencyMillis,
+      int priority) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        methods,
+        service,
+        repeatable,
+        deadlineMillis,
+        keyRule,
+        mayWait,
+        split,
+        maxAttempts,
+        targetLatencyMillis,
+        priority,
+        false,
+        List.of());
   }
 
   /** Creates a route to a single service, with default limits and the highest priority. */
@@ -112,7 +150,9 @@
         split,
         maxAttempts,
         targetLatencyMillis,
-        priority);
+        priority,
+        publicAccess,
+        allowedRegions);
   }
 
   @Override
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigSnapshot.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigSnapshot.java
@@ -7,6 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.wagtailpin.customer.CustomerIndex;
 
 /** Snapshot of the active configuration, indexed for look-ups by traffic threads. */
 public final class ConfigSnapshot {
@@ -26,6 +29,8 @@
   private final List<ConfigLink> links = new ArrayList<>();
   private final List<ConfigLimit> limits = new ArrayList<>();
   private final List<ConfigCallerGroup> callerGroups = new ArrayList<>();
+  private final Set<String> evacuatedDomains = new TreeSet<>();
+  private final CustomerIndex customers;
 
   /**
    * Creates a snapshot.
@@ -35,10 +40,23 @@
    *     two limits or links the first one
    */
   public ConfigSnapshot(long version, Collection<ConfigObject> objects) {
+    this(version, objects, CustomerIndex.empty());
+  }
+
+  /**
+   * Creates a snapshot.
+   *
+   * @param version a number that is unique among the snapshots of a process
+   * @param objects the active objects, as for the other constructor
+   * @param before the customers of the snapshot before, whose unchanged part is shared
+   */
+  public ConfigSnapshot(long version, Collection<ConfigObject> objects, CustomerIndex before) {
     this.version = version;
+    List<ConfigCustomer> found = new ArrayList<>();
     for (ConfigObject object : objects) {
-      add(object);
+      add(object, found);
     }
+    customers = before.changedTo(found);
     routes.sort(MOST_SPECIFIC_FIRST);
     services.values().forEach(this::limitConnections);
   }
@@ -61,7 +79,7 @@
     return new ConfigSnapshot(0, List.of());
   }
 
-  private void add(ConfigObject object) {
+  private void add(ConfigObject object, List<ConfigCustomer> found) {
     if (object instanceof ConfigRoute route) {
       routes.add(route);
     } else if (object instanceof ConfigService service) {
@@ -75,7 +93,11 @@
     } else if (object instanceof ConfigCallerGroup group) {
       callerGroups.add(group);
     } else if (object instanceof ConfigDocument document) {
-      document.objects().forEach(this::add);
+      document.objects().forEach(part -> add(part, found));
+    } else if (object instanceof ConfigCustomer customer) {
+      found.add(customer);
+    } else if (object instanceof ConfigEvacuation evacuation) {
+      evacuatedDomains.add(evacuation.failureDomain());
     }
   }
 
@@ -146,6 +168,16 @@
     return callerGroups;
   }
 
+  /** Returns the customers, by key. */
+  public CustomerIndex customers() {
+    return customers;
+  }
+
+  /** Returns the names of the evacuated failure domains. */
+  public Set<String> evacuatedDomains() {
+    return evacuatedDomains;
+  }
+
   /**
    * Returns the effective value of a tunable: the value of the service, else the value for all
    * services, else the default.
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ObjectFieldsReader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ObjectFieldsReader.java
@@ -29,7 +29,11 @@
   private static final int MIN_STATUS = 100;
   private static final int MAX_STATUS = 599;
 
+  private static final double MAX_RATE_PER_SECOND = 1_000_000_000;
+  private static final double MAX_BURST = 1_000_000_000;
+
   private static final Map<String, ConfigKind> TICKET_KINDS = kinds();
+  private static final Map<String, ConfigKind> DOCUMENT_KINDS = documentKinds();
   private static final Map<String, IdempotencyKeyRule> KEY_RULES = keyRules();
 
   private static Map<String, ConfigKind> kinds() {
@@ -50,22 +54,28 @@
     return rules;
   }
 
-  private static Map<String, ConfigKind> documentKind() {
-    return Map.of(ConfigKind.DOCUMENT.label(), ConfigKind.DOCUMENT);
+  private static Map<String, ConfigKind> documentKinds() {
+    Map<String, ConfigKind> kinds = kinds();
+    kinds.put(ConfigKind.CUSTOMER.label(), ConfigKind.CUSTOMER);
+    return kinds;
   }
 
   /** Reads the kind of an object; a missing kind is reported as a problem. */
   Optional<ConfigKind> kind(JsonObjectReader in) {
+    return kind(in, TICKET_KINDS);
+  }
+
+  private static Optional<ConfigKind> kind(JsonObjectReader in, Map<String, ConfigKind> kinds) {
     if (!in.has(KIND)) {
-      in.addProblem(KIND, "one of " + String.join(", ", TICKET_KINDS.keySet()));
+      in.addProblem(KIND, "one of " + String.join(", ", kinds.keySet()));
     }
-    return in.choice(KIND, TICKET_KINDS);
+    return in.choice(KIND, kinds);
   }
 
   /** Reads an object of a known kind; the JSON may omit its kind, but must not name another. */
   ConfigObject read(ConfigKind kind, JsonObjectReader in) {
     Optional<ConfigKind> named =
-        in.choice(KIND, kind.isAllowedInTickets() ? TICKET_KINDS : documentKind());
+        in.choice(KIND, kind.isAllowedInTickets() ? TICKET_KINDS : Map.of(kind.label(), kind));
     if (named.isPresent() && named.get() != kind) {
       in.addProblem(KIND, kind.label());
     }
@@ -78,6 +88,8 @@
           case LIMIT -> limit(in);
           case CALLER_GROUP -> callerGroup(in);
           case DOCUMENT -> document(in);
+          case CUSTOMER -> customer(in);
+          case EVACUATION -> new ConfigEvacuation(in.name("name"));
           case TICKET_FLOOR ->
               throw new IllegalArgumentException("a " + kind.label() + " has no JSON form");
         };
@@ -97,7 +109,18 @@
         in.has("connections")
             ? Optional.of((int) in.integer("connections", 1, MAX_CONNECTIONS))
             : Optional.empty();
-    return new ConfigService(name, echoesAttempt, refusals, probePath, connections);
+    return new ConfigService(
+        name,
+        echoesAttempt,
+        refusals,
+        probePath,
+        connections,
+        in.has("slowStartMillis")
+            ? Optional.of(in.integer("slowStartMillis", 0, ConfigServer.MAX_SLOW_START_MILLIS))
+            : Optional.empty(),
+        in.has("warmupPerSecond")
+            ? Optional.of(in.number("warmupPerSecond", 0, MAX_RATE_PER_SECOND))
+            : Optional.empty());
   }
 
   private static RefusalPattern refusal(JsonObjectReader in) {
@@ -149,7 +172,9 @@
         in.has("targetLatencyMillis")
             ? Optional.of(in.integer("targetLatencyMillis", 1, MAX_DEADLINE_MILLIS))
             : Optional.empty(),
-        (int) in.integer("priority", 0, MAX_PRIORITY, 0));
+        (int) in.integer("priority", 0, MAX_PRIORITY, 0),
+        in.bool("publicAccess", false),
+        in.strings("allowedRegions"));
   }
 
   private static List<WeightedService> split(JsonObjectReader in) {
@@ -166,11 +191,23 @@
     String name = in.name("name");
     List<ConfigObject> objects = new ArrayList<>();
     for (JsonObjectReader object : in.objects("objects")) {
-      kind(object).ifPresent(kind -> objects.add(read(kind, object)));
+      kind(object, DOCUMENT_KINDS).ifPresent(kind -> objects.add(read(kind, object)));
     }
     return new ConfigDocument(name, objects);
   }
 
+  private static ConfigCustomer customer(JsonObjectReader in) {
+    return new ConfigCustomer(
+        in.name("name"),
+        in.strings("keys"),
+        in.has("priority")
+            ? Optional.of((int) in.integer("priority", 0, MAX_PRIORITY))
+            : Optional.empty(),
+        in.number("ratePerSecond", 0, MAX_RATE_PER_SECOND, 0),
+        in.number("burst", 0, MAX_BURST, 0),
+        in.strings("allowedRegions"));
+  }
+
   private static ConfigServerSet serverSet(JsonObjectReader in) {
     String name = in.name("name");
     String service = in.name("service");
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ObjectWriter.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ObjectWriter.java
@@ -43,6 +43,8 @@
       writeCallerGroup(group, out);
     } else if (object instanceof ConfigDocument document) {
       writeDocument(document, out);
+    } else if (object instanceof ConfigCustomer customer) {
+      writeCustomer(customer, out);
     }
     out.writeEndObject();
   }
@@ -66,6 +68,12 @@
     if (service.connections().isPresent()) {
       out.writeNumberField("connections", service.connections().get());
     }
+    if (service.slowStartMillis().isPresent()) {
+      out.writeNumberField("slowStartMillis", service.slowStartMillis().get());
+    }
+    if (service.warmupPerSecond().isPresent()) {
+      out.writeNumberField("warmupPerSecond", service.warmupPerSecond().get());
+    }
   }
 
   private static void writeRoute(ConfigRoute route, JsonGenerator out) throws IOException {
@@ -104,6 +112,12 @@
     if (route.priority() != 0) {
       out.writeNumberField("priority", route.priority());
     }
+    if (route.publicAccess()) {
+      out.writeBooleanField("publicAccess", true);
+    }
+    if (!route.allowedRegions().isEmpty()) {
+      writeTexts("allowedRegions", route.allowedRegions(), out);
+    }
   }
 
   private static void writeServerSet(ConfigServerSet set, JsonGenerator out) throws IOException {
@@ -165,6 +179,16 @@
     writeTexts("addressBlocks", group.addressBlocks(), out);
   }
 
+  private static void writeCustomer(ConfigCustomer customer, JsonGenerator out) throws IOException {
+    writeTexts("keys", customer.keys(), out);
+    if (customer.priority().isPresent()) {
+      out.writeNumberField("priority", customer.priority().get());
+    }
+    out.writeNumberField("ratePerSecond", customer.ratePerSecond());
+    out.writeNumberField("burst", customer.burst());
+    writeTexts("allowedRegions", customer.allowedRegions(), out);
+  }
+
   private void writeDocument(ConfigDocument document, JsonGenerator out) throws IOException {
     out.writeArrayFieldStart("objects");
     for (ConfigObject object : document.objects()) {
--- a/wagtailpin/src/main/java/org/wagtailpin/config/PublishedConfig.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/PublishedConfig.java
@@ -61,7 +61,8 @@
   private void publishSnapshot(MergedConfig merged) {
     List<ConfigObject> objects = new ArrayList<>(merged.live());
     objects.addAll(defaults);
-    current.set(new ConfigSnapshot(current.get().version() + 1, objects));
+    ConfigSnapshot before = current.get();
+    current.set(new ConfigSnapshot(before.version() + 1, objects, before.customers()));
     publishedDigest = merged.digest();
   }
 
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/customer/package-info.java
@@ -0,0 +1,2 @@
+/** Identification of the customers whose keys requests carry. */
+package org.wagtailpin.customer;
--- /dev/null
+++ b/wagtailpin/src/main/java/org/wagtailpin/region/package-info.java
@@ -0,0 +1,2 @@
+/** Regions in which requests may be run. */
+package org.wagtailpin.region;
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryFormat.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryFormat.java
@@ -1,5 +1,7 @@
 package org.wagtailpin.registry;
 
+import java.util.Optional;
+
 /** Store keys and value format of server registrations and the operator's document. */
 public interface RegistryFormat {
 
@@ -12,6 +14,14 @@
   /** Returns the key prefix of registrations; the rest of a key is the server's name. */
   String serverPrefix();
 
+  /**
+   * Returns the key prefix of evacuations, or empty if the store holds none; the rest of a key is
+   * the name of the evacuated failure domain.
+   */
+  default Optional<String> evacuationPrefix() {
+    return Optional.empty();
+  }
+
   /** Returns the interval at which servers renew their registrations, in milliseconds. */
   long renewalMillis();
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueuedCall.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueuedCall.java
@@ -92,7 +92,7 @@
 
   @Override
   public int priority() {
-    return call.route().priority();
+    return call.priority();
   }
 
   @Override
