Take a unit of the customer's quota for each attempt

Cause: quotas of customers are counted over all entries. Change: call.QuotaPlacement asks for a unit once a server is selected, answers 429 with Retry-After if the quota is exhausted and 503 if no holder answers, and gives the slot back (AttemptOutcome.NotSent). fleet.ShareHolders names the watchers as holders and counts their followers. Not wired in the daemon: the messages need protoc.

--- a/wagtailpin/src/main/java/org/wagtailpin/budget/BudgetSettings.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/budget/BudgetSettings.java
@@ -1,5 +1,8 @@
 package org.wagtailpin.budget;
 
+import java.util.Map;
+import org.wagtailpin.config.Tunable;
+
 /**
  * The bounds within which budgets are shared.
  *
@@ -11,23 +14,27 @@
  */
 public record BudgetSettings(int domains, long windowMillis, double overrun, double slack) {
 
-  /** Default of {@link #windowMillis}. */
-  public static final long DEFAULT_WINDOW_MILLIS = 5_000;
-
-  /** Default of {@link #overrun}. */
-  public static final double DEFAULT_OVERRUN = 0.1;
-
-  /** Default of {@link #slack}. */
-  public static final double DEFAULT_SLACK = 20;
-
   /** How many losses of all state within a window the slack covers. */
   private static final double LOSSES_IN_WINDOW = 3;
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
-  /** Returns the default bounds. */
-  public static BudgetSettings defaults(int domains) {
-    return new BudgetSettings(domains, DEFAULT_WINDOW_MILLIS, DEFAULT_OVERRUN, DEFAULT_SLACK);
+  /**
+   * Returns the bounds of customers' quotas.
+   *
+   * @param domains the number of failure domains, at least 1
+   * @param tunables the values that are not the defaults
+   */
+  public static BudgetSettings ofQuotas(int domains, Map<Tunable, Double> tunables) {
+    return new BudgetSettings(
+        domains,
+        (long) (value(tunables, Tunable.QUOTA_WINDOW_SECONDS) * MILLIS_PER_SECOND),
+        value(tunables, Tunable.QUOTA_OVERRUN),
+        value(tunables, Tunable.QUOTA_SLACK));
+  }
+
+  private static double value(Map<Tunable, Double> tunables, Tunable tunable) {
+    return tunables.getOrDefault(tunable, tunable.defaultValue());
   }
 
   /** Returns the rate at which the share of one domain accrues, in units per millisecond. */
--- a/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
@@ -195,8 +195,9 @@
 
   private void startAttempt(Grant grant) {
     pendingPlacement = Optional.empty();
-    if (ended) {
-      grant.finished(new AttemptReport(new AttemptOutcome.Cancelled(), 0, Optional.empty()));
+    if (ended || !grant.usable()) {
+      grant.finished(ended ? AttemptReport.cancelled() : AttemptReport.notSent());
+      place();
       return;
     }
     history = history.with(grant.server().name());
--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallProblems.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallProblems.java
@@ -8,6 +8,7 @@
 /** Creates the problems with which calls are answered, by whether the request may have run. */
 final class CallProblems {
 
+  private static final int TOO_MANY_REQUESTS = 429;
   private static final int BAD_GATEWAY = 502;
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final int GATEWAY_TIMEOUT = 504;
@@ -41,9 +42,16 @@
 
   /**
    * Returns the problem of a call that placement refused. The cause is the failure of the attempt
-   * before, if there was one.
+   * before, if there was one, unless the quota is the reason for the refusal.
    */
   Problem refused(boolean mayHaveRun, Optional<Fault> lastFault, Refusal refusal) {
+    if (refusal.overQuota() && !mayHaveRun) {
+      return new Problem(
+          TOO_MANY_REQUESTS,
+          Outcome.NOT_RUN,
+          refusal.fault(),
+          Optional.of(refusal.retryAfterMillis()));
+    }
     Problem problem = failed(mayHaveRun, lastFault.orElse(refusal.fault()));
     return problem.retryAfterMillis().isEmpty()
         ? problem
--- a/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
@@ -83,6 +83,12 @@
   LONG_WORK_SHARE("longWorkShare", "share", 0, 1, 0.5),
   /** Slots per server kept free of long work in excess of {@link #LONG_WORK_SHARE}. */
   SHORT_SLOTS("shortSlots", "slots", 0, 1000, 1),
+  /** Length of the sliding window in which customers' quotas are checked. */
+  QUOTA_WINDOW_SECONDS("quotaWindowSeconds", "s", 0.1, 3600, 5),
+  /** Fraction by which a customer's requests in a window may exceed its quota. */
+  QUOTA_OVERRUN("quotaOverrun", "share", 0, 10, 0.1),
+  /** Requests by which a customer's requests in a window may exceed that, if state is lost. */
+  QUOTA_SLACK("quotaSlack", "requests", 0, 100_000, 20),
   /** Idle timeout of a caller's connection between requests. */
   CALLER_IDLE_MILLIS("callerIdleMillis", "ms", 1, 3_600_000, 60_000),
   /** Maximum time from the first to the last byte of a request head. */
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/BeatExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/BeatExchange.java
@@ -1,6 +1,7 @@
 package org.wagtailpin.fleet;
 
 import java.util.concurrent.CompletableFuture;
+import org.wagtailpin.budget.FollowerCount;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigMerger;
 import org.wagtailpin.entrypeer.PeerMessenger;
@@ -32,6 +33,7 @@
   private final StoreWatch watch;
   private final ConfigMerger merger;
   private final ConfigSync configSync;
+  private final FollowerCount followers;
   private final ConfigObjectCodec codec = new ConfigObjectCodec();
   private final Clock clock;
   private final FleetTiming timing;
@@ -47,6 +49,7 @@
       StoreWatch watch,
       ConfigMerger merger,
       ConfigSync configSync,
+      FollowerCount followers,
       Clock clock,
       FleetTiming timing) {
     this.self = self;
@@ -57,6 +60,7 @@
     this.watch = watch;
     this.merger = merger;
     this.configSync = configSync;
+    this.followers = followers;
     this.clock = clock;
     this.timing = timing;
   }
@@ -195,6 +199,8 @@
       knowledge.mergeWatchers(beat.getWatchersList(), now);
       if (knowledge.isOwn(member) && beat.getState().getWatching()) {
         following.update(member, beat.getState(), now, now);
+      } else if (knowledge.isOwn(member)) {
+        followers.beat(sender);
       }
       compareConfig(member, beat.getState());
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.wagtailpin.budget.BudgetPeers;
+import org.wagtailpin.budget.FollowerCount;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigMerger;
 import org.wagtailpin.config.StateConfirmation;
@@ -19,6 +21,7 @@
 import org.wagtailpin.eventlog.EventLog;
 import org.wagtailpin.membership.ConfigSync;
 import org.wagtailpin.membership.FleetMembership;
+import org.wagtailpin.membership.HighestCount;
 import org.wagtailpin.membership.Member;
 import org.wagtailpin.membership.MembershipStatus;
 import org.wagtailpin.membership.MembershipView;
@@ -47,6 +50,9 @@
   private static final long SUCCESSOR_CHECK_MILLIS = 500;
   private static final int MAX_CONTACTS = 4;
 
+  /** For how long an entry that was cut off from its domain does not take itself for all of it. */
+  private static final long DOMAIN_SIZE_MEMORY_MILLIS = 2 * 3_600_000;
+
   /** By how many ranks an entry that leaves comes later in the order of succession. */
   private static final int LEAVING_RANKS = 6;
 
@@ -67,6 +73,8 @@
   private final BeatExchange beats;
   private final FleetKnowledge knowledge;
   private final FleetStatus status;
+  private final ShareHolders holders;
+  private final FollowerCount followers;
   private Optional<String> challenged = Optional.empty();
   private long watchingSinceMillis = NEVER;
   private long lastBeatMillis = NEVER;
@@ -127,6 +135,12 @@
     this.pusher = new ConfigPusher(merger);
     this.followed = new FollowedWatcher(timing, clock.millis());
     this.knowledge = new FleetKnowledge(self, domains, addresses);
+    this.followers =
+        new FollowerCount(
+            new HighestCount(
+                () -> knowledge.ownSize(clock.millis()), clock, DOMAIN_SIZE_MEMORY_MILLIS),
+            clock);
+    this.holders = new ShareHolders(self, knowledge, followed, watch, followers);
     this.beats =
         new BeatExchange(
             self,
@@ -137,6 +151,7 @@
             watch,
             merger,
             configSync,
+            followers,
             clock,
             timing);
     this.status = new FleetStatus(self, domains.size(), knowledge, watch, followed);
@@ -171,6 +186,7 @@
   private void step() {
     long now = clock.millis();
     knowledge.recordSelf(now, leaving, watch.running(), beats.current(now));
+    followers.observeSize();
     if (watch.running()) {
       watchStep(now);
     } else {
@@ -342,6 +358,11 @@
         });
   }
 
+  /** Returns the holders of shared budgets, to be called on the control loop. */
+  public BudgetPeers budgetPeers() {
+    return holders;
+  }
+
   /** Returns the number of live entries in the fleet, as far as known. Thread-safe. */
   public int fleetSize() {
     return status.fleetSize();
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptOutcome.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptOutcome.java
@@ -31,4 +31,7 @@
    * have run the request.
    */
   record Cancelled() implements AttemptOutcome {}
+
+  /** The attempt was not sent, so it states nothing about the server. */
+  record NotSent() implements AttemptOutcome {}
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptRecorder.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptRecorder.java
@@ -35,6 +35,9 @@
    */
   void recordAttempt(
       ServiceState service, ServerState server, CallDescriptor call, AttemptReport report) {
+    if (report.outcome() instanceof AttemptOutcome.NotSent) {
+      return;
+    }
     double now = clock.exactMillis();
     report.load().ifPresent(load -> recordLoad(service, server, load, now));
     limits.record(server, report.limit());
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptReport.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptReport.java
@@ -25,4 +25,14 @@
   public AttemptReport(AttemptOutcome outcome, double latencyMillis, Optional<LoadReport> load) {
     this(outcome, latencyMillis, load, 0, new LimitStatement.Unknown());
   }
+
+  /** Returns the report of a grant that was cancelled before its attempt. */
+  public static AttemptReport cancelled() {
+    return new AttemptReport(new AttemptOutcome.Cancelled(), 0, Optional.empty());
+  }
+
+  /** Returns the report of a grant whose attempt was not sent. */
+  public static AttemptReport notSent() {
+    return new AttemptReport(new AttemptOutcome.NotSent(), 0, Optional.empty());
+  }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Refusal.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Refusal.java
@@ -7,5 +7,12 @@
  *
  * @param fault the reason
  * @param retryAfterMillis after which time a further request may be served, in milliseconds
+ * @param overQuota whether the customer's quota is the reason
  */
-public record Refusal(Fault fault, long retryAfterMillis) {}
+public record Refusal(Fault fault, long retryAfterMillis, boolean overQuota) {
+
+  /** Creates a refusal for which no quota is the reason. */
+  public Refusal(Fault fault, long retryAfterMillis) {
+    this(fault, retryAfterMillis, false);
+  }
+}
--- a/wagtailpin/src/test/java/org/wagtailpin/budget/SimulatedBudgets.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/budget/SimulatedBudgets.java
@@ -45,7 +45,7 @@
 
   SimulatedBudgets(int domains, int perDomain, long seed, double validMillis) {
     this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
-    this.settings = BudgetSettings.defaults(domains);
+    this.settings = BudgetSettings.ofQuotas(domains, Map.of());
     this.perDomain = perDomain;
     this.validMillis = validMillis;
     LIMITS.keySet().forEach(key -> uses.put(key, new ArrayDeque<>()));
