Deny units only as a watcher that most of its domain follows

Cause: an entry that is cut off holds a small share of its own, and told its callers that the quota is exhausted (429) where it is not known (503). Change: a holder that less than half of its domain follows does not deny; its entries ask others.

--- a/wagtailpin/src/main/java/org/wagtailpin/budget/CreditClock.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/budget/CreditClock.java
@@ -56,7 +56,12 @@
 
   /** Returns the fraction of the domain's capacity that this holder may save. */
   double capacityShare() {
-    return share >= MAJORITY ? 1 : share;
+    return followedByMost() ? 1 : share;
+  }
+
+  /** Returns whether at least half of the entries of the domain follow this one. */
+  boolean followedByMost() {
+    return share >= MAJORITY;
   }
 
   /** Returns the fraction of the domain's share that accrues here. */
--- a/wagtailpin/src/main/java/org/wagtailpin/budget/DomainShares.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/budget/DomainShares.java
@@ -62,6 +62,11 @@
     return settings.domainCapacity(limit) * credit.capacityShare();
   }
 
+  /** Returns whether at least half of the entries of the domain take their units from here. */
+  boolean followedByMost() {
+    return credit.followedByMost();
+  }
+
   BudgetSettings settings() {
     return settings;
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/budget/ShareHolder.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/budget/ShareHolder.java
@@ -236,6 +236,11 @@
    * at which units accrue.
    */
   private void denied(BudgetKey budget, Account account, Ask ask, double missing, double perMilli) {
+    if (!shares.followedByMost()) {
+      // The quota may be exhausted here alone, as in a host that is cut off.
+      ask.listener().accept(BudgetReply.notHolder());
+      return;
+    }
     exhaustion.denied(budget, clock.exactMillis());
     double millis = perMilli > 0 ? (missing + account.deniedInARow) / perMilli : 1;
     account.deniedInARow++;
--- a/wagtailpin/src/test/java/org/wagtailpin/budget/BudgetScheduleTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/budget/BudgetScheduleTest.java
@@ -113,6 +113,21 @@
     assertThat(caught).isTrue();
   }
 
+  @Test
+  void anEntryThatIsCutOffIsNotToldThatTheQuotaIsExhausted() {
+    SimulatedBudgets fleet = new SimulatedBudgets(DOMAINS, PER_DOMAIN, 1, EntryUnits.VALID_MILLIS);
+    fleet.time.advance(5_000);
+    SimulatedBudgets.Node node = fleet.nodes.get(PER_DOMAIN - 1);
+    node.cut(1);
+    fleet.time.advance(5_000);
+    for (int i = 0; i < 40; i++) {
+      fleet.call(node, SimulatedBudgets.SMALL, 0);
+      fleet.time.advance(100);
+    }
+    assertThat(fleet.denied).isEqualTo(0);
+    assertThat(fleet.unavailable).isGreaterThan(fleet.granted);
+  }
+
   /** Which entries the demand of a customer reaches. */
   private enum Demand {
     ONE_HOST,
