--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -9,7 +9,6 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.simple.RandomSource;
 import org.wagtailpin.claims.ClaimSettings;
 import org.wagtailpin.claims.ShardedClaims;
 import org.wagtailpin.clock.Clock;
@@ -94,7 +93,7 @@
     this.loop = loop;
     this.clock = clock;
     this.events = events;
-    UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    UniformRandomProvider random = SeededRandom.create(seed);
     incarnation = clock.wallMillis();
     storeClient = new StoreHttpClient(StoreTimeouts.defaults());
     store =
@@ -123,7 +122,7 @@
             loop,
             clock,
             // The messenger uses its generator on another thread, so it can't share this one.
-            RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 1),
+            SeededRandom.create(seed + 1),
             NettyPeerSettings.defaults(settings.peers().address(), settings.peers().port()));
     hostListPoller = createHostListPoller(settings, clock, random);
     Fleet fleet =
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryCommand.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryCommand.java
@@ -74,6 +74,19 @@
     return runEntry(err);
   }
 
+  /**
+   * Runs the command with a settings file, without a command line. The parser of command lines is
+   * not loaded, which shortens the start.
+   *
+   * @param settings the settings file
+   * @param err receives errors
+   * @return the exit code, once the entry has left
+   */
+  public int run(File settings, PrintStream err) {
+    settingsFile = settings;
+    return runEntry(err);
+  }
+
   private int runEntry(PrintStream err) {
     try {
       // Before anything else, since the default action of the signal ends the process.
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
-import org.tinylog.Logger;
 import org.wagtailpin.caller.CallerLimits;
 import org.wagtailpin.caller.CallerListener;
 import org.wagtailpin.caller.CallerSettings;
@@ -20,7 +19,7 @@
 import org.wagtailpin.clock.SystemClock;
 import org.wagtailpin.config.Tunable;
 import org.wagtailpin.control.ThreadControlLoop;
-import org.wagtailpin.daemon.log.JsonConsoleWriter;
+import org.wagtailpin.daemon.log.ConsoleLines;
 import org.wagtailpin.eventlog.BoundedEventLog;
 import org.wagtailpin.eventlog.Event;
 import org.wagtailpin.eventlog.EventKind;
@@ -84,7 +83,7 @@
    * @param platform the platform on which it runs
    */
   public EntryNode(EntrySettings settings, EntryPlatform platform) {
-    this(settings, platform, line -> Logger.tag(JsonConsoleWriter.RAW_TAG).info("{}", line));
+    this(settings, platform, ConsoleLines.configured()::println, ConsoleLines.configured()::flush);
   }
 
   /**
@@ -95,12 +94,21 @@
    * @param eventLines receives each line of the event log, on a thread that it may block
    */
   public EntryNode(EntrySettings settings, EntryPlatform platform, Consumer<String> eventLines) {
+    this(settings, platform, eventLines, () -> {});
+  }
+
+  private EntryNode(
+      EntrySettings settings,
+      EntryPlatform platform,
+      Consumer<String> eventLines,
+      Runnable flushEventLines) {
     this.settings = settings;
     this.platform = platform;
     this.loop = new ThreadControlLoop(settings.id() + "-control");
     this.trafficLoops =
         EventLoops.createAffine(settings.trafficThreads(), settings.id() + "-traffic");
-    this.events = new BoundedEventLog(settings.id(), settings.eventLog(), clock, eventLines);
+    this.events =
+        new BoundedEventLog(settings.id(), settings.eventLog(), clock, eventLines, flushEventLines);
     long seed = settings.seed().orElseGet(System::nanoTime);
     this.control = new ControlParts(settings, platform, clock, loop, events, seed);
     this.traffic =
--- a/daemon/src/main/java/org/wagtailpin/daemon/log/JsonConsoleWriter.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/log/JsonConsoleWriter.java
@@ -2,14 +2,10 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import java.io.BufferedOutputStream;
-import java.io.FileDescriptor;
-import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.PrintWriter;
 import java.io.StringWriter;
-import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.EnumSet;
 import java.util.Locale;
@@ -26,12 +22,7 @@
  */
 public final class JsonConsoleWriter implements Writer {
 
-  /** Tag of log entries whose message is already a JSON object and is printed unchanged. */
-  public static final String RAW_TAG = "raw-json";
-
   private static final String STREAM = "stream";
-  private static final String STANDARD_OUTPUT = "out";
-  private static final int BUFFER_BYTES = 65_536;
 
   private final JsonFactory factory = new JsonFactory();
   private final PrintStream stream;
@@ -43,18 +34,7 @@
    *     anything else for standard error
    */
   public JsonConsoleWriter(Map<String, String> properties) {
-    this(
-        buffered(
-            STANDARD_OUTPUT.equals(properties.get(STREAM))
-                ? FileDescriptor.out
-                : FileDescriptor.err));
-  }
-
-  private static PrintStream buffered(FileDescriptor descriptor) {
-    return new PrintStream(
-        new BufferedOutputStream(new FileOutputStream(descriptor), BUFFER_BYTES),
-        false,
-        StandardCharsets.UTF_8);
+    this(ConsoleLines.of(properties.get(STREAM)));
   }
 
   JsonConsoleWriter(PrintStream stream) {
@@ -66,7 +46,6 @@
     return EnumSet.of(
         LogEntryValue.DATE,
         LogEntryValue.LEVEL,
-        LogEntryValue.TAG,
         LogEntryValue.THREAD,
         LogEntryValue.CLASS,
         LogEntryValue.MESSAGE,
@@ -75,10 +54,6 @@
 
   @Override
   public void write(LogEntry entry) throws IOException {
-    if (RAW_TAG.equals(entry.getTag())) {
-      stream.println(entry.getMessage());
-      return;
-    }
     StringWriter line = new StringWriter();
     try (JsonGenerator json = factory.createGenerator(line)) {
       json.writeStartObject();
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/CallerListener.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/CallerListener.java
@@ -11,9 +11,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.apache.commons.rng.simple.RandomSource;
 import org.wagtailpin.call.CallEnvironment;
 import org.wagtailpin.transport.EventLoops;
 
@@ -43,7 +43,7 @@
     this.loops = loops;
     this.acceptor = EventLoops.create(1, "acceptor");
     RequestIdGenerator idGenerator =
-        new RequestIdGenerator(settings.entry(), RandomSource.createLong() & Integer.MAX_VALUE);
+        new RequestIdGenerator(settings.entry(), new SplittableRandom().nextInt(Integer.MAX_VALUE));
     RequestHeadReader headReader =
         new RequestHeadReader(
             settings.kind(),
--- a/wagtailpin/src/main/java/org/wagtailpin/eventlog/BoundedEventLog.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/BoundedEventLog.java
@@ -28,6 +28,7 @@
   private final String entry;
   private final Clock clock;
   private final Consumer<String> output;
+  private final Runnable flush;
   private final EventLogSettings settings;
   private final LineQueue highPriorityQueue;
   private final LineQueue lowPriorityQueue;
@@ -55,10 +56,30 @@
    */
   public BoundedEventLog(
       String entry, EventLogSettings settings, Clock clock, Consumer<String> output) {
+    this(entry, settings, clock, output, () -> {});
+  }
+
+  /**
+   * Creates the log for a buffered output and starts its thread.
+   *
+   * @param entry the identifier of the entry
+   * @param settings the queue size, sampling rates and batching delay
+   * @param clock gives the time stamps of events and the time base of the sampling
+   * @param output receives each line, without line separator; called by the log's own thread only,
+   *     and may block
+   * @param flush called by the same thread after the lines of a batch
+   */
+  public BoundedEventLog(
+      String entry,
+      EventLogSettings settings,
+      Clock clock,
+      Consumer<String> output,
+      Runnable flush) {
     this.entry = entry;
     this.settings = settings;
     this.clock = clock;
     this.output = output;
+    this.flush = flush;
     this.highPriorityQueue = new LineQueue(settings.maxQueuedLines());
     this.lowPriorityQueue = new LineQueue(settings.maxQueuedLines());
     this.failureSampler = new RequestSampler(settings.failureLinesPerSecond());
@@ -159,6 +180,7 @@
       anyWritten = highPriorityQueue.writeAll(output) + lowPriorityQueue.writeOne(output) > 0;
     }
     reportDropped();
+    flush.run();
   }
 
   private void reportDropped() {
