Look for a watcher each 150 ms while none is known

Cause: an entry that starts contacted its seeds at once and then only each 0.66 s, and stepped each 0.33 s; after all hosts lost power most entries asked before their seeds listened. Change: steps of 50 ms and contacts each 150 ms while no watcher is known.

--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -43,6 +43,12 @@
   /** After how long a watcher whose first list of the store fails gives way to the one before. */
   private static final long CHALLENGE_MILLIS = 600;
 
+  /** Interval of the steps of an entry that knows no watcher, so that it finds one soon. */
+  private static final long SEARCH_TICK_MILLIS = 50;
+
+  /** Interval at which an entry that knows no watcher contacts others. */
+  private static final long SEARCH_BEAT_MILLIS = 150;
+
   private static final long STORELESS_EXCHANGE_MILLIS = 1_000;
   private static final long SUCCESSOR_CHECK_MILLIS = 500;
   private static final int MAX_CONTACTS = 4;
@@ -164,10 +170,24 @@
     } finally {
       // An exception of one step must not end the membership.
       double jitter = 1 - TICK_JITTER + 2 * TICK_JITTER * random.nextDouble();
-      loop.schedule((long) (timing.beatMillis() * jitter / TICKS_PER_BEAT), this::tick);
+      loop.schedule((long) (tickMillis() * jitter), this::tick);
     }
   }
 
+  private double tickMillis() {
+    double usual = (double) timing.beatMillis() / TICKS_PER_BEAT;
+    return searching() ? Math.min(SEARCH_TICK_MILLIS, usual) : usual;
+  }
+
+  /** Returns whether this entry neither watches the store nor knows who does. */
+  private boolean searching() {
+    return !watch.running() && followed.id().isEmpty();
+  }
+
+  private double beatMillis() {
+    return searching() ? Math.min(SEARCH_BEAT_MILLIS, timing.beatMillis()) : timing.beatMillis();
+  }
+
   private void step() {
     long now = clock.millis();
     knowledge.recordSelf(now, leaving, watch.running(), beats.current(now));
@@ -182,7 +202,7 @@
   }
 
   private void followStep(long now) {
-    if (now - lastBeatMillis >= timing.beatMillis() * (1 - TICK_JITTER)) {
+    if (now - lastBeatMillis >= beatMillis() * (1 - TICK_JITTER)) {
       lastBeatMillis = now;
       followed.id().ifPresent(beats::send);
       if (!followed.good(now)) {
