Let an entry that starts wait for the answers of those it contacted

Change: while a beat is unanswered an entry that knows no watcher waits up to 400 ms longer. Result: anEntryWhoseSeedsAnswerLateDoesNotListTheStore fails on the code before and passes; the other tests of DomainFleetTest, DomainScheduleTest, DomainSizesTest, SuccessionRuleTest pass.

--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/BeatExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/BeatExchange.java
@@ -35,6 +35,7 @@
   private final ConfigObjectCodec codec = new ConfigObjectCodec();
   private final Clock clock;
   private final FleetTiming timing;
+  private int unanswered;
   private boolean leaving;
   private boolean stopped;
 
@@ -92,10 +93,20 @@
     if (watch.running()) {
       body.addAllWatchers(knowledge.directory().toRecords(now));
     }
+    unanswered++;
     var unused =
         messenger
             .request(entry, PeerFrame.newBuilder().setDomainBeat(body), timing.silenceMillis())
-            .thenAccept(reply -> onReply(entry, reply, now));
+            .thenAccept(
+                reply -> {
+                  unanswered--;
+                  onReply(entry, reply, now);
+                });
+  }
+
+  /** Returns whether a beat was sent that has neither been answered nor failed. */
+  boolean awaitsAnswer() {
+    return unanswered > 0;
   }
 
   private DomainState state(String receiverDomain, long now) {
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -49,6 +49,9 @@
   /** Interval at which an entry that knows no watcher contacts others. */
   private static final long SEARCH_BEAT_MILLIS = 150;
 
+  /** How long an entry that starts waits for the answers of hosts that are up but busy. */
+  private static final long ANSWER_WAIT_MILLIS = 400;
+
   private static final long STORELESS_EXCHANGE_MILLIS = 1_000;
   private static final long SUCCESSOR_CHECK_MILLIS = 500;
   private static final int MAX_CONTACTS = 4;
@@ -218,12 +221,21 @@
       long elapsed = now - followed.sinceMillis(now);
       if (elapsed >= wait.getAsLong() && standing == WatcherStanding.STORE_LOST) {
         challenge.run(() -> endChallenge(rank));
-      } else if (elapsed >= wait.getAsLong()) {
+      } else if (elapsed >= wait.getAsLong() + answerWaitMillis(standing)) {
         startWatching(standing, rank, now);
       }
     }
   }
 
+  /**
+   * Returns how much longer an entry that knows no watcher waits for the answers of those that it
+   * contacted. Entries that start together are busy, so that answers come late; without this wait
+   * most of them list the store at the same time.
+   */
+  private long answerWaitMillis(WatcherStanding standing) {
+    return standing == WatcherStanding.UNKNOWN && beats.awaitsAnswer() ? ANSWER_WAIT_MILLIS : 0;
+  }
+
   private void endChallenge(int rank) {
     long now = clock.millis();
     boolean stillLost = followed.standing(now) == WatcherStanding.STORE_LOST;
--- a/wagtailpin/src/test/java/org/wagtailpin/fleet/DomainFleetTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/fleet/DomainFleetTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.wagtailpin.entrypeer.memory.NetworkFaults;
 
 class DomainFleetTest {
 
@@ -158,6 +159,23 @@
     assertThat(fleet.storeCalls()).isEqualTo(before);
   }
 
+  /** Guards against all entries listing the store when they start together on busy hosts. */
+  @Test
+  void anEntryWhoseSeedsAnswerLateDoesNotListTheStore() {
+    SimulatedDomains fleet = started(3, 5);
+    SimulatedMember follower =
+        fleet.members().stream().filter(member -> !member.watching()).findFirst().orElseThrow();
+    follower.kill();
+    fleet.advance(SimulatedDomains.CALM_MILLIS);
+    fleet.network().setFaults(new NetworkFaults(150, 170, 0, 0));
+    int before = follower.storeCalls();
+    follower.start(false);
+    fleet.advance(SimulatedDomains.BOUND_MILLIS);
+
+    assertThat(follower.version()).isEqualTo(fleet.version());
+    assertThat(follower.storeCalls()).isEqualTo(before);
+  }
+
   @Test
   void aServerThatLeftDoesNotComeBackWithAnEntryThatMissedIt() {
     SimulatedDomains fleet = started(2, 3);
