Refuse answers whose status is no HTTP status code

Cause: the decoder of backend answers accepted any three digits that do not begin with 0, so 600 to 999 were passed on to callers and probes took load from such answers. The store's client used the library's own decoder, which accepts any integer (000, 600, 0200, +200). A held answer of another entry was replayed with whatever status it stated.

Change: one decoder, ValidStatusDecoder, reads the answers of backend servers (probes included) and of the store and takes 100 to 599 with exactly three digits; anything else is malformed input. A held answer with another status counts as not held.

Before the change InvalidStatusTest showed 600 at the caller instead of 502 and instead of the retry's 200, and a load report of 5 running and 7 queued from a probe answered with 600; StoreHttpClientTest showed a response for 000, ClaimMessagesTest a held answer with status 0. All pass now, as do the tests of broken, stale and unmatched answers and of both stores.

--- a/wagtailpin/src/main/java/org/wagtailpin/backend/AnswerDecoder.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/AnswerDecoder.java
@@ -4,11 +4,11 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
+import org.wagtailpin.transport.ValidStatusDecoder;
 
 /**
  * Decodes the answers of a backend server, and reports to the connection whether bytes follow an
@@ -17,11 +17,10 @@
  * <p>A head that contains the status line of another answer is malformed: an answer broke off
  * within its head, and the next one followed on the connection.
  */
-final class AnswerDecoder extends HttpResponseDecoder {
+final class AnswerDecoder extends ValidStatusDecoder {
 
   private static final String PROTOCOL = "HTTP/";
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}(?: |$)");
-  private static final Pattern STATUS_CODE = Pattern.compile("[1-9]\\d{2}");
 
   private final BackendConnectionHandler connection;
 
@@ -41,9 +40,7 @@
 
   @Override
   protected HttpMessage createMessage(String[] statusLine) {
-    String code = statusLine[1];
-    String reason = statusLine[2];
-    if (!STATUS_CODE.matcher(code).matches() || containsStatusLine(reason)) {
+    if (containsStatusLine(statusLine[2])) {
       throw new IllegalArgumentException("malformed status line");
     }
     return super.createMessage(statusLine);
--- a/wagtailpin/src/main/java/org/wagtailpin/claims/ClaimMessages.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/claims/ClaimMessages.java
@@ -9,6 +9,7 @@
 import org.wagtailpin.entrypeer.generated.HeldAnswerReply;
 import org.wagtailpin.entrypeer.generated.HeldAnswerRequest;
 import org.wagtailpin.entrypeer.generated.PeerFrame;
+import org.wagtailpin.transport.StatusCodes;
 
 /** Converts claim requests, verdicts and outcomes to peer messages and back. */
 final class ClaimMessages {
@@ -98,6 +99,9 @@
 
   static HeldOutcome heldOutcome(PeerFrame frame) {
     HeldAnswerReply reply = frame.getHeldAnswerReply();
+    if (reply.getHeld() && !StatusCodes.isFinal(reply.getStatus())) {
+      return new HeldOutcome.NotHeld();
+    }
     if (reply.getHeld()) {
       List<HeldHeader> headers =
           reply.getHeadersList().stream()
--- a/wagtailpin/src/main/java/org/wagtailpin/store/StoreHttpClient.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/StoreHttpClient.java
@@ -1,6 +1,10 @@
 package org.wagtailpin.store;
 
+import io.netty.channel.Channel;
+import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.channel.epoll.Epoll;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.HashedWheelTimer;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
@@ -13,6 +17,7 @@
 import org.asynchttpclient.Dsl;
 import org.wagtailpin.transport.PlainTextSslEngineFactory;
 import org.wagtailpin.transport.TcpKeepAlive;
+import org.wagtailpin.transport.ValidStatusDecoder;
 
 /**
  * Configures the HTTP client for calls to the store.
@@ -22,6 +27,7 @@
  */
 public final class StoreHttpClient implements AutoCloseable {
 
+  private static final String HTTP_CODEC_NAME = "http";
   private static final int MAX_CONNECTIONS = 64;
   private static final int IO_THREADS = 1;
   private static final long TIMER_TICK_MILLIS = 50;
@@ -63,10 +69,21 @@
             .setIoThreadsCount(IO_THREADS)
             .setUseNativeTransport(Epoll.isAvailable())
             .setThreadFactory(new DefaultThreadFactory("store-client", true))
+            .setHttpAdditionalChannelInitializer(StoreHttpClient::rejectInvalidStatuses)
             .build();
     client = Dsl.asyncHttpClient(config);
   }
 
+  private static void rejectInvalidStatuses(Channel channel) {
+    channel
+        .pipeline()
+        .replace(
+            HTTP_CODEC_NAME,
+            HTTP_CODEC_NAME,
+            new CombinedChannelDuplexHandler<>(
+                new ValidStatusDecoder(new HttpDecoderConfig()), new HttpRequestEncoder()));
+  }
+
   /** Returns the HTTP client, which is usable until {@link #close()}. */
   public AsyncHttpClient client() {
     return client;
