Answer whether a server may be sent a request behind one interface

Cause: the reasons to hold requests back from a server (leaving, ejection, pause after a refusal, limits, ramp) were conditions within ServerPicker, and Dispatcher and ProbeRounds asked RequestLimits on their own. Each further reason would have been a change of all three.

Change: ServerGate answers when a server may be sent a request, and counts requests where they are counted. Its kind says what a closed gate means: the server takes no work at all (AVAILABILITY), is disregarded when all are bad (HEALTH), is waited for (PACE) or takes a share (SHARE). ServerGates consults them; LeavingGate, EjectionGate, RefusalPauseGate, RampGate and RequestLimits are the first five. Decisions stay the same.

The 215 tests of routing and limits pass, the existing ones unchanged.

--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -24,6 +24,7 @@
   private final ServerCosts costs;
   private final Clock clock;
   private final RequestLimits limits;
+  private final ServerGates gates;
 
   Dispatcher(
       ServerPicker picker,
@@ -32,7 +33,8 @@
       RouteStatistics statistics,
       ServerCosts costs,
       Clock clock,
-      RequestLimits limits) {
+      RequestLimits limits,
+      ServerGates gates) {
     this.picker = picker;
     this.links = links;
     this.shares = shares;
@@ -40,6 +42,7 @@
     this.costs = costs;
     this.clock = clock;
     this.limits = limits;
+    this.gates = gates;
   }
 
   /** A server on which a slot is occupied for a call, and the reason for choosing it. */
@@ -65,7 +68,7 @@
     if (near.isPresent()) {
       return dispatchNear(service, near.get(), request);
     }
-    return picker.isHeldByLimit(service, request)
+    return picker.isHeldByPace(service, request)
         ? Optional.empty()
         : dispatchToAny(service, request);
   }
@@ -115,7 +118,7 @@
 
   /** Returns whether the service has any server that takes work. */
   boolean hasServer(ServiceState service) {
-    return service.view().all().stream().anyMatch(picker::acceptsWork);
+    return service.view().all().stream().anyMatch(server -> picker.acceptsWork(service, server));
   }
 
   /**
@@ -219,7 +222,8 @@
    * @param ahead how many calls go first
    */
   double limitWaitMillis(ServiceState service, int ahead) {
-    return limits.waitMillis(service.view().all(), picker::acceptsWork, ahead);
+    return limits.waitMillis(
+        service.view().all(), server -> picker.acceptsWork(service, server), ahead);
   }
 
   /**
@@ -239,7 +243,9 @@
    */
   double millisPerCall(ServiceState service) {
     return Math.max(
-        millisPerSlot(service), limits.millisPerRequest(service.view().all(), picker::acceptsWork));
+        millisPerSlot(service),
+        limits.millisPerRequest(
+            service.view().all(), server -> picker.acceptsWork(service, server)));
   }
 
   /** Spreads the work over all servers that take work, as no near server is usable. */
@@ -263,7 +269,7 @@
       server.load().releaseSlot();
       return Optional.empty();
     }
-    if (!limits.tryTake(server)) {
+    if (!gates.tryPass(service, server, clock.exactMillis())) {
       server.load().releaseSlot();
       return Optional.empty();
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
@@ -26,6 +26,7 @@
   private final ServerCosts costs;
   private final LoadProbe probe;
   private final RequestLimits limits;
+  private final ServerGates gates;
   private final ProbeBudget budget;
   private final TaskScheduler scheduler;
 
@@ -35,6 +36,7 @@
       ServerCosts costs,
       LoadProbe probe,
       RequestLimits limits,
+      ServerGates gates,
       ProbeBudget budget,
       TaskScheduler scheduler) {
     this.clock = clock;
@@ -42,6 +44,7 @@
     this.costs = costs;
     this.probe = probe;
     this.limits = limits;
+    this.gates = gates;
     this.budget = budget;
     this.scheduler = scheduler;
   }
@@ -67,13 +70,12 @@
    */
   void runNear(ServiceState service, PlacementRequest request, Runnable callback) {
     ServiceView view = service.view();
-    boolean nearMayBeProbed = view.near().stream().anyMatch(this::mayBeProbed);
+    boolean nearMayBeProbed = view.near().stream().anyMatch(server -> mayBeProbed(service, server));
     run(service, nearMayBeProbed ? view.near() : view.all(), request, callback);
   }
 
-  /** Returns whether a server may be probed; a probe would count against a limit that it names. */
-  private boolean mayBeProbed(ServerState server) {
-    return picker.acceptsWork(server) && server.requestLimit().isEmpty();
+  private boolean mayBeProbed(ServiceState service, ServerState server) {
+    return gates.allowsProbe(service, server, clock.exactMillis());
   }
 
   private void run(
@@ -161,7 +163,7 @@
         if (selected.size() < maxProbes
             && !probed.contains(server.server().name())
             && !hasFreshReport(server, now)
-            && mayBeProbed(server)
+            && mayBeProbed(service, server)
             && withinBudget(server)) {
           probed.add(server.server().name());
           selected.add(server);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -1,5 +1,6 @@
 package org.wagtailpin.routing;
 
+import java.util.List;
 import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wagtailpin.clock.Clock;
@@ -107,12 +108,21 @@
     this.table = new RoutingTable(config, locality, clock, links);
     ServerCosts costs = new ServerCosts(statistics);
     RequestLimits limits = new RequestLimits(shares, clock, random, observer);
-    ServerPicker picker = new ServerPicker(clock, random, leavingHosts, costs, limits);
-    this.dispatcher = new Dispatcher(picker, links, shares, statistics, costs, clock, limits);
+    ServerGates gates =
+        new ServerGates(
+            List.of(
+                new LeavingGate(leavingHosts),
+                new EjectionGate(),
+                new RefusalPauseGate(),
+                limits,
+                new RampGate(random)));
+    ServerPicker picker = new ServerPicker(clock, random, gates, costs);
+    this.dispatcher =
+        new Dispatcher(picker, links, shares, statistics, costs, clock, limits, gates);
     this.admission = new Admission(clock, statistics, dispatcher);
     this.probes =
         new ProbeRounds(
-            clock, picker, costs, probe, limits, new ProbeBudget(clock, shares), scheduler);
+            clock, picker, costs, probe, limits, gates, new ProbeBudget(clock, shares), scheduler);
     this.queueProbes = new QueueProbes(clock, probes);
     this.recorder = new AttemptRecorder(clock, statistics, observer, limits);
     this.returnTime = new BacklogReturnTime(clock, random);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RequestLimits.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RequestLimits.java
@@ -14,7 +14,7 @@
  * <p>A limit holds from the first answer that names it until an answer names none. Every request to
  * the server counts, also second attempts; such a server is not probed. Safe for all threads.
  */
-final class RequestLimits {
+final class RequestLimits implements ServerGate {
 
   /** Rate at which all entries together try a server that takes none, to see the limit end. */
   private static final double MIN_PER_SECOND = 0.05;
@@ -68,22 +68,33 @@
     return sharePerSecond * UncoordinatedRate.perSecond(wholePerSecond, entries) / wholePerSecond;
   }
 
-  /** Returns whether a request may be sent to a server now. */
-  boolean allow(ServerState server) {
-    return server
-        .requestLimit()
-        .map(limit -> limit.pace().isOpen(clock.exactMillis(), sharePerSecond(limit)))
-        .orElse(true);
+  @Override
+  public Kind kind() {
+    return Kind.PACE;
   }
 
-  /** Counts a request to a server, if it may be sent now. */
-  boolean tryTake(ServerState server) {
+  @Override
+  public double millisUntilOpen(ServiceState service, ServerState server, double nowMillis) {
+    Optional<ServerLimit> limit = server.requestLimit();
+    return limit.isEmpty()
+        ? 0
+        : limit.get().pace().millisToNext(nowMillis, sharePerSecond(limit.get()));
+  }
+
+  @Override
+  public boolean tryPass(ServiceState service, ServerState server, double nowMillis) {
     return server
         .requestLimit()
-        .map(limit -> limit.pace().tryUse(clock.exactMillis(), sharePerSecond(limit)))
+        .map(limit -> limit.pace().tryUse(nowMillis, sharePerSecond(limit)))
         .orElse(true);
   }
 
+  /** A probe counts against the limit that a server names. */
+  @Override
+  public boolean allowsProbe(ServiceState service, ServerState server, double nowMillis) {
+    return server.requestLimit().isEmpty();
+  }
+
   /**
    * Returns the expected time, in milliseconds, until the limits let a request through; 0 if one of
    * the servers has no limit, infinite if there is no server.
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerHealth.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerHealth.java
@@ -130,8 +130,14 @@
     return nowMillis < ejectedUntilMillis.get();
   }
 
-  boolean isPaused(long nowMillis) {
-    return nowMillis < pausedUntilMillis;
+  /** Returns the end of the last ejection, {@link Long#MIN_VALUE} if there was none. */
+  long ejectedUntilMillis() {
+    return ejectedUntilMillis.get();
+  }
+
+  /** Returns the end of the pause after the last refusal, {@link Long#MIN_VALUE} if none. */
+  long pausedUntilMillis() {
+    return pausedUntilMillis;
   }
 
   /** Ejects the server until a time, from which its work ramps up, and halves its failure share. */
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
@@ -15,47 +15,42 @@
 
   private final Clock clock;
   private final UniformRandomProvider random;
-  private final LeavingHosts leavingHosts;
+  private final ServerGates gates;
   private final ServerCosts costs;
-  private final RequestLimits limits;
-
-  ServerPicker(
-      Clock clock,
-      UniformRandomProvider random,
-      LeavingHosts leavingHosts,
-      ServerCosts costs,
-      RequestLimits limits) {
+
+  ServerPicker(Clock clock, UniformRandomProvider random, ServerGates gates, ServerCosts costs) {
     this.clock = clock;
     this.random = random;
-    this.leavingHosts = leavingHosts;
+    this.gates = gates;
     this.costs = costs;
-    this.limits = limits;
   }
 
   /** Returns whether a server may be given new work, whatever its health. */
-  boolean acceptsWork(ServerState server) {
-    return !server.removed()
-        && !server.server().leaving()
-        && !server.reportsLeaving()
-        && !leavingHosts.isLeaving(server.server().address());
+  boolean acceptsWork(ServiceState service, ServerState server) {
+    return gates.isOpen(ServerGate.Kind.AVAILABILITY, service, server, clock.exactMillis());
   }
 
-  private boolean usable(ServerState server, PlacementRequest request) {
-    return usableButForLimits(server, request) && limits.allow(server);
+  private boolean usable(
+      ServiceState service, ServerState server, PlacementRequest request, double now) {
+    return usableButForPace(service, server, request, now)
+        && gates.isOpen(ServerGate.Kind.PACE, service, server, now);
   }
 
-  private boolean usableButForLimits(ServerState server, PlacementRequest request) {
-    long now = clock.millis();
-    return acceptsWork(server)
-        && !server.health().isEjected(now)
-        && !server.health().isPaused(now)
+  private boolean usableButForPace(
+      ServiceState service, ServerState server, PlacementRequest request, double now) {
+    return gates.isOpen(ServerGate.Kind.AVAILABILITY, service, server, now)
+        && gates.isOpen(ServerGate.Kind.HEALTH, service, server, now)
         && !request.history().servers().contains(server.server().name());
   }
 
-  /** Returns whether a server takes the request as soon as the limit that it names allows one. */
-  boolean isHeldByLimit(ServiceState service, PlacementRequest request) {
+  /** Returns whether a server takes the request, though not at this moment. */
+  boolean isHeldByPace(ServiceState service, PlacementRequest request) {
+    double now = clock.exactMillis();
     return service.view().all().stream()
-        .anyMatch(server -> usableButForLimits(server, request) && !limits.allow(server));
+        .anyMatch(
+            server ->
+                usableButForPace(service, server, request, now)
+                    && !gates.isOpen(ServerGate.Kind.PACE, service, server, now));
   }
 
   /**
@@ -97,7 +92,8 @@
     for (int i = 0; i < tries && compared < maxCandidates; i++) {
       int index = compareAll ? (start + i) % servers.size() : random.nextInt(servers.size());
       ServerState server = servers.get(index);
-      if (!usable(server, request) || !admittedByRamp(service, server)) {
+      if (!usable(service, server, request, now)
+          || !gates.isOpen(ServerGate.Kind.SHARE, service, server, now)) {
         continue;
       }
       compared++;
@@ -109,13 +105,6 @@
     return Optional.ofNullable(best);
   }
 
-  /** Admits a server that is ramping up with the probability of its ramp share. */
-  private boolean admittedByRamp(ServiceState service, ServerState server) {
-    double rampMillis = service.view().settings().value(Tunable.RAMP_MILLIS);
-    double share = server.health().rampShare(clock.millis(), rampMillis);
-    return share >= 1 || random.nextDouble() < share;
-  }
-
   /**
    * Estimates the cost on a given server; returns empty if the server may not be used.
    *
@@ -124,10 +113,11 @@
    * @param request the request; servers that it has tried already may not be used
    */
   Optional<Candidate> evaluate(ServiceState service, ServerState server, PlacementRequest request) {
-    if (!usable(server, request)) {
+    double now = clock.exactMillis();
+    if (!usable(service, server, request, now)) {
       return Optional.empty();
     }
-    return Optional.of(costs.estimate(service, server, clock.exactMillis(), request.bytes()));
+    return Optional.of(costs.estimate(service, server, now, request.bytes()));
   }
 
   /**
@@ -149,8 +139,8 @@
 
   /**
    * Returns a random server that takes new work, whatever its health, so that work is spread over
-   * all servers when all of them look unhealthy. Near servers go first. Limits that servers name
-   * hold here, too.
+   * all servers when all of them look unhealthy. Near servers go first. The pace of servers holds
+   * here, too.
    *
    * @param service the service
    */
@@ -163,11 +153,13 @@
     if (servers.isEmpty()) {
       return Optional.empty();
     }
+    double now = clock.exactMillis();
     int start = random.nextInt(servers.size());
     for (int i = 0; i < servers.size(); i++) {
       ServerState server = servers.get((start + i) % servers.size());
-      if (acceptsWork(server) && limits.allow(server)) {
-        return Optional.of(costs.estimate(service, server, clock.exactMillis(), 0));
+      if (gates.isOpen(ServerGate.Kind.AVAILABILITY, service, server, now)
+          && gates.isOpen(ServerGate.Kind.PACE, service, server, now)) {
+        return Optional.of(costs.estimate(service, server, now, 0));
       }
     }
     return Optional.empty();
