Identify customers by key before each attempt

Cause: requests were run for anyone, the caller's key was forwarded, and a key that was removed from the configuration remained usable for requests already admitted.

Change: Identification decides by key and route whether a request is run (401 otherwise). CustomerCheck repeats the decision when an attempt has its server, after queueing, retries and reading of the body, and replaces the key by the customer's name. The key is read before hop-by-hop headers are removed. Refused keys are counted, and logged once a second by a keyed hash. Idempotency keys are scoped to the customer as well. The fault of a passed deadline moves from Call to CallProblems.

--- a/wagtailpin/src/main/java/org/wagtailpin/call/AttemptRequestFactory.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/AttemptRequestFactory.java
@@ -2,11 +2,14 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
 import org.wagtailpin.backend.BackendRequest;
 import org.wagtailpin.backend.RequestBody;
 import org.wagtailpin.backend.SentConnections;
 import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.config.ConfigService;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.routing.CallDescriptor;
 import org.wagtailpin.transport.HttpDialect;
 import org.wagtailpin.transport.WagtailpinHeaders;
 
@@ -17,14 +20,20 @@
   private final ConfigService service;
   private final RequestBody body;
   private final HttpDialect dialect;
+  private final CustomerCheck customerCheck;
   private final SentConnections sentOn;
 
   AttemptRequestFactory(
-      IncomingRequest request, ConfigService service, RequestBody body, HttpDialect dialect) {
+      CallEnvironment environment,
+      IncomingRequest request,
+      CallDescriptor call,
+      ConfigService service,
+      RequestBody body) {
+    this.customerCheck = new CustomerCheck(environment, call, request);
     this.request = request;
     this.service = service;
     this.body = body;
-    this.dialect = dialect;
+    this.dialect = environment.dialect();
     this.sentOn = new SentConnections(request.id());
   }
 
@@ -32,6 +41,11 @@
     return body;
   }
 
+  /** Returns why an attempt must not be sent now, empty if it may be. */
+  Optional<Fault> refusal() {
+    return customerCheck.refusal();
+  }
+
   /**
    * Creates the request of an attempt.
    *
@@ -51,6 +65,7 @@
       headers.set(dialect.attempt().get(), attempt);
       addOrigin(headers);
     }
+    customerCheck.rewrite(headers);
     dialect.target().ifPresent(name -> headers.set(name, server.name()));
     return new BackendRequest(
         server,
--- a/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
@@ -121,7 +121,7 @@
     if (ended) {
       return;
     }
-    requestFactory = new AttemptRequestFactory(request, service, body, environment.dialect());
+    requestFactory = new AttemptRequestFactory(environment, request, descriptor, service, body);
     if (key.isPresent()) {
       new KeyClaim(environment, new ClaimListener())
           .submit(key.get(), descriptor, request, body, this::runOnLoop, () -> ended);
@@ -195,8 +195,10 @@
 
   private void startAttempt(Grant grant) {
     pendingPlacement = Optional.empty();
-    if (ended) {
+    Optional<Fault> refusal = ended ? Optional.empty() : requestFactory.refusal();
+    if (ended || refusal.isPresent()) {
       grant.finished(new AttemptReport(new AttemptOutcome.Cancelled(), 0, Optional.empty()));
+      refusal.ifPresent(fault -> answerWithProblem(problems.keyRemoved(mayHaveRun, fault)));
       return;
     }
     history = history.with(grant.server().name());
@@ -334,7 +336,7 @@
       checkAnswerStall();
       return;
     }
-    Fault fault = deadlineFault();
+    Fault fault = CallProblems.deadlinePassed(attempt, pendingPlacement.isPresent());
     pendingPlacement.ifPresent(PlacementHandle::withdraw);
     attempt.ifPresent(running -> running.expire(fault));
     if (callerHasDisconnected) {
@@ -345,15 +347,6 @@
     }
   }
 
-  private Fault deadlineFault() {
-    if (attempt.isPresent()) {
-      String server = attempt.get().grant().server().name();
-      return new Fault(Step.AWAIT_ANSWER, Peer.BACKEND_SERVER, server, "the deadline passed");
-    }
-    Step step = pendingPlacement.isPresent() ? Step.PICK_SERVER : Step.ADMIT;
-    return new Fault(step, Peer.SELF, "", "the deadline passed");
-  }
-
   /**
    * Handles the deadline timer after the answer has begun. From then on the route's deadline limits
    * the time without progress instead of the total time; time for which the caller itself blocks
@@ -367,7 +360,7 @@
       timer = loop.schedule(this::expire, nextMillis, TimeUnit.MILLISECONDS);
       return;
     }
-    Fault fault = deadlineFault();
+    Fault fault = CallProblems.deadlinePassed(attempt, false);
     lastFault = Optional.of(fault);
     attempt.ifPresent(running -> running.expire(fault));
     abortAnswer();
--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallAdmission.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallAdmission.java
@@ -4,13 +4,17 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 import org.wagtailpin.clock.Clock;
+import org.wagtailpin.config.ConfigCustomer;
 import org.wagtailpin.config.ConfigRoute;
 import org.wagtailpin.config.ConfigService;
 import org.wagtailpin.config.ConfigSnapshot;
 import org.wagtailpin.config.IdempotencyKeyRule;
+import org.wagtailpin.customer.Identification;
+import org.wagtailpin.customer.KeyRefusalReason;
 import org.wagtailpin.error.Fault;
 import org.wagtailpin.error.Peer;
 import org.wagtailpin.error.Step;
+import org.wagtailpin.region.AllowedRegions;
 import org.wagtailpin.routing.CallDescriptor;
 import org.wagtailpin.transport.WagtailpinHeaders;
 
@@ -48,8 +52,14 @@
    * The request is refused and was not run.
    *
    * @param problem the answer to send
+   * @param key why the customer's key is refused, empty if the refusal has another reason
    */
-  record Refused(Problem problem) implements CallAdmission {}
+  record Refused(Problem problem, Optional<KeyRefusalReason> key) implements CallAdmission {
+    /** Creates a refusal that does not concern a customer's key. */
+    public Refused(Problem problem) {
+      this(problem, Optional.empty());
+    }
+  }
 
   /**
    * Selects the route and service of a request and checks its depth, timeout and idempotency key.
@@ -84,7 +94,20 @@
           Step.MATCH_ROUTE,
           "service " + route.get().service() + " is unknown");
     }
-    return admit(snapshot.version(), route.get(), service.get(), request, clock);
+    Identification identification =
+        Identification.of(snapshot.customers(), route.get(), request.key());
+    if (identification instanceof Identification.Refused unidentified) {
+      Fault fault = new Fault(Step.IDENTIFY, Peer.CALLER, "", unidentified.reason().detail());
+      Problem problem = new Problem(CallProblems.UNAUTHORIZED, Outcome.NOT_RUN, fault);
+      return new Refused(problem, Optional.of(unidentified.reason()));
+    }
+    return admit(
+        snapshot.version(),
+        route.get(),
+        service.get(),
+        request,
+        ((Identification.Accepted) identification).customer(),
+        clock);
   }
 
   /**
@@ -102,6 +125,7 @@
       ConfigRoute route,
       ConfigService service,
       IncomingRequest request,
+      Optional<ConfigCustomer> customer,
       Clock clock) {
     Optional<String> key =
         Optional.ofNullable(request.headers().get(WagtailpinHeaders.IDEMPOTENCY_KEY));
@@ -127,10 +151,19 @@
             key.isEmpty() && route.mayRepeat(request.method()),
             request.callerGroup(),
             request.depth(),
-            clock.millis() + callTimeoutMillis);
+            clock.millis() + callTimeoutMillis,
+            customer,
+            regions(route, customer));
     return new Admitted(descriptor, service, key, snapshotVersion);
   }
 
+  private static AllowedRegions regions(ConfigRoute route, Optional<ConfigCustomer> customer) {
+    AllowedRegions ofRoute = AllowedRegions.ofList(route.allowedRegions());
+    return customer
+        .map(owner -> ofRoute.and(AllowedRegions.ofList(owner.allowedRegions())))
+        .orElse(ofRoute);
+  }
+
   private static Refused refused(HttpResponseStatus status, Step step, String detail) {
     Fault fault = new Fault(step, Peer.SELF, "", detail);
     return new Refused(new Problem(status.code(), Outcome.NOT_RUN, fault));
--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallEnvironment.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallEnvironment.java
@@ -23,6 +23,7 @@
  * @param events log of the decisions on each call
  * @param metrics counts of calls and attempts
  * @param dialect the header names and HTTP conventions in use
+ * @param keyRefusals records requests whose key is refused
  */
 public record CallEnvironment(
     CallSettings settings,
@@ -34,7 +35,34 @@
     Clock clock,
     EventLog events,
     CallMetrics metrics,
-    HttpDialect dialect) {
+    HttpDialect dialect,
+    KeyRefusals keyRefusals) {
+
+  /** Creates an environment with a recorder of refused keys of its own. */
+  public CallEnvironment(
+      CallSettings settings,
+      ConfigSource config,
+      Placement placement,
+      RetryPolicy retryPolicy,
+      Claims claims,
+      BackendClient backend,
+      Clock clock,
+      EventLog events,
+      CallMetrics metrics,
+      HttpDialect dialect) {
+    this(
+        settings,
+        config,
+        placement,
+        retryPolicy,
+        claims,
+        backend,
+        clock,
+        events,
+        metrics,
+        dialect,
+        new KeyRefusals(events, metrics, clock));
+  }
 
   /** Creates an environment with {@link HttpDialect#standard()}. */
   public CallEnvironment(
--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallMetrics.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallMetrics.java
@@ -37,4 +37,11 @@
    * @param status the HTTP status code of the answer
    */
   void unreadRequestAnswered(int status);
+
+  /**
+   * Counts a request that needs a customer's key and was refused for lack of a known one.
+   *
+   * @param reason the label of the reason
+   */
+  default void keyRefused(String reason) {}
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallProblems.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallProblems.java
@@ -2,12 +2,17 @@
 
 import java.util.Optional;
 import org.wagtailpin.error.Fault;
+import org.wagtailpin.error.Peer;
+import org.wagtailpin.error.Step;
 import org.wagtailpin.routing.Refusal;
 import org.wagtailpin.transport.HttpDialect;
 
 /** Creates the problems with which calls are answered, by whether the request may have run. */
 final class CallProblems {
 
+  /** Status of a request that needs a customer's key and carries none that is known. */
+  static final int UNAUTHORIZED = 401;
+
   private static final int BAD_GATEWAY = 502;
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final int GATEWAY_TIMEOUT = 504;
@@ -39,6 +44,14 @@
     return of(mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE, outcome(mayHaveRun), fault);
   }
 
+  /**
+   * Returns the problem of a call whose key is not known any more. If an earlier attempt may have
+   * run, the answer must not state that the request was not.
+   */
+  Problem keyRemoved(boolean mayHaveRun, Fault fault) {
+    return mayHaveRun ? failed(true, fault) : of(UNAUTHORIZED, Outcome.NOT_RUN, fault);
+  }
+
   /**
    * Returns the problem of a call that placement refused. The cause is the failure of the attempt
    * before, if there was one.
@@ -54,6 +67,21 @@
             Optional.of(refusal.retryAfterMillis()));
   }
 
+  /**
+   * Returns the fault of a call whose deadline has passed.
+   *
+   * @param attempt the attempt in flight
+   * @param placing whether the call waits for a server
+   */
+  static Fault deadlinePassed(Optional<Attempt> attempt, boolean placing) {
+    if (attempt.isPresent()) {
+      String server = attempt.get().grant().server().name();
+      return new Fault(Step.AWAIT_ANSWER, Peer.BACKEND_SERVER, server, "the deadline passed");
+    }
+    Step step = placing ? Step.PICK_SERVER : Step.ADMIT;
+    return new Fault(step, Peer.SELF, "", "the deadline passed");
+  }
+
   /**
    * Returns the problem of a call whose deadline has passed. In a dialect whose callers recognize a
    * request that was not run by the status code 503 alone, such a request must not get a 504, which
--- a/wagtailpin/src/main/java/org/wagtailpin/call/IncomingRequest.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/IncomingRequest.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
+import org.wagtailpin.customer.PresentedKey;
 
 /**
  * The head of a caller's request, as validated by the listener.
@@ -16,6 +17,7 @@
  * @param depth the number of enclosing calls, at least 0
  * @param timeoutMillis the caller's timeout in milliseconds, empty if it states none
  * @param arrivedMillis when the head arrived, by {@link org.wagtailpin.clock.Clock#exactMillis()}
+ * @param key the customer's key that the request carries
  */
 public record IncomingRequest(
     String id,
@@ -27,4 +29,5 @@
     String callerGroup,
     int depth,
     Optional<Long> timeoutMillis,
-    double arrivedMillis) {}
+    double arrivedMillis,
+    PresentedKey key) {}
--- a/wagtailpin/src/main/java/org/wagtailpin/call/KeyClaim.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/KeyClaim.java
@@ -39,7 +39,7 @@
   }
 
   /**
-   * Requests the claim. The key is scoped to the service and the caller group.
+   * Requests the claim. The key is scoped to the service, the caller group and the customer.
    *
    * @param key the idempotency key sent by the caller
    * @param call the call, whose deadline limits the claim
@@ -56,7 +56,8 @@
       RequestBody body,
       Executor executor,
       BooleanSupplier ended) {
-    String scope = call.route().service() + "/" + request.callerGroup();
+    String customer = call.customer().map(owner -> "/" + owner.name()).orElse("");
+    String scope = call.route().service() + "/" + request.callerGroup() + customer;
     var unused =
         environment
             .claims()
--- a/wagtailpin/src/main/java/org/wagtailpin/call/PrometheusCallMetrics.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/PrometheusCallMetrics.java
@@ -31,6 +31,7 @@
   private final Counter attempts;
   private final Counter retryDecisions;
   private final Counter unreadRequests;
+  private final Counter refusedKeys;
   private final Histogram latencies;
   private final Histogram attemptLatencies;
 
@@ -56,6 +57,10 @@
         counter("wagtailpin_unread_requests", "Requests answered before they became calls.")
             .labelNames("status")
             .register(registry);
+    refusedKeys =
+        counter("wagtailpin_refused_keys", "Requests refused for lack of a known key, by reason.")
+            .labelNames("reason")
+            .register(registry);
     latencies =
         histogram("wagtailpin_call_seconds", "Time from a request's head to the answer's end.")
             .register(registry);
@@ -102,6 +107,11 @@
     unreadRequests.labelValues(Integer.toString(status)).inc();
   }
 
+  @Override
+  public void keyRefused(String reason) {
+    refusedKeys.labelValues(reason).inc();
+  }
+
   private static String boundedLabel(Set<String> known, String name) {
     if (known.contains(name)) {
       return name;
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/ListenerContext.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/ListenerContext.java
@@ -128,6 +128,9 @@
       return new CallAdmission.Refused(
           RequestProblems.leaving(environment.settings().retryAfterMillis()));
     }
+    if (admission instanceof CallAdmission.Refused refused) {
+      refused.key().ifPresent(reason -> environment.keyRefusals().record(reason, request.key()));
+    }
     return admission;
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/caller/RequestHeadReader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/RequestHeadReader.java
@@ -17,6 +17,7 @@
 import org.wagtailpin.call.Problem;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigSource;
+import org.wagtailpin.customer.PresentedKey;
 import org.wagtailpin.error.Fault;
 import org.wagtailpin.error.Peer;
 import org.wagtailpin.error.Step;
@@ -134,6 +135,12 @@
     }
     String statedGroup = internal ? headers.get(WagtailpinHeaders.CALLER_GROUP) : null;
     String group = statedGroup == null ? groupOf(caller) : statedGroup;
+    // Read first: a Connection header that lists the key's header has it removed.
+    PresentedKey key =
+        dialect
+            .customerHeaders()
+            .map(names -> PresentedKey.of(headers.getAll(names.key())))
+            .orElse(PresentedKey.none());
     rewriteHeaders(headers, target, caller);
     return new RequestHead.Valid(
         new IncomingRequest(
@@ -146,7 +153,8 @@
             group,
             (int) depth,
             timeoutMillis == Long.MAX_VALUE ? Optional.empty() : Optional.of(timeoutMillis),
-            clock.exactMillis()));
+            clock.exactMillis(),
+            key));
   }
 
   private String groupOf(InetSocketAddress caller) {
--- a/wagtailpin/src/main/java/org/wagtailpin/error/Step.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/error/Step.java
@@ -5,6 +5,7 @@
   LOAD_SETTINGS("load-settings"),
   READ_REQUEST("read-request"),
   MATCH_ROUTE("match-route"),
+  IDENTIFY("identify"),
   CLAIM_KEY("claim-key"),
   ADMIT("admit"),
   PICK_SERVER("pick-server"),
--- a/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
@@ -135,6 +135,7 @@
   SERVER_RETURNED("server-returned", false, "server"),
   SERVER_LIMITED("server-limited", false, "server", "perSecond", "sharePerSecond"),
   SERVER_UNLIMITED("server-unlimited", false, "server"),
+  KEY_REFUSED("key-refused", false, "reason", "keyHash", "omitted"),
   WATCHER_ELECTED("watcher-elected", false, "reason", "rank", "before"),
   WATCHER_REPLACED("watcher-replaced", false, "watcher"),
   WATCHER_FOLLOWED("watcher-followed", false, "watcher"),
--- a/wagtailpin/src/main/java/org/wagtailpin/transport/HttpDialect.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/transport/HttpDialect.java
@@ -32,6 +32,7 @@
  * @param allowsFractionalRetryAfter whether Retry-After may have fractions of a second
  * @param buffersAnswers whether answers up to a maximum length are buffered before they are
  *     relayed, so that one that fails midway can be replaced
+ * @param customerHeaders headers by which customers are identified; empty if they are not
  */
 public record HttpDialect(
     AsciiString requestId,
@@ -48,7 +49,44 @@
     Set<Integer> notRunStatuses,
     boolean allowsUnframedAnswers,
     boolean allowsFractionalRetryAfter,
-    boolean buffersAnswers) {
+    boolean buffersAnswers,
+    Optional<CustomerHeaders> customerHeaders) {
+
+  /** Creates a dialect without customers. */
+  public HttpDialect(
+      AsciiString requestId,
+      AsciiString callerTimeout,
+      AsciiString deadline,
+      AsciiString load,
+      LoadFormat loadFormat,
+      AsciiString requestLimit,
+      Optional<AsciiString> attempt,
+      Optional<AsciiString> target,
+      Optional<AsciiString> signature,
+      Optional<AsciiString> instance,
+      boolean callerSetsRequestId,
+      Set<Integer> notRunStatuses,
+      boolean allowsUnframedAnswers,
+      boolean allowsFractionalRetryAfter,
+      boolean buffersAnswers) {
+    this(
+        requestId,
+        callerTimeout,
+        deadline,
+        load,
+        loadFormat,
+        requestLimit,
+        attempt,
+        target,
+        signature,
+        instance,
+        callerSetsRequestId,
+        notRunStatuses,
+        allowsUnframedAnswers,
+        allowsFractionalRetryAfter,
+        buffersAnswers,
+        Optional.empty());
+  }
 
   /** Format of the load header. */
   public enum LoadFormat {
