Keep calls within allowed regions and out of evacuated failure domains

Cause: placement used any server of a service, and the store's keys of evacuated domains were not read.

Change: calls that may not run everywhere have a part of the service's state, with a view of the allowed servers and a queue of their own, so that placement, probes, retries and waiting times consider only these and a full region delays no other calls. A freed slot is offered first to the queue with the most urgent call, and in turn to equally urgent ones. RegistryWatcher turns the keys into objects, from list and watch; a server of an evacuated domain takes no work and ramps up afterwards.

--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -17,6 +17,7 @@
 import org.wagtailpin.config.ConfigLimit;
 import org.wagtailpin.config.ConfigMerger;
 import org.wagtailpin.config.ConfigReport;
+import org.wagtailpin.config.EvacuationRecorder;
 import org.wagtailpin.config.EventLogConfigListener;
 import org.wagtailpin.config.MergedConfig;
 import org.wagtailpin.config.PublishedConfig;
@@ -138,6 +139,7 @@
     confirmation = fleet.confirmation();
     configEvents = new EventLogConfigListener(events, merger::origin, confirmation, clock);
     merger.addListener(configEvents);
+    merger.addListener(new EvacuationRecorder(events));
     claims =
         new ShardedClaims(
             ClaimSettings.defaults(),
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -45,6 +45,7 @@
   private final ConfigMerger merger;
   private final RegistryFormat format;
   private final EventLog events;
+  private final EvacuationStates evacuations;
   private final StoreAvailability availability;
   private final PrefixWatcher prefixWatcher;
   private long documentRevision;
@@ -78,6 +79,7 @@
     this.clock = clock;
     this.merger = merger;
     this.format = format;
+    this.evacuations = new EvacuationStates(format.evacuationPrefix());
     this.availability = new StoreAvailability(clock, format.renewalMillis(), events);
     this.events = events;
     this.prefixWatcher =
@@ -182,7 +184,10 @@
     public void listed(List<StoreEntry> entries, long revision) {
       List<VersionedObject> states = new ArrayList<>();
       Set<String> present = new HashSet<>();
+      Set<String> keys = new HashSet<>();
       for (StoreEntry entry : entries) {
+        keys.add(entry.key());
+        evacuations.addPresent(entry, states);
         serverName(entry.key()).ifPresent(present::add);
         addDocumentState(entry, states);
         addServerState(entry, states);
@@ -192,6 +197,7 @@
           removeAfterGracePeriod(name, revision, states);
         }
       }
+      evacuations.addMissing(keys, revision, merger.merged(), states);
       listed = true;
       merger.mergeFromStore(states);
       merger.markCompleteAsOf(revision);
@@ -202,9 +208,11 @@
       List<VersionedObject> states = new ArrayList<>();
       for (StoreChange change : changes) {
         if (change.entry().isPresent()) {
+          evacuations.addPresent(change.entry().get(), states);
           addDocumentState(change.entry().get(), states);
           addServerState(change.entry().get(), states);
         } else {
+          evacuations.addRemoved(change.key(), change.revision(), states);
           serverName(change.key())
               .ifPresent(name -> removeAfterGracePeriod(name, change.revision(), states));
         }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
@@ -84,6 +84,15 @@
     return priority < PRIORITIES ? sizeAhead.get(Math.max(0, priority)) : size;
   }
 
+  /** Returns the most urgent priority of the calls that the last round left in the queue. */
+  int mostUrgent() {
+    int priority = 0;
+    while (priority < PRIORITIES && sizeAhead.get(priority) == 0) {
+      priority++;
+    }
+    return priority;
+  }
+
   boolean isEmpty() {
     return size == 0 && arrivals.isEmpty();
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -122,7 +122,7 @@
   public PlacementHandle request(
       CallDescriptor call, AttemptHistory history, PlacementListener listener) {
     QueuedCall queued = queuedCall(call, history, listener);
-    Optional<ServiceState> service = table.service(call.route().service());
+    Optional<ServiceState> service = table.service(call);
     if (service.isEmpty() || !dispatcher.hasServer(service.get())) {
       refuse(queued, Step.PICK_SERVER, PlacementRule.NO_SERVER);
       return queued;
@@ -163,8 +163,7 @@
       CallDescriptor call, AttemptHistory history, PlacementListener listener) {
     String service = call.route().service();
     String route = call.route().name();
-    Optional<RoutingSettings> settings =
-        table.service(service).map(state -> state.view().settings());
+    Optional<RoutingSettings> settings = table.service(call).map(state -> state.view().settings());
     double longWorkFactor = settings.map(s -> s.value(Tunable.LONG_WORK_FACTOR)).orElse(1.0);
     double deadlineMargin = settings.map(s -> s.value(Tunable.DEADLINE_MARGIN)).orElse(1.0);
     double expectedMillis = statistics.expectedMillis(service, route);
@@ -237,7 +236,7 @@
   private PlacementReason refusalReason(PlacementRule rule, QueuedCall queued) {
     PlacementRequest request = placementRequest(queued);
     return table
-        .service(queued.call().route().service())
+        .service(queued.call())
         .map(service -> dispatcher.refusalReason(rule, service, request))
         .orElseGet(
             () -> PlacementReason.unknownService(rule, request.queuedMillis(), request.work()));
@@ -245,7 +244,7 @@
 
   private ReturnTime.Backlog backlog(QueuedCall queued) {
     String name = queued.call().route().service();
-    Optional<ServiceState> service = table.service(name);
+    Optional<ServiceState> service = table.service(queued.call());
     return new ReturnTime.Backlog(
         name,
         queued.priority(),
@@ -368,11 +367,8 @@
     } else {
       freeSlot(service, server, queued.longWork());
     }
-    recorder.recordAttempt(service, server, call, report);
-    if (!service.queue().isEmpty()) {
-      service.queue().addFreed(server);
-      service.queue().run(() -> serveQueue(service));
-    }
+    recorder.recordAttempt(service.whole(), server, call, report);
+    service.serveFreed(server, this::serveQueue);
   }
 
   private static boolean mayStillRun(AttemptOutcome outcome) {
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
@@ -61,6 +61,11 @@
     return Optional.ofNullable(newest.services().get(name));
   }
 
+  /** Returns the part of a call's service that the call may use. */
+  Optional<ServiceState> service(CallDescriptor call) {
+    return service(call.route().service()).map(service -> service.within(call.regions()));
+  }
+
   double groupWeight(String callerGroup) {
     return tables.groupWeights().getOrDefault(callerGroup, DEFAULT_WEIGHT);
   }
@@ -123,6 +128,7 @@
     for (ConfigServer server : snapshot.servers(service)) {
       double delayMillis = networkDelayMillis(snapshot, settings, server);
       ServerState state = serverState(server, delayMillis, newService);
+      state.evacuated(snapshot.evacuatedDomains().contains(server.failureDomain()), clock.millis());
       state.updateTransferCost(transferMillisPerKib(settings, server));
       servers.put(server.name(), state);
       (server.region().equals(locality.region()) ? near : far).add(state);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerHealth.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerHealth.java
@@ -141,6 +141,11 @@
     failures.reset(failures.orElse(0) / 2);
   }
 
+  /** Has the server's work ramp up from a time on. */
+  void rampFrom(long startMillis) {
+    rampStartedAtMillis = startMillis;
+  }
+
   /** Returns the share of its usual work that the server gets while it ramps up, at most 1. */
   double rampShare(long nowMillis, double rampMillis) {
     double elapsed = nowMillis - rampStartedAtMillis;
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
@@ -35,6 +35,7 @@
   /** Returns whether a server may be given new work, whatever its health. */
   boolean acceptsWork(ServerState server) {
     return !server.removed()
+        && !server.evacuated()
         && !server.server().leaving()
         && !server.reportsLeaving()
         && !leavingHosts.isLeaving(server.server().address());
@@ -76,7 +77,10 @@
    * @param request the request; servers that it has tried already are left out
    */
   Optional<Candidate> cheapestFar(ServiceState service, PlacementRequest request) {
-    int maxCandidates = (int) service.view().settings().value(Tunable.FAR_CANDIDATES);
+    RoutingSettings settings = service.view().settings();
+    // Of calls that may not run in this entry's region, all servers are far.
+    boolean allFar = service.isPart() && service.view().near().isEmpty();
+    int maxCandidates = (int) settings.value(allFar ? Tunable.CANDIDATES : Tunable.FAR_CANDIDATES);
     return cheapest(service, service.view().far(), maxCandidates, request);
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerState.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerState.java
@@ -11,6 +11,7 @@
   private volatile double transferMillisPerKib;
   private volatile boolean reportsLeaving;
   private volatile boolean removed;
+  private volatile boolean evacuated;
   private volatile Optional<ServerLimit> requestLimit = Optional.empty();
   private final LoadEstimate load = new LoadEstimate();
   private final ServerHealth health;
@@ -70,6 +71,25 @@
     removed = true;
   }
 
+  /** Returns whether the server's failure domain is evacuated, so that it gets no new work. */
+  boolean evacuated() {
+    return evacuated;
+  }
+
+  /**
+   * Sets whether the server's failure domain is evacuated. From the end of an evacuation on, the
+   * server's work ramps up.
+   *
+   * @param now whether it is evacuated
+   * @param nowMillis the current time
+   */
+  void evacuated(boolean now, long nowMillis) {
+    if (evacuated && !now) {
+      health.rampFrom(nowMillis);
+    }
+    evacuated = now;
+  }
+
   /** Returns whether the server's last load report says that it is leaving. */
   boolean reportsLeaving() {
     return reportsLeaving;
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServiceState.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServiceState.java
@@ -1,9 +1,24 @@
 package org.wagtailpin.routing;
 
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.wagtailpin.limits.MovingAverage;
-
-/** An entry's state of one service; kept when the configuration changes. */
+import org.wagtailpin.region.AllowedRegions;
+
+/**
+ * An entry's state of one service; kept when the configuration changes.
+ *
+ * <p>Calls that may not run in all regions have a state of their own for each set of regions, which
+ * sees only the servers that they may use. Their queue is separate, since a call that waits for a
+ * server of its regions must not delay calls that may use others. The servers' states are shared.
+ */
 final class ServiceState {
 
   private static final double LOAD_SMOOTHING_FACTOR = 0.02;
@@ -17,10 +32,72 @@
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicInteger longInFlight = new AtomicInteger();
   private final CallQueue queue = new CallQueue();
+  private final Optional<ServiceState> whole;
+  private final ConcurrentMap<AllowedRegions, ServiceState> parts = new ConcurrentHashMap<>();
+  private final AtomicInteger turn = new AtomicInteger();
 
   ServiceState(String name, ServiceView view) {
+    this(name, view, Optional.empty());
+  }
+
+  private ServiceState(String name, ServiceView view, Optional<ServiceState> whole) {
     this.name = name;
     this.view = view;
+    this.whole = whole;
+  }
+
+  /**
+   * Returns the part of the service that calls may use.
+   *
+   * @param regions the regions in which the calls may run
+   */
+  ServiceState within(AllowedRegions regions) {
+    return regions.allowsAll()
+        ? this
+        : parts.computeIfAbsent(
+            regions, allowed -> new ServiceState(name, view.within(allowed), Optional.of(this)));
+  }
+
+  /** Returns whether this is a part of a service. */
+  boolean isPart() {
+    return whole.isPresent();
+  }
+
+  /** Returns the state of the whole service. */
+  ServiceState whole() {
+    return whole.orElse(this);
+  }
+
+  /**
+   * Serves the queues of calls that may use a server on which a slot has just become free: the most
+   * urgent first, and equally urgent ones in turn.
+   *
+   * @param server the server
+   * @param serve serves the queue of a state, in a round of it
+   */
+  void serveFreed(ServerState server, Consumer<ServiceState> serve) {
+    for (ServiceState queueing : whole().queueingFor(server)) {
+      queueing.queue.addFreed(server);
+      queueing.queue.run(() -> serve.accept(queueing));
+    }
+  }
+
+  private List<ServiceState> queueingFor(ServerState server) {
+    List<ServiceState> queueing = new ArrayList<>();
+    if (!queue.isEmpty()) {
+      queueing.add(this);
+    }
+    parts.forEach(
+        (regions, part) -> {
+          if (!part.queue.isEmpty() && regions.allows(server.server().region())) {
+            queueing.add(part);
+          }
+        });
+    if (queueing.size() > 1) {
+      Collections.rotate(queueing, turn.getAndIncrement());
+      queueing.sort(Comparator.comparingInt(state -> state.queue.mostUrgent()));
+    }
+    return queueing;
   }
 
   String name() {
@@ -33,61 +110,65 @@
 
   void update(ServiceView newView) {
     view = newView;
+    parts.forEach((regions, part) -> part.update(newView.within(regions)));
   }
 
   CallQueue queue() {
     return queue;
   }
 
-  /** Returns this entry's attempts in flight on all servers of the service. */
+  /** Returns this entry's attempts in flight on all servers of the service, or of this part. */
   int inFlight() {
-    return inFlight.get();
+    return isPart()
+        ? view.all().stream().mapToInt(server -> server.load().inFlight()).sum()
+        : inFlight.get();
   }
 
   /** Returns this entry's attempts in flight on routes of long work. */
   int longInFlight() {
-    return longInFlight.get();
+    return isPart() ? Math.min(inFlight(), whole().longInFlight()) : longInFlight.get();
   }
 
   void attemptStarted(boolean longWork) {
-    inFlight.incrementAndGet();
+    whole().inFlight.incrementAndGet();
     if (longWork) {
-      longInFlight.incrementAndGet();
+      whole().longInFlight.incrementAndGet();
     }
   }
 
   void attemptEnded(boolean longWork) {
-    inFlight.decrementAndGet();
+    whole().inFlight.decrementAndGet();
     if (longWork) {
-      longInFlight.decrementAndGet();
+      whole().longInFlight.decrementAndGet();
     }
   }
 
   /** Records a load report of one of the servers. */
   void recordLoad(ServerState server, LoadReport load, double nowMillis) {
     server.load().recordReport(load, nowMillis);
-    otherLoadPerSlot.add((double) server.load().lastOtherLoad() / server.server().slots());
-    slowness.add(load.slowness());
-    reportsLoad = true;
+    ServiceState all = whole();
+    all.otherLoadPerSlot.add((double) server.load().lastOtherLoad() / server.server().slots());
+    all.slowness.add(load.slowness());
+    all.reportsLoad = true;
   }
 
   /** Records an answer of one of the servers that did not carry a load report. */
   void recordNoLoad() {
-    answeredWithoutLoad = true;
+    whole().answeredWithoutLoad = true;
   }
 
   /** Returns whether any of its servers has reported its load, or none has answered yet. */
   boolean mayReportLoad() {
-    return reportsLoad || !answeredWithoutLoad;
+    return whole().reportsLoad || !whole().answeredWithoutLoad;
   }
 
   /** Returns the moving average of the slowness that its servers report. */
   double averageSlowness() {
-    return slowness.orElse(1);
+    return whole().slowness.orElse(1);
   }
 
   /** Returns the average work of other entries on a server with this many slots, in calls. */
   double averageOtherLoad(int slots) {
-    return otherLoadPerSlot.orElse(0) * slots;
+    return whole().otherLoadPerSlot.orElse(0) * slots;
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServiceView.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServiceView.java
@@ -3,6 +3,7 @@
 import java.util.AbstractList;
 import java.util.List;
 import java.util.Optional;
+import org.wagtailpin.region.AllowedRegions;
 
 /**
  * The servers of one service under one configuration.
@@ -23,6 +24,15 @@
     far = List.copyOf(far);
   }
 
+  /** Returns the view of those servers that are in allowed regions. */
+  ServiceView within(AllowedRegions regions) {
+    return new ServiceView(
+        near.stream().filter(state -> regions.allows(state.server().region())).toList(),
+        far.stream().filter(state -> regions.allows(state.server().region())).toList(),
+        settings,
+        probePath);
+  }
+
   int size() {
     return near.size() + far.size();
   }
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/TestRegistryFormat.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/TestRegistryFormat.java
@@ -12,6 +12,7 @@
 
   public static final String DOCUMENT = "operator/document";
   public static final String SERVERS = "members/";
+  public static final String EVACUATIONS = "operator/evacuated/";
 
   private static final long RENEWAL_MILLIS = 1_500;
 
@@ -30,6 +31,11 @@
     return SERVERS;
   }
 
+  @Override
+  public Optional<String> evacuationPrefix() {
+    return Optional.of(EVACUATIONS);
+  }
+
   @Override
   public long renewalMillis() {
     return RENEWAL_MILLIS;
