--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -9,7 +9,6 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.simple.RandomSource;
 import org.wagtailpin.claims.ClaimSettings;
 import org.wagtailpin.claims.ShardedClaims;
 import org.wagtailpin.clock.Clock;
@@ -17,6 +16,7 @@
 import org.wagtailpin.config.ConfigLimit;
 import org.wagtailpin.config.ConfigMerger;
 import org.wagtailpin.config.ConfigReport;
+import org.wagtailpin.config.EvacuationRecorder;
 import org.wagtailpin.config.EventLogConfigListener;
 import org.wagtailpin.config.MergedConfig;
 import org.wagtailpin.config.PublishedConfig;
@@ -94,7 +94,7 @@
     this.loop = loop;
     this.clock = clock;
     this.events = events;
-    UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    UniformRandomProvider random = SeededRandom.create(seed);
     incarnation = clock.wallMillis();
     storeClient = new StoreHttpClient(StoreTimeouts.defaults());
     store =
@@ -123,7 +123,7 @@
             loop,
             clock,
             // The messenger uses its generator on another thread, so it can't share this one.
-            RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 1),
+            SeededRandom.create(seed + 1),
             NettyPeerSettings.defaults(settings.peers().address(), settings.peers().port()));
     hostListPoller = createHostListPoller(settings, clock, random);
     Fleet fleet =
@@ -138,6 +138,7 @@
     confirmation = fleet.confirmation();
     configEvents = new EventLogConfigListener(events, merger::origin, confirmation, clock);
     merger.addListener(configEvents);
+    merger.addListener(new EvacuationRecorder(events));
     claims =
         new ShardedClaims(
             ClaimSettings.defaults(),
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -1,5 +1,6 @@
 package org.wagtailpin.routing;
 
+import java.util.List;
 import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wagtailpin.clock.Clock;
@@ -107,12 +108,22 @@
     this.table = new RoutingTable(config, locality, clock, links);
     ServerCosts costs = new ServerCosts(statistics);
     RequestLimits limits = new RequestLimits(shares, clock, random, observer);
-    ServerPicker picker = new ServerPicker(clock, random, leavingHosts, costs, limits);
-    this.dispatcher = new Dispatcher(picker, links, shares, statistics, costs, clock, limits);
+    ServerGates gates =
+        new ServerGates(
+            List.of(
+                new LeavingGate(leavingHosts),
+                new EvacuationGate(),
+                new EjectionGate(),
+                new RefusalPauseGate(),
+                limits,
+                new RampGate(random)));
+    ServerPicker picker = new ServerPicker(clock, random, gates, costs);
+    this.dispatcher =
+        new Dispatcher(picker, links, shares, statistics, costs, clock, limits, gates);
     this.admission = new Admission(clock, statistics, dispatcher);
     this.probes =
         new ProbeRounds(
-            clock, picker, costs, probe, limits, new ProbeBudget(clock, shares), scheduler);
+            clock, picker, costs, probe, limits, gates, new ProbeBudget(clock, shares), scheduler);
     this.queueProbes = new QueueProbes(clock, probes);
     this.recorder = new AttemptRecorder(clock, statistics, observer, limits);
     this.returnTime = new BacklogReturnTime(clock, random);
@@ -122,7 +133,7 @@
   public PlacementHandle request(
       CallDescriptor call, AttemptHistory history, PlacementListener listener) {
     QueuedCall queued = queuedCall(call, history, listener);
-    Optional<ServiceState> service = table.service(call.route().service());
+    Optional<ServiceState> service = table.service(call);
     if (service.isEmpty() || !dispatcher.hasServer(service.get())) {
       refuse(queued, Step.PICK_SERVER, PlacementRule.NO_SERVER);
       return queued;
@@ -163,8 +174,7 @@
       CallDescriptor call, AttemptHistory history, PlacementListener listener) {
     String service = call.route().service();
     String route = call.route().name();
-    Optional<RoutingSettings> settings =
-        table.service(service).map(state -> state.view().settings());
+    Optional<RoutingSettings> settings = table.service(call).map(state -> state.view().settings());
     double longWorkFactor = settings.map(s -> s.value(Tunable.LONG_WORK_FACTOR)).orElse(1.0);
     double deadlineMargin = settings.map(s -> s.value(Tunable.DEADLINE_MARGIN)).orElse(1.0);
     double expectedMillis = statistics.expectedMillis(service, route);
@@ -237,7 +247,7 @@
   private PlacementReason refusalReason(PlacementRule rule, QueuedCall queued) {
     PlacementRequest request = placementRequest(queued);
     return table
-        .service(queued.call().route().service())
+        .service(queued.call())
         .map(service -> dispatcher.refusalReason(rule, service, request))
         .orElseGet(
             () -> PlacementReason.unknownService(rule, request.queuedMillis(), request.work()));
@@ -245,7 +255,7 @@
 
   private ReturnTime.Backlog backlog(QueuedCall queued) {
     String name = queued.call().route().service();
-    Optional<ServiceState> service = table.service(name);
+    Optional<ServiceState> service = table.service(queued.call());
     return new ReturnTime.Backlog(
         name,
         queued.priority(),
@@ -368,11 +378,8 @@
     } else {
       freeSlot(service, server, queued.longWork());
     }
-    recorder.recordAttempt(service, server, call, report);
-    if (!service.queue().isEmpty()) {
-      service.queue().addFreed(server);
-      service.queue().run(() -> serveQueue(service));
-    }
+    recorder.recordAttempt(service.whole(), server, call, report);
+    service.serveFreed(server, this::serveQueue);
   }
 
   private static boolean mayStillRun(AttemptOutcome outcome) {
