--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -10,6 +10,11 @@
 import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.wagtailpin.budget.BudgetMetrics;
+import org.wagtailpin.budget.BudgetSettings;
+import org.wagtailpin.budget.ConfigBudgetLimits;
+import org.wagtailpin.budget.FleetBudgets;
+import org.wagtailpin.budget.PeerBudgetLink;
 import org.wagtailpin.claims.ClaimSettings;
 import org.wagtailpin.claims.ShardedClaims;
 import org.wagtailpin.clock.Clock;
@@ -76,6 +81,7 @@
   private final NettyPeerMessenger messenger;
   private final FleetMembership membership;
   private final LimitShares shares;
+  private final Optional<FleetBudgets> budgets;
   private final Supplier<Optional<StateConfirmation>> confirmation;
   private final EventLogConfigListener configEvents;
   private final ShardedClaims claims;
@@ -90,6 +96,7 @@
       Clock clock,
       ControlLoop loop,
       EventLog events,
+      BudgetMetrics budgetMetrics,
       long seed) {
     this.loop = loop;
     this.clock = clock;
@@ -128,10 +135,13 @@
     hostListPoller = createHostListPoller(settings, clock, random);
     Fleet fleet =
         registryWatcher
-            .map(watch -> domainFleet(settings, addresses, watch, random, timing, events))
+            .map(
+                watch ->
+                    domainFleet(settings, addresses, watch, random, timing, events, budgetMetrics))
             .orElseGet(() -> meshFleet(settings, platform, addresses, random));
     membership = fleet.membership();
     shares = fleet.shares();
+    budgets = fleet.budgets();
     PeerEventRecorder peerEventRecorder =
         new PeerEventRecorder(events, platform.membershipSettings().suspicionTimeoutMillis());
     membership.setStatusListener(status -> peerEventRecorder.update(status.peers()));
@@ -154,7 +164,8 @@
   private record Fleet(
       FleetMembership membership,
       LimitShares shares,
-      Supplier<Optional<StateConfirmation>> confirmation) {}
+      Supplier<Optional<StateConfirmation>> confirmation,
+      Optional<FleetBudgets> budgets) {}
 
   private Fleet domainFleet(
       EntrySettings settings,
@@ -162,7 +173,8 @@
       RegistryWatcher watch,
       UniformRandomProvider random,
       FleetTiming timing,
-      EventLog events) {
+      EventLog events,
+      BudgetMetrics budgetMetrics) {
     DomainFleet fleet =
         new DomainFleet(
             selfMember(settings, incarnation),
@@ -182,7 +194,8 @@
     return new Fleet(
         fleet,
         new EqualShares(new HighestCount(fleet::fleetSize, clock, FLEET_SIZE_MEMORY_MILLIS)),
-        fleet::confirmation);
+        fleet::confirmation,
+        Optional.of(createBudgets(settings, fleet, events, budgetMetrics)));
   }
 
   private Fleet meshFleet(
@@ -204,7 +217,26 @@
             random,
             platform.membershipSettings(),
             seedNames(settings));
-    return new Fleet(mesh, mesh, Optional::empty);
+    return new Fleet(mesh, mesh, Optional::empty, Optional.empty());
+  }
+
+  private FleetBudgets createBudgets(
+      EntrySettings settings, DomainFleet fleet, EventLog events, BudgetMetrics metrics) {
+    PeerBudgetLink link = new PeerBudgetLink(messenger);
+    FleetBudgets created =
+        new FleetBudgets(
+            settings.id(),
+            BudgetSettings.ofQuotas(
+                Math.max(1, settings.failureDomains().size()), settings.constants()),
+            new ConfigBudgetLimits(published),
+            fleet.budgetPeers(),
+            link,
+            loop,
+            clock,
+            metrics,
+            events);
+    link.answerWith(created);
+    return created;
   }
 
   private static ConfigLimit tunableDefaults(Map<Tunable, Double> tunables) {
@@ -272,6 +304,7 @@
       throw new IOException(failed.fault().toString());
     }
     loop.execute(membership::start);
+    budgets.ifPresent(shared -> loop.execute(shared::start));
     registryWatcher.ifPresent(watch -> loop.execute(confirmationRecorder(watch)::start));
     hostListPoller.ifPresent(poller -> loop.execute(poller::start));
   }
@@ -348,6 +381,11 @@
     return shares;
   }
 
+  /** Returns the budgets shared with other entries, empty if there is no registry. */
+  Optional<FleetBudgets> budgets() {
+    return budgets;
+  }
+
   /** Returns the claims of idempotency keys. */
   public ShardedClaims claims() {
     return claims;
@@ -361,6 +399,7 @@
   @Override
   public void close() {
     loop.execute(membership::stop);
+    budgets.ifPresent(shared -> loop.execute(shared::stop));
     loop.execute(configWatcher::stop);
     hostListPoller.ifPresent(poller -> loop.execute(poller::stop));
     messenger.close();
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.tinylog.Logger;
+import org.wagtailpin.budget.PrometheusBudgetMetrics;
 import org.wagtailpin.caller.CallerLimits;
 import org.wagtailpin.caller.CallerListener;
 import org.wagtailpin.caller.CallerSettings;
@@ -102,7 +103,9 @@
         EventLoops.createAffine(settings.trafficThreads(), settings.id() + "-traffic");
     this.events = new BoundedEventLog(settings.id(), settings.eventLog(), clock, eventLines);
     long seed = settings.seed().orElseGet(System::nanoTime);
-    this.control = new ControlParts(settings, platform, clock, loop, events, seed);
+    this.control =
+        new ControlParts(
+            settings, platform, clock, loop, events, new PrometheusBudgetMetrics(registry), seed);
     this.traffic =
         new TrafficParts(
             settings, platform, clock, loop, trafficLoops, control, registry, events, seed);
--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -12,6 +12,7 @@
 import org.wagtailpin.call.CallEnvironment;
 import org.wagtailpin.call.CallSettings;
 import org.wagtailpin.call.PrometheusCallMetrics;
+import org.wagtailpin.call.QuotaPlacement;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.control.ControlLoop;
 import org.wagtailpin.control.ScheduledTask;
@@ -24,6 +25,7 @@
 import org.wagtailpin.routing.EventLogPlacementObserver;
 import org.wagtailpin.routing.LeavingHosts;
 import org.wagtailpin.routing.Locality;
+import org.wagtailpin.routing.Placement;
 import org.wagtailpin.routing.PrometheusPlacementObserver;
 import org.wagtailpin.routing.QueueingPlacement;
 import org.wagtailpin.routing.SharedRandom;
@@ -86,7 +88,7 @@
         new CallEnvironment(
             CallSettings.defaults(),
             control.published(),
-            placement,
+            quotaPlacement(placement, trafficLoops, clock),
             new BudgetedRetryPolicy(
                 control.published(), clock, statistics, new RetryBudgets(), shares, random),
             control.claims(),
@@ -97,6 +99,19 @@
             platform.dialect());
   }
 
+  private Placement quotaPlacement(Placement placement, EventLoopGroup trafficLoops, Clock clock) {
+    return control
+        .budgets()
+        .<Placement>map(
+            budgets ->
+                new QuotaPlacement(
+                    placement,
+                    budgets,
+                    clock,
+                    (delayMillis, task) -> scheduleOnTrafficLoop(trafficLoops, delayMillis, task)))
+        .orElse(placement);
+  }
+
   // Queued calls are served by traffic threads rather than by the control thread, so that a long
   // queue does not delay heartbeats.
   private static ScheduledTask scheduleOnTrafficLoop(
