Grant units soon after a start, and while several watchers are lost

Cause: a watcher that starts has few followers at first and lost the rest of its initial units for good: in a simulated start of 120 entries 90% of the requests of the first second were refused. A holder that borrows passed each silent lender anew for each budget, answered entries of other domains later than these wait, and denied asks that had only waited long. Change: a bucket receives the rest of its initial units once most entries follow; silent lenders are remembered for all budgets (SilentEntries); an ask that waited 100 ms is repeated, not denied; entries wait 200 ms for other domains. The simulated entries send a beat as soon as they follow a watcher, as DomainFleet does, and a seed always gives the same schedule: the order of Map.of and of hashes of enums differed from run to run.

--- a/wagtailpin/src/main/java/org/wagtailpin/budget/DomainShares.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/budget/DomainShares.java
@@ -46,13 +46,15 @@
       if (buckets.size() >= MAX_BUCKETS) {
         empty();
       }
-      double start = usesSlack ? settings.domainStart(limit) * credit.capacityShare() : 0;
-      bucket = new ShareBucket(start, originCreditMillis);
+      bucket = new ShareBucket(originCreditMillis);
       if (credit.share() == 0) {
         return bucket;
       }
       buckets.put(budget, bucket);
     }
+    if (usesSlack) {
+      bucket.start(settings.domainStart(limit), credit.capacityShare());
+    }
     bucket.advance(credit.creditMillis(), settings.domainPerMilli(limit), capacity(limit));
     return bucket;
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/budget/EntryUnits.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/budget/EntryUnits.java
@@ -23,6 +23,9 @@
   /** Leaves time for the loans that a holder may need, and for another holder within a unit. */
   private static final long ASK_TIMEOUT_MILLIS = 120;
 
+  /** Leaves time for the path to another region as well; nearly as long as a unit is valid. */
+  private static final long FAR_ASK_TIMEOUT_MILLIS = 200;
+
   private static final double SILENCE_MILLIS = 500;
   private static final int MAX_HOLDERS_ASKED = 3;
 
@@ -53,7 +56,7 @@
   private final BudgetMetrics metrics;
   private final double validMillis;
   private final Map<BudgetKey, Account> accounts = new HashMap<>();
-  private final Map<String, Double> silentUntilMillis = new HashMap<>();
+  private final SilentEntries silent = new SilentEntries();
 
   EntryUnits(
       String self,
@@ -127,7 +130,6 @@
   /** Returns the holders to ask in order: that of the own domain, then some of the others. */
   private Deque<String> targets() {
     double now = clock.exactMillis();
-    silentUntilMillis.values().removeIf(until -> until <= now);
     List<String> known = new ArrayList<>();
     List<BudgetPeers.Holder> others = peers.otherHolders();
     // The entries of a domain without a holder spread over the others.
@@ -138,7 +140,7 @@
     }
     Deque<String> targets = new ArrayDeque<>();
     known.stream()
-        .filter(entry -> !silentUntilMillis.containsKey(entry))
+        .filter(entry -> !silent.contains(entry, now))
         .limit(MAX_HOLDERS_ASKED)
         .forEach(targets::add);
     if (targets.isEmpty()) {
@@ -166,7 +168,8 @@
     if (target.equals(self)) {
       own.request(request, reply -> listener.accept(Optional.of(reply)));
     } else {
-      link.send(target, request, ASK_TIMEOUT_MILLIS, listener);
+      boolean near = peers.holder().equals(Optional.of(target));
+      link.send(target, request, near ? ASK_TIMEOUT_MILLIS : FAR_ASK_TIMEOUT_MILLIS, listener);
     }
   }
 
@@ -180,7 +183,7 @@
     double now = clock.exactMillis();
     double usableUntilMillis = sentMillis + validMillis;
     if (reply.isEmpty() || reply.get().verdict() == BudgetReply.Verdict.NOT_HOLDER) {
-      silentUntilMillis.put(target, now + SILENCE_MILLIS);
+      silent.add(target, now + SILENCE_MILLIS);
       ask(budget, account, targets);
     } else if (reply.get().verdict() == BudgetReply.Verdict.DENIED) {
       account.asking = false;
@@ -190,7 +193,10 @@
       metrics.expired(budget.kind(), reply.get().units());
       ask(budget, account, targets);
     } else {
-      account.batches.add(new Batch((int) reply.get().units(), usableUntilMillis));
+      int units = (int) reply.get().units();
+      if (units > 0) {
+        account.batches.add(new Batch(units, usableUntilMillis));
+      }
       serve(budget, account);
       account.asking = !account.waiting.isEmpty();
       if (account.asking) {
--- a/wagtailpin/src/main/java/org/wagtailpin/budget/ShareBucket.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/budget/ShareBucket.java
@@ -9,19 +9,32 @@
   private static final double ROUNDING = 1e-9;
 
   private double level;
+  private double startShare;
   private double atCreditMillis;
 
   /**
-   * Creates a bucket.
+   * Creates a bucket without units.
    *
-   * @param startLevel the initial units
    * @param creditMillis the credit time up to which units have accrued
    */
-  ShareBucket(double startLevel, double creditMillis) {
-    this.level = startLevel;
+  ShareBucket(double creditMillis) {
     this.atCreditMillis = creditMillis;
   }
 
+  /**
+   * Adds the part of the initial units that the holder has not received yet. A holder that has just
+   * started is followed by few entries at first; it receives the rest once it is followed by most.
+   *
+   * @param startLevel the initial units of a holder that all entries follow
+   * @param share the fraction of them that the holder may have now
+   */
+  void start(double startLevel, double share) {
+    if (share > startShare) {
+      level += startLevel * (share - startShare);
+      startShare = share;
+    }
+  }
+
   /** Adds what accrued since the last call, and limits the units to the capacity. */
   void advance(double creditMillis, double perMilli, double capacity) {
     double accrued = Math.max(0, creditMillis - atCreditMillis) * perMilli;
--- a/wagtailpin/src/main/java/org/wagtailpin/budget/ShareHolder.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/budget/ShareHolder.java
@@ -23,8 +23,11 @@
   /** A later loan is void, so that units on their way are few. */
   private static final double LOAN_VALID_MILLIS = 250;
 
-  /** After how long an ask is answered with what there is; below an entry's timeout. */
-  private static final double MAX_ASK_MILLIS = 110;
+  /** After how long an entry is told to ask again; below its timeout. */
+  private static final double MAX_ASK_MILLIS = 100;
+
+  /** For how long a holder that did not answer is asked for no loan of any budget. */
+  private static final double SILENCE_MILLIS = 1_000;
 
   private static final long MAX_RETRY_AFTER_MILLIS = 2_000;
   private static final int MAX_BUDGETS = 20_000;
@@ -49,6 +52,7 @@
   private final BudgetMetrics metrics;
   private final ExhaustionLog exhaustion;
   private final Map<BudgetKey, Account> accounts = new HashMap<>();
+  private final SilentEntries silent = new SilentEntries();
 
   ShareHolder(
       BudgetSettings settings,
@@ -146,7 +150,7 @@
     double perMilli = shares.settings().domainPerMilli(limit.get());
     double capacity = shares.settings().domainCapacity(limit.get());
     List<BudgetPeers.Holder> lenders =
-        account.lenders.byUnits(peers.otherHolders(), perMilli, capacity, now);
+        account.lenders.byUnits(answeringHolders(now), perMilli, capacity, now);
     double total = shares.bucket(budget, limit.get()).level();
     for (BudgetPeers.Holder lender : lenders) {
       total += account.lenders.units(lender, perMilli, capacity, now);
@@ -159,6 +163,12 @@
     borrowFrom(budget, account, lenders.iterator());
   }
 
+  private List<BudgetPeers.Holder> answeringHolders(double now) {
+    List<BudgetPeers.Holder> holders = new ArrayList<>(peers.otherHolders());
+    holders.removeIf(holder -> silent.contains(holder.entry(), now));
+    return holders;
+  }
+
   /** Asks the lenders one after another until no ask waits. */
   private void borrowFrom(BudgetKey budget, Account account, Iterator<BudgetPeers.Holder> lenders) {
     Optional<BudgetLimit> limit = limits.of(budget);
@@ -172,6 +182,11 @@
     }
     BudgetPeers.Holder lender = lenders.next();
     double sentMillis = clock.exactMillis();
+    if (silent.contains(lender.entry(), sentMillis)) {
+      // Another budget's request has shown it meanwhile.
+      borrowFrom(budget, account, lenders);
+      return;
+    }
     double expected = account.demand.perMilli(sentMillis) * LOAN_VALID_MILLIS;
     double level = shares.bucket(budget, limit.get()).level();
     double units = Math.max(waiting(account) - level, expected - level);
@@ -199,13 +214,15 @@
       Optional<BudgetReply> reply) {
     double now = clock.exactMillis();
     boolean late = now - sentMillis > LOAN_VALID_MILLIS;
-    if (reply.isEmpty() || late || reply.get().verdict() == BudgetReply.Verdict.NOT_HOLDER) {
+    if (reply.isEmpty() || late) {
+      silent.add(lender.entry(), now + SILENCE_MILLIS);
+    } else if (reply.get().verdict() == BudgetReply.Verdict.NOT_HOLDER) {
       account.lenders.silent(lender, now);
     } else {
       account.lenders.stated(lender, reply.get().spare(), now);
       limits.of(budget).ifPresent(limit -> addLoan(budget, limit, account, reply.get().units()));
     }
-    denyOld(budget, account, now);
+    returnOld(account, now);
     borrowFrom(budget, account, lenders);
   }
 
@@ -218,10 +235,10 @@
     }
   }
 
-  private void denyOld(BudgetKey budget, Account account, double now) {
+  /** Has entries ask again before they take this one for silent: units may still be found. */
+  private static void returnOld(Account account, double now) {
     while (!account.asks.isEmpty() && now - account.asks.peek().atMillis() > MAX_ASK_MILLIS) {
-      Ask ask = account.asks.remove();
-      denied(budget, account, ask, 1, 0);
+      account.asks.remove().listener().accept(BudgetReply.granted(0, 0));
     }
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/customer/CustomerIndex.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/customer/CustomerIndex.java
@@ -112,6 +112,11 @@
     return byKey.get(key).map(owners -> owners.get(0));
   }
 
+  /** Finds a customer by its name. */
+  public Optional<ConfigCustomer> ofName(String name) {
+    return byName.get(name);
+  }
+
   /** Returns the number of nodes and entries that a look-up of a key visits. */
   int visitedBy(String key) {
     return byKey.visitedBy(key);
--- a/wagtailpin/src/test/java/org/wagtailpin/budget/SimulatedBudgets.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/budget/SimulatedBudgets.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,8 +26,13 @@
 
   static final BudgetKey SMALL = BudgetKey.customerQuota("small");
   static final BudgetKey LARGE = BudgetKey.customerQuota("large");
+
+  /** Ordered, so that a seed always gives the same schedule. */
   static final Map<BudgetKey, BudgetLimit> LIMITS =
-      Map.of(SMALL, new BudgetLimit(8, 16), LARGE, new BudgetLimit(200, 50));
+      ordered(
+          List.of(
+              Map.entry(SMALL, new BudgetLimit(8, 16)),
+              Map.entry(LARGE, new BudgetLimit(200, 50))));
 
   private static final long BEAT_MILLIS = 660;
   private static final long MAX_FAILURE_DETECTION_MILLIS = 1_500;
@@ -35,6 +42,10 @@
   final UniformRandomProvider random;
   final List<Node> nodes = new ArrayList<>();
   final BudgetSettings settings;
+
+  /** The sizes of the budgets; changes apply at once to all entries. */
+  final Map<BudgetKey, BudgetLimit> limits;
+
   private final int perDomain;
   private final double validMillis;
   private final Map<BudgetKey, Deque<Long>> uses = new HashMap<>();
@@ -43,12 +54,25 @@
   int denied;
   int unavailable;
 
+  /** Messages between entries for units, without beats. */
+  int messages;
+
   SimulatedBudgets(int domains, int perDomain, long seed, double validMillis) {
+    this(domains, perDomain, seed, validMillis, LIMITS);
+  }
+
+  SimulatedBudgets(
+      int domains,
+      int perDomain,
+      long seed,
+      double validMillis,
+      Map<BudgetKey, BudgetLimit> limits) {
+    this.limits = new LinkedHashMap<>(limits);
     this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     this.settings = BudgetSettings.ofQuotas(domains, Map.of());
     this.perDomain = perDomain;
     this.validMillis = validMillis;
-    LIMITS.keySet().forEach(key -> uses.put(key, new ArrayDeque<>()));
+    limits.keySet().forEach(key -> uses.put(key, new ArrayDeque<>()));
     for (int d = 0; d < domains; d++) {
       for (int e = 0; e < perDomain; e++) {
         nodes.add(new Node("d" + d + "-" + (10 + e), "d" + d));
@@ -57,6 +81,13 @@
     nodes.forEach(Node::start);
   }
 
+  private static Map<BudgetKey, BudgetLimit> ordered(
+      List<Map.Entry<BudgetKey, BudgetLimit>> entries) {
+    Map<BudgetKey, BudgetLimit> map = new LinkedHashMap<>();
+    entries.forEach(entry -> map.put(entry.getKey(), entry.getValue()));
+    return Collections.unmodifiableMap(map);
+  }
+
   /** Returns the windows in which more than the bound was used. */
   List<String> broken() {
     return broken;
@@ -68,7 +99,7 @@
     while (window.peek() < clock.millis() - settings.windowMillis()) {
       window.remove();
     }
-    if (window.size() > settings.windowBound(LIMITS.get(budget))) {
+    if (window.size() > settings.windowBound(limits.get(budget))) {
       broken.add(budget.name() + " " + window.size() + " at " + clock.millis());
     }
   }
@@ -105,6 +136,15 @@
     use(budget);
   }
 
+  /** Starts to count anew. */
+  void forgetCounts() {
+    granted = 0;
+    denied = 0;
+    unavailable = 0;
+    messages = 0;
+    nodes.forEach(node -> node.received = 0);
+  }
+
   Optional<Node> find(String id) {
     return nodes.stream().filter(node -> node.id.equals(id)).findFirst();
   }
@@ -121,6 +161,10 @@
     private final Deque<Runnable> held = new ArrayDeque<>();
     private FleetBudgets budgets;
     private FollowerCount followers;
+
+    /** Requests for units that came from other entries. */
+    int received;
+
     private Optional<String> holder = Optional.empty();
     private List<Holder> others = List.of();
 
@@ -140,7 +184,7 @@
           new FleetBudgets(
               id,
               settings,
-              key -> Optional.ofNullable(LIMITS.get(key)),
+              key -> Optional.ofNullable(limits.get(key)),
               this,
               this,
               this,
@@ -180,16 +224,24 @@
     }
 
     private void beat() {
+      sendBeat();
+      schedule(BEAT_MILLIS, this::beat);
+    }
+
+    private void sendBeat() {
       holder
           .flatMap(SimulatedBudgets.this::find)
           .filter(to -> to != this)
           .ifPresent(to -> deliver(to, () -> to.followers.beat(id)));
-      schedule(BEAT_MILLIS, this::beat);
     }
 
     /** Selects the holders, some time after others ended, froze or were cut off. */
     private void lookAround() {
+      Optional<String> before = holder;
       holder = forcedHolder.isPresent() ? forcedHolder : firstOf(domain);
+      if (!holder.equals(before)) {
+        sendBeat();
+      }
       List<Holder> found = new ArrayList<>();
       for (int d = 0; d < settings.domains(); d++) {
         String other = "d" + d;
@@ -245,18 +297,24 @@
               listener.accept(reply);
             }
           };
+      messages++;
       find(entry)
           .ifPresent(
               to ->
                   deliver(
                       to,
-                      () ->
-                          to.budgets.answer(
-                              request,
-                              reply -> to.deliver(this, () -> once.accept(Optional.of(reply))))));
+                      () -> {
+                        to.received++;
+                        to.budgets.answer(request, reply -> reply(to, reply, once));
+                      }));
       schedule(timeoutMillis, () -> once.accept(Optional.empty()));
     }
 
+    private void reply(Node from, BudgetReply reply, Consumer<Optional<BudgetReply>> listener) {
+      messages++;
+      from.deliver(this, () -> listener.accept(Optional.of(reply)));
+    }
+
     @Override
     public boolean holding() {
       return holder.equals(Optional.of(id));
