Keep states in force over restores of the store from an older copy

Revisions go back and are given out again when the store is restored, so a list of the copy replaced later states or hid what the operator wrote next.

Era and revision become one number; between eras, the version of the content decides which document or registration is newer. Servers that the copy lacks are held for the grace in which they register again. The in-memory store can restore a copy.

--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigDocument.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigDocument.java
@@ -10,14 +10,21 @@
  *
  * @param name the document's name
  * @param objects the objects, none of them a document
+ * @param version the number that the operator gave this state, 0 if none; it rises with each change
  */
-public record ConfigDocument(String name, List<ConfigObject> objects) implements ConfigObject {
+public record ConfigDocument(String name, List<ConfigObject> objects, long version)
+    implements ConfigObject {
 
   /** Makes the list unmodifiable. */
   public ConfigDocument {
     objects = List.copyOf(objects);
   }
 
+  /** Creates a document to which the operator gave no version. */
+  public ConfigDocument(String name, List<ConfigObject> objects) {
+    this(name, objects, 0);
+  }
+
   @Override
   public ConfigKind kind() {
     return ConfigKind.DOCUMENT;
--- a/wagtailpin/src/main/java/org/wagtailpin/config/EventLogConfigListener.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/EventLogConfigListener.java
@@ -6,6 +6,7 @@
 import org.wagtailpin.eventlog.Event;
 import org.wagtailpin.eventlog.EventKind;
 import org.wagtailpin.eventlog.EventLog;
+import org.wagtailpin.store.StoreRevision;
 
 /**
  * Writes an event for each configuration that becomes active, whatever its origin, with the age of
@@ -49,7 +50,9 @@
             .mapToLong(VersionedObject::ticket)
             .max()
             .orElse(0);
-    if (revision > inForce.revision()) {
+    // A later version of the content may come from an entry that holds it from an earlier era.
+    if (revision > inForce.revision()
+        || StoreRevision.era(revision) < StoreRevision.era(inForce.revision())) {
       events.recordEvent(taken(revision));
       inForce = new ConfigInForce(revision, clock.millis());
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/config/MergedConfig.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/MergedConfig.java
@@ -11,7 +11,8 @@
 import java.util.TreeMap;
 
 /**
- * A replicated map of object states in which the state with the highest ticket number wins.
+ * A replicated map of object states in which the state with the highest ticket number wins, or the
+ * one of the highest content version between eras of the store, see {@link StateOrder}.
  *
  * <p>Merging is commutative, associative and idempotent, so an entry may merge states from the
  * store and from other entries in any order. A removal is kept as a state (a tombstone) until the
@@ -33,6 +34,7 @@
   private static final Hasher64 HASHER = Hashing.komihash5_0();
 
   private final NavigableMap<ObjectId, VersionedObject> objects = new TreeMap<>();
+  private final StateOrder order = new StateOrder();
   private long digest;
   private long highestTicket;
   private long completeTicket;
@@ -47,7 +49,7 @@
     if (object.id().equals(FLOOR_ID)) {
       return mergeFloor(object);
     }
-    if (object.ticket() <= completeTicket && !objects.containsKey(object.id())) {
+    if (isKnownAbsent(object.id(), object.ticket())) {
       return false;
     }
     long floor = floor();
@@ -57,6 +59,19 @@
     return putIfNewer(object);
   }
 
+  /**
+   * Returns whether a state is of another era of the store than the one held, and shows nothing
+   * newer than that.
+   *
+   * @param state the state
+   */
+  public boolean isHeldOverEras(VersionedObject state) {
+    VersionedObject held = objects.get(state.id());
+    return held != null
+        && StateOrder.dependsOnContent(state.id(), state.ticket(), held.ticket())
+        && !order.isNewer(state, held);
+  }
+
   /**
    * Merges the states of several objects, the ticket floor after all others.
    *
@@ -94,9 +109,10 @@
 
   private boolean putIfNewer(VersionedObject object) {
     VersionedObject held = objects.get(object.id());
-    if (held != null && held.ticket() >= object.ticket()) {
+    if (held != null && !order.isNewer(object, held)) {
       return false;
     }
+    order.replaced(Optional.ofNullable(held), object);
     put(object);
     return true;
   }
@@ -125,6 +141,16 @@
     completeTicket = Math.max(completeTicket, ticket);
   }
 
+  /**
+   * Returns whether an object that is not held is known not to exist at a number. A document of an
+   * earlier era of the store stays in force although the store lost it.
+   */
+  private boolean isKnownAbsent(ObjectId id, long ticket) {
+    boolean keptOverEras =
+        id.kind() == ConfigKind.DOCUMENT && StateOrder.dependsOnContent(id, ticket, completeTicket);
+    return ticket <= completeTicket && !keptOverEras && !objects.containsKey(id);
+  }
+
   /** Returns the number up to which the states are complete, 0 if that is not known. */
   public long completeTicket() {
     return completeTicket;
@@ -222,13 +248,16 @@
   public List<VersionedObject> newerThan(Map<ObjectId, Long> heldTickets) {
     List<VersionedObject> newer = new ArrayList<>();
     for (VersionedObject object : objects.values()) {
-      if (heldTickets.getOrDefault(object.id(), 0L) < object.ticket()) {
+      long heldTicket = heldTickets.getOrDefault(object.id(), 0L);
+      // The receiver decides between states of two eras, as it has the content of both.
+      if (heldTicket < object.ticket()
+          || StateOrder.dependsOnContent(object.id(), heldTicket, object.ticket())) {
         newer.add(object);
       }
     }
     heldTickets.forEach(
         (id, ticket) -> {
-          if (ticket <= completeTicket && !objects.containsKey(id)) {
+          if (isKnownAbsent(id, ticket)) {
             newer.add(new VersionedObject(id, completeTicket, Optional.empty()));
           }
         });
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ObjectFieldsReader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ObjectFieldsReader.java
@@ -168,7 +168,7 @@
     for (JsonObjectReader object : in.objects("objects")) {
       kind(object).ifPresent(kind -> objects.add(read(kind, object)));
     }
-    return new ConfigDocument(name, objects);
+    return new ConfigDocument(name, objects, in.integer("version", 0, Long.MAX_VALUE, 0));
   }
 
   private static ConfigServerSet serverSet(JsonObjectReader in) {
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ObjectWriter.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ObjectWriter.java
@@ -166,6 +166,10 @@
   }
 
   private void writeDocument(ConfigDocument document, JsonGenerator out) throws IOException {
+    // Left out if there is none, as entries of earlier builds reject members unknown to them.
+    if (document.version() > 0) {
+      out.writeNumberField("version", document.version());
+    }
     out.writeArrayFieldStart("objects");
     for (ConfigObject object : document.objects()) {
       write(object, out);
--- a/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
@@ -81,6 +81,10 @@
   STORE_REGAINED("store-regained", false, "awayMillis", "graceMillis"),
   STORE_RESULT_FAILED("store-result-failed", false, "revision", "detail"),
   HISTORY_LOST("history-lost", false, "revision"),
+  STORE_ERA_CHANGED(
+      "store-era-changed", false, "eraBefore", "revisionBefore", "era", "revision", "graceMillis"),
+  CONFIG_HELD("config-held", false, "config", "revision", "listed", "listedRevision"),
+  REGISTRATION_HELD("registration-held", false, "server", "sequence", "listed", "revision"),
   WATCH_SILENT("watch-silent", false, "revision", "seen"),
   LIST_OLDER("list-older", false, "revision", "known"),
   CONFIG_READ("config-read", false, "config", "revision"),
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/PrefixWatcher.java
@@ -15,6 +15,7 @@
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreChange;
 import org.wagtailpin.store.StoreEntry;
+import org.wagtailpin.store.StoreRevision;
 import org.wagtailpin.store.WatchResult;
 
 /**
@@ -78,7 +79,8 @@
 
   /**
    * How many lists in a row with an earlier revision show that the known one is wrong. Objects are
-   * merged by their own revisions, so that none is taken back by an early list.
+   * merged by their own revisions, so that none is taken back by an early list. A list of an
+   * earlier era of the store is never taken.
    */
   private static final int OLDER_LISTS_TO_TAKE = 3;
 
@@ -222,7 +224,8 @@
 
   private boolean mayTake(ListResult.Listed list) {
     olderLists = list.storeRevision() >= revision ? 0 : olderLists + 1;
-    return olderLists == 0 || olderLists >= OLDER_LISTS_TO_TAKE;
+    boolean earlierEra = StoreRevision.era(list.storeRevision()) < StoreRevision.era(revision);
+    return olderLists == 0 || (olderLists >= OLDER_LISTS_TO_TAKE && !earlierEra);
   }
 
   private void retryList() {
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -8,6 +8,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.tinylog.Logger;
 import org.wagtailpin.clock.Clock;
+import org.wagtailpin.config.ConfigDocument;
 import org.wagtailpin.config.ConfigKind;
 import org.wagtailpin.config.ConfigMerger;
 import org.wagtailpin.config.ConfigServer;
@@ -22,6 +23,7 @@
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreChange;
 import org.wagtailpin.store.StoreEntry;
+import org.wagtailpin.store.StoreRevision;
 import org.wagtailpin.store.StoreWatch;
 
 /**
@@ -46,6 +48,7 @@
   private final RegistryFormat format;
   private final EventLog events;
   private final StoreAvailability availability;
+  private final StoreEraTracker eras;
   private final PrefixWatcher prefixWatcher;
   private long documentRevision;
   private boolean listed;
@@ -79,6 +82,7 @@
     this.merger = merger;
     this.format = format;
     this.availability = new StoreAvailability(clock, format.renewalMillis(), events);
+    this.eras = new StoreEraTracker(clock, events);
     this.events = events;
     this.prefixWatcher =
         new PrefixWatcher(
@@ -126,6 +130,10 @@
       states.add(document);
       if (entry.revision() > documentRevision) {
         documentRevision = entry.revision();
+        if (merger.merged().isHeldOverEras(document)) {
+          recordDocumentHeld(read.version(), entry.revision());
+          return;
+        }
         events.recordEvent(
             Event.of(EventKind.CONFIG_READ)
                 .with("config", read.version())
@@ -139,6 +147,19 @@
     }
   }
 
+  private void recordDocumentHeld(long listedVersion, long listedRevision) {
+    for (VersionedObject object : merger.merged().objects()) {
+      if (object.value().isPresent() && object.value().get() instanceof ConfigDocument held) {
+        events.recordEvent(
+            Event.of(EventKind.CONFIG_HELD)
+                .with("config", held.version())
+                .with("revision", object.ticket())
+                .with("listed", listedVersion)
+                .with("listedRevision", listedRevision));
+      }
+    }
+  }
+
   @Override
   public void storeReachabilityChanged(boolean reachable) {
     if (reachable && prefixWatcher.running()) {
@@ -180,6 +201,8 @@
   private final class StoreListener implements PrefixWatcher.Listener {
     @Override
     public void listed(List<StoreEntry> entries, long revision) {
+      long known = Math.max(merger.merged().highestTicket(), merger.merged().completeTicket());
+      boolean firstOfEra = eras.listed(known, revision);
       List<VersionedObject> states = new ArrayList<>();
       Set<String> present = new HashSet<>();
       for (StoreEntry entry : entries) {
@@ -194,7 +217,17 @@
       }
       listed = true;
       merger.mergeFromStore(states);
-      merger.markCompleteAsOf(revision);
+      markCompleteAsOf(revision);
+      if (firstOfEra) {
+        recordMissingDocument(entries);
+        loop.schedule(eras.graceMillis(), prefixWatcher::restart);
+      }
+    }
+
+    private void recordMissingDocument(List<StoreEntry> entries) {
+      if (entries.stream().noneMatch(entry -> entry.key().equals(format.documentKey()))) {
+        recordDocumentHeld(0, 0);
+      }
     }
 
     @Override
@@ -210,7 +243,17 @@
         }
       }
       merger.mergeFromStore(states);
-      merger.markCompleteAsOf(revision);
+      markCompleteAsOf(revision);
+    }
+
+    /**
+     * Before servers had time to register again after a restore of the store, what it does not hold
+     * may still exist. It is listed again after that time.
+     */
+    private void markCompleteAsOf(long revision) {
+      if (eras.graceMillis() == 0) {
+        merger.markCompleteAsOf(revision);
+      }
     }
 
     @Override
@@ -265,6 +308,12 @@
     ServerReadResult result = readServer(name.get(), entry);
     if (result instanceof ServerReadResult.Read read) {
       Optional<RegisteredServer> known = registered(name.get());
+      VersionedObject listedState =
+          stateOf(name.get(), entry.revision(), Optional.of(read.server()));
+      if (merger.merged().isHeldOverEras(listedState)) {
+        recordRegistrationHeld(known, read.server(), entry.revision());
+        return;
+      }
       RegisteredServer newest =
           known.filter(before -> read.server().isOlderThan(before)).orElse(read.server());
       logChange(newest, known, entry.revision());
@@ -275,10 +324,24 @@
               .with("server", name.get())
               .with("revision", entry.revision())
               .with("detail", unreadable.detail()));
-      states.add(stateOf(name.get(), entry.revision(), Optional.empty()));
+      if (eraGraceMillis(name.get(), entry.revision()) > 0) {
+        removeAfterGracePeriod(name.get(), entry.revision(), states);
+      } else {
+        states.add(stateOf(name.get(), entry.revision(), Optional.empty()));
+      }
     }
   }
 
+  private void recordRegistrationHeld(
+      Optional<RegisteredServer> known, RegisteredServer listedServer, long revision) {
+    events.recordEvent(
+        Event.of(EventKind.REGISTRATION_HELD)
+            .with("server", listedServer.server().name())
+            .with("sequence", known.map(held -> held.server().sequence()).orElse(0L))
+            .with("listed", listedServer.server().sequence())
+            .with("revision", revision));
+  }
+
   /** Reads a registration, which anyone may have written, so that one cannot hide the others. */
   private ServerReadResult readServer(String name, StoreEntry entry) {
     try {
@@ -327,7 +390,7 @@
   }
 
   private void removeAfterGracePeriod(String name, long revision, List<VersionedObject> states) {
-    long waitMillis = availability.graceMillis();
+    long waitMillis = Math.max(availability.graceMillis(), eraGraceMillis(name, revision));
     boolean leaving = registered(name).map(known -> known.server().leaving()).orElse(false);
     if (waitMillis == 0 || leaving) {
       removeUnlessReregistered(name, revision, states);
@@ -341,6 +404,17 @@
     loop.schedule(waitMillis, () -> endGracePeriod(name, revision));
   }
 
+  /** Only states of earlier eras are held, as the others are known to the restored store. */
+  private long eraGraceMillis(String name, long revision) {
+    boolean ofEarlierEra =
+        merger
+            .merged()
+            .object(new ObjectId(ConfigKind.SERVER_SET, name))
+            .filter(held -> StoreRevision.era(held.ticket()) < StoreRevision.era(revision))
+            .isPresent();
+    return ofEarlierEra ? eras.graceMillis() : 0;
+  }
+
   private void endGracePeriod(String name, long revision) {
     List<VersionedObject> states = new ArrayList<>();
     removeUnlessReregistered(name, revision, states);
--- a/wagtailpin/src/main/java/org/wagtailpin/store/memory/FaultyStore.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/memory/FaultyStore.java
@@ -70,6 +70,26 @@
     return new FaultyStoreClient(name, this, store, loop, timeoutMillis);
   }
 
+  /** Returns how often the store was restored. */
+  public long era() {
+    return store.era();
+  }
+
+  /** Returns a copy of the store's present content. */
+  public MemoryStore.Copy copy() {
+    return store.copy();
+  }
+
+  /**
+   * Restores the store from a copy. Stale reads then show no state before that.
+   *
+   * @param copy the copy
+   */
+  public void restore(MemoryStore.Copy copy) {
+    history.clear();
+    store.restore(copy);
+  }
+
   /** Decides at random whether to inject a fault, with the given probability. */
   boolean shouldInject(double share) {
     if (share <= 0) {
--- a/wagtailpin/src/main/java/org/wagtailpin/store/memory/MemoryStore.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/memory/MemoryStore.java
@@ -23,6 +23,7 @@
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreChange;
 import org.wagtailpin.store.StoreEntry;
+import org.wagtailpin.store.StoreRevision;
 import org.wagtailpin.store.WatchResult;
 import org.wagtailpin.store.WriteCondition;
 import org.wagtailpin.store.WriteResult;
@@ -55,6 +56,15 @@
   private record PendingWatch(
       String prefix, long afterRevision, CompletableFuture<WatchResult> future) {}
 
+  /**
+   * A copy of the store's content, from which it can be restored.
+   *
+   * @param entries the keys without a lease
+   * @param revision the store's revision
+   * @param lastLeaseId the number of the last lease
+   */
+  public record Copy(List<StoreEntry> entries, long revision, long lastLeaseId) {}
+
   private final Clock clock;
   private final ControlLoop loop;
   private final NavigableMap<String, StoreEntry> entries = new TreeMap<>();
@@ -64,6 +74,7 @@
   private long revision;
   private long compactedRevision;
   private long lastLeaseId;
+  private long era;
 
   /**
    * Creates an empty store.
@@ -76,6 +87,45 @@
     this.loop = loop;
   }
 
+  /** Returns how often the store was restored. */
+  public synchronized long era() {
+    return era;
+  }
+
+  /** Returns a copy of the present content, without leases and their keys. */
+  public synchronized Copy copy() {
+    expireLeases();
+    List<StoreEntry> permanent =
+        entries.values().stream().filter(entry -> entry.lease().isEmpty()).toList();
+    return new Copy(permanent, StoreRevision.bare(revision), lastLeaseId);
+  }
+
+  /**
+   * Replaces the content by a copy and begins the next era. Revisions and leases after those of the
+   * copy are assigned again.
+   *
+   * @param copy the copy
+   */
+  public void restore(Copy copy) {
+    List<Runnable> answers = new ArrayList<>();
+    synchronized (this) {
+      era++;
+      entries.clear();
+      leases.clear();
+      history.clear();
+      for (StoreEntry entry : copy.entries()) {
+        long entryRevision = StoreRevision.of(era, StoreRevision.bare(entry.revision()));
+        entries.put(
+            entry.key(), new StoreEntry(entry.key(), entry.value(), entryRevision, entry.lease()));
+      }
+      revision = StoreRevision.of(era, copy.revision());
+      compactedRevision = revision;
+      lastLeaseId = copy.lastLeaseId();
+      collectWatchAnswers(answers);
+    }
+    answers.forEach(Runnable::run);
+  }
+
   @Override
   public synchronized CompletableFuture<ReadResult> read(String key) {
     expireLeases();
@@ -181,7 +231,7 @@
   @Override
   public synchronized CompletableFuture<LeaseResult> grantLease(long ttlMillis) {
     expireLeases();
-    LeaseId id = new LeaseId(++lastLeaseId);
+    LeaseId id = new LeaseId(++lastLeaseId, era);
     leases.put(id, new Lease(ttlMillis, clock.millis() + ttlMillis));
     loop.schedule(ttlMillis, this::expireLeasesAndAnswerWatches);
     return CompletableFuture.completedFuture(new LeaseResult.Held(id, ttlMillis));
@@ -270,7 +320,8 @@
   }
 
   private Optional<WatchResult> changesSince(String prefix, long afterRevision) {
-    if (afterRevision < compactedRevision) {
+    boolean unknown = era > 0 && afterRevision > revision;
+    if (afterRevision < compactedRevision || unknown) {
       return Optional.of(new WatchResult.Compacted(revision));
     }
     List<StoreChange> changes = new ArrayList<>();
--- a/wagtailpin/src/main/java/org/wagtailpin/store/memory/StoreHistory.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/memory/StoreHistory.java
@@ -31,6 +31,11 @@
     }
   }
 
+  /** Forgets all earlier values. */
+  synchronized void clear() {
+    records.clear();
+  }
+
   /**
    * Reconstructs an earlier listing by undoing the changes made since a time.
    *
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/TestRegistryFormat.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/TestRegistryFormat.java
@@ -7,7 +7,10 @@
 import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.config.ConfigService;
 
-/** Test format: registrations as {@code state start sequence}, documents as one service name. */
+/**
+ * Test format: registrations as {@code state start sequence}, documents as one service name, which
+ * a version may follow.
+ */
 public final class TestRegistryFormat implements RegistryFormat {
 
   public static final String DOCUMENT = "operator/document";
@@ -41,8 +44,11 @@
     if (text.isBlank()) {
       return new DocumentReadResult.Unreadable("blank");
     }
-    ConfigService service = new ConfigService(text, true, List.of(), Optional.empty());
-    return new DocumentReadResult.Read(new ConfigDocument("document", List.of(service)), 1);
+    String[] words = text.split(" ", -1);
+    ConfigService service = new ConfigService(words[0], true, List.of(), Optional.empty());
+    long version = words.length > 1 ? Long.parseLong(words[1]) : 0;
+    return new DocumentReadResult.Read(
+        new ConfigDocument("document", List.of(service), version), version);
   }
 
   @Override
