--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -49,6 +49,7 @@
 import org.wagtailpin.membership.PullConfigSync;
 import org.wagtailpin.registry.RegistryWatcher;
 import org.wagtailpin.registry.WatchPhase;
+import org.wagtailpin.store.EraOrderedStore;
 import org.wagtailpin.store.GuardedStore;
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreHttpClient;
@@ -67,7 +68,7 @@
 
   private final long incarnation;
   private final StoreHttpClient storeClient;
-  private final Store store;
+  private final EraOrderedStore store;
   private final MergedConfig merged = new MergedConfig();
   private final PublishedConfig published;
   private final ConfigMerger merger;
@@ -98,8 +99,9 @@
     incarnation = clock.wallMillis();
     storeClient = new StoreHttpClient(StoreTimeouts.defaults());
     store =
-        new GuardedStore(
-            platform.createStore(storeClient.client(), settings), loop, MAX_STORE_CALL_MILLIS);
+        new EraOrderedStore(
+            new GuardedStore(
+                platform.createStore(storeClient.client(), settings), loop, MAX_STORE_CALL_MILLIS));
     published = new PublishedConfig(List.of(tunableDefaults(settings.constants())));
     merger = new ConfigMerger(clock, merged, published);
     configWatcher = new StoreConfigWatcher(store, loop, merger, random);
@@ -300,6 +302,16 @@
     return registryWatcher.map(watcher -> clock.millis() - watcher.lastAnswerMillis());
   }
 
+  /** Returns the latest era of the store, which rises when it is restored from an older copy. */
+  long storeEra() {
+    return store.latestEra();
+  }
+
+  /** Returns how many answers of the store were discarded since they were of an earlier era. */
+  long storeAnswersOfEarlierEra() {
+    return store.discardedAnswers();
+  }
+
   /** Returns the configuration in force, without its servers. */
   ConfigInForce configInForce() {
     return configEvents.inForce();
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryGauges.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryGauges.java
@@ -46,6 +46,16 @@
                     .storeSilenceMillis()
                     .ifPresent(millis -> gauge.call(seconds(millis))))
         .register(registry);
+    registerGauge(
+        registry,
+        "wagtailpin_store_era",
+        "Latest era of the store, which rises when it is restored from an older copy.",
+        node.control()::storeEra);
+    registerCounter(
+        registry,
+        "wagtailpin_store_answers_of_earlier_era",
+        "Answers of the store that were discarded because it was restored since.",
+        node.control()::storeAnswersOfEarlierEra);
     registerCounter(
         registry,
         "wagtailpin_backend_stale_answers",
--- a/standins/src/main/java/org/wagtailpin/standins/store/StoreReply.java
+++ b/standins/src/main/java/org/wagtailpin/standins/store/StoreReply.java
@@ -13,10 +13,12 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
+import java.util.function.LongSupplier;
 import org.wagtailpin.store.LeaseResult;
 import org.wagtailpin.store.ListResult;
 import org.wagtailpin.store.ReadResult;
 import org.wagtailpin.store.StoreEntry;
+import org.wagtailpin.store.StoreRevision;
 import org.wagtailpin.store.WatchResult;
 import org.wagtailpin.store.WriteResult;
 import org.wagtailpin.store.wire.ChangeMessage;
@@ -39,23 +41,25 @@
 
   private final ChannelHandlerContext context;
   private final boolean keepAlive;
+  private final LongSupplier era;
 
-  StoreReply(ChannelHandlerContext context, boolean keepAlive) {
+  StoreReply(ChannelHandlerContext context, boolean keepAlive, LongSupplier era) {
     this.context = context;
     this.keepAlive = keepAlive;
+    this.era = era;
   }
 
   void sendRead(ReadResult result) {
     if (result instanceof ReadResult.Found found) {
       StoreEntry entry = found.entry();
       FullHttpResponse response = response(HttpResponseStatus.OK, entry.value());
-      response.headers().set(StoreProtocol.STORE_REVISION_HEADER, found.storeRevision());
-      response.headers().set(StoreProtocol.KEY_REVISION_HEADER, entry.revision());
+      setNumber(response, StoreProtocol.STORE_REVISION_HEADER, found.storeRevision());
+      setNumber(response, StoreProtocol.KEY_REVISION_HEADER, entry.revision());
       entry.lease().ifPresent(id -> response.headers().set(StoreProtocol.LEASE_HEADER, id.value()));
       send(response);
     } else if (result instanceof ReadResult.Absent absent) {
       FullHttpResponse response = response(HttpResponseStatus.NOT_FOUND, NO_BODY);
-      response.headers().set(StoreProtocol.STORE_REVISION_HEADER, absent.storeRevision());
+      setNumber(response, StoreProtocol.STORE_REVISION_HEADER, absent.storeRevision());
       send(response);
     } else {
       closeConnection();
@@ -65,8 +69,11 @@
   void sendList(ListResult result) {
     if (result instanceof ListResult.Listed listed) {
       List<EntryMessage> entries = listed.entries().stream().map(EntryMessage::of).toList();
-      ListMessage message = new ListMessage(entries, listed.storeRevision());
-      send(response(HttpResponseStatus.OK, MESSAGES.write(message)));
+      long revision = StoreRevision.bare(listed.storeRevision());
+      ListMessage message = new ListMessage(entries, revision);
+      send(
+          withEra(
+              response(HttpResponseStatus.OK, MESSAGES.write(message)), listed.storeRevision()));
     } else {
       closeConnection();
     }
@@ -86,7 +93,7 @@
 
   private void sendRevision(HttpResponseStatus status, long revision) {
     FullHttpResponse response = response(status, NO_BODY);
-    response.headers().set(StoreProtocol.KEY_REVISION_HEADER, revision);
+    setNumber(response, StoreProtocol.KEY_REVISION_HEADER, revision);
     send(response);
   }
 
@@ -94,6 +101,9 @@
     if (result instanceof LeaseResult.Held held) {
       FullHttpResponse response = response(HttpResponseStatus.OK, NO_BODY);
       response.headers().set(StoreProtocol.LEASE_HEADER, held.lease().value());
+      if (held.lease().era() > 0) {
+        response.headers().set(StoreProtocol.ERA_HEADER, held.lease().era());
+      }
       response.headers().set(StoreProtocol.TTL_PARAMETER, held.ttlMillis());
       send(response);
     } else if (result instanceof LeaseResult.Lapsed) {
@@ -108,11 +118,14 @@
   void sendChanges(WatchResult result) {
     if (result instanceof WatchResult.Changed changed) {
       List<ChangeMessage> changes = changed.changes().stream().map(ChangeMessage::of).toList();
-      ChangesMessage message = new ChangesMessage(changes, changed.storeRevision());
-      send(response(HttpResponseStatus.OK, MESSAGES.write(message)));
+      long revision = StoreRevision.bare(changed.storeRevision());
+      ChangesMessage message = new ChangesMessage(changes, revision);
+      send(
+          withEra(
+              response(HttpResponseStatus.OK, MESSAGES.write(message)), changed.storeRevision()));
     } else if (result instanceof WatchResult.Compacted compacted) {
       FullHttpResponse response = response(HttpResponseStatus.GONE, NO_BODY);
-      response.headers().set(StoreProtocol.STORE_REVISION_HEADER, compacted.storeRevision());
+      setNumber(response, StoreProtocol.STORE_REVISION_HEADER, compacted.storeRevision());
       send(response);
     } else {
       closeConnection();
@@ -134,6 +147,18 @@
     ChannelFuture unused = context.close();
   }
 
+  private static void setNumber(FullHttpResponse response, String header, long number) {
+    withEra(response, number).headers().set(header, StoreRevision.bare(number));
+  }
+
+  /** States the era of the content, since the store may be restored before the response is sent. */
+  private static FullHttpResponse withEra(FullHttpResponse response, long number) {
+    if (StoreRevision.era(number) > 0) {
+      response.headers().set(StoreProtocol.ERA_HEADER, StoreRevision.era(number));
+    }
+    return response;
+  }
+
   private static FullHttpResponse response(HttpResponseStatus status, byte[] body) {
     FullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
@@ -142,6 +167,9 @@
   }
 
   private void send(FullHttpResponse response) {
+    if (!response.headers().contains(StoreProtocol.ERA_HEADER) && era.getAsLong() > 0) {
+      response.headers().set(StoreProtocol.ERA_HEADER, era.getAsLong());
+    }
     if (keepAlive) {
       ChannelFuture unused = context.writeAndFlush(response);
       return;
--- a/standins/src/main/java/org/wagtailpin/standins/store/StoreRequestHandler.java
+++ b/standins/src/main/java/org/wagtailpin/standins/store/StoreRequestHandler.java
@@ -15,6 +15,7 @@
 import java.util.function.Consumer;
 import org.wagtailpin.store.LeaseId;
 import org.wagtailpin.store.Store;
+import org.wagtailpin.store.StoreRevision;
 import org.wagtailpin.store.WriteCondition;
 import org.wagtailpin.store.memory.FaultyStore;
 import org.wagtailpin.store.wire.StoreProtocol;
@@ -23,26 +24,31 @@
  * Handles the HTTP requests of one connection to the store stand-in.
  *
  * <p>Besides the paths of {@link StoreProtocol}, {@code /faults} reads and sets the injected faults
- * and {@code /calls} returns the call counts. Both work while the store is set to be down.
+ * and {@code /calls} returns the call counts. {@code /copy} makes a copy of the content, and {@code
+ * /restore} restores the last one. All of these work while the store is set to be down.
  */
 final class StoreRequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
   private static final String FAULTS_PATH = "/faults";
   private static final String CALLS_PATH = "/calls";
+  private static final String COPY_PATH = "/copy";
+  private static final String RESTORE_PATH = "/restore";
   private static final String DEFAULT_CLIENT_NAME = "unnamed";
 
   private final FaultyStore store;
   private final CallCounts counts;
+  private final StoreCopies copies;
 
-  StoreRequestHandler(FaultyStore store, CallCounts counts) {
+  StoreRequestHandler(FaultyStore store, CallCounts counts, StoreCopies copies) {
     this.store = store;
     this.counts = counts;
+    this.copies = copies;
   }
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
     QueryStringDecoder query = new QueryStringDecoder(request.uri());
-    StoreReply reply = new StoreReply(context, HttpUtil.isKeepAlive(request));
+    StoreReply reply = new StoreReply(context, HttpUtil.isKeepAlive(request), store::era);
     try {
       handle(query, request, reply);
     } catch (IllegalArgumentException e) {
@@ -55,6 +61,11 @@
     String client = request.headers().get(StoreProtocol.CLIENT_HEADER, DEFAULT_CLIENT_NAME);
     switch (query.path()) {
       case FAULTS_PATH -> handleFaults(request.method(), body, reply);
+      case COPY_PATH -> {
+        copies.take(store);
+        reply.sendText(HttpResponseStatus.OK, "copied\n");
+      }
+      case RESTORE_PATH -> handleRestore(reply);
       case CALLS_PATH -> reply.sendText(HttpResponseStatus.OK, countsText());
       default -> handleCall(query, request.method(), body, store.client(client), reply);
     }
@@ -77,7 +88,7 @@
         answer(
             client.watch(
                 textParameter(query, StoreProtocol.PREFIX_PARAMETER),
-                numberParameter(query, StoreProtocol.AFTER_PARAMETER),
+                revision(numberParameter(query, StoreProtocol.AFTER_PARAMETER)),
                 numberParameter(query, StoreProtocol.WAIT_PARAMETER)),
             reply::sendChanges);
       }
@@ -113,7 +124,7 @@
           client.grantLease(numberParameter(query, StoreProtocol.TTL_PARAMETER)), reply::sendLease);
       return;
     }
-    LeaseId lease = new LeaseId(numberParameter(query, StoreProtocol.LEASE_PARAMETER));
+    LeaseId lease = leaseId(query);
     if (method.equals(HttpMethod.PUT)) {
       answer(client.renewLease(lease), reply::sendLease);
     } else {
@@ -140,6 +151,14 @@
     }
   }
 
+  private void handleRestore(StoreReply reply) {
+    if (copies.restore(store)) {
+      reply.sendText(HttpResponseStatus.OK, "restored, era " + store.era() + "\n");
+    } else {
+      reply.sendText(HttpResponseStatus.CONFLICT, "no copy was made\n");
+    }
+  }
+
   private String countsText() {
     StringBuilder text = new StringBuilder();
     for (CallCounts.Kind kind : CallCounts.Kind.values()) {
@@ -148,21 +167,30 @@
     return text.toString();
   }
 
-  private static WriteCondition conditionParameter(QueryStringDecoder query) {
+  private WriteCondition conditionParameter(QueryStringDecoder query) {
     String word = textParameter(query, StoreProtocol.CONDITION_PARAMETER);
     return switch (word) {
       case StoreProtocol.ALWAYS -> new WriteCondition.Always();
       case StoreProtocol.ABSENT -> new WriteCondition.Absent();
-      default -> new WriteCondition.AtRevision(parseNumber(word));
+      default -> new WriteCondition.AtRevision(revision(parseNumber(word)));
     };
   }
 
-  private static Optional<LeaseId> leaseParameter(QueryStringDecoder query) {
+  private Optional<LeaseId> leaseParameter(QueryStringDecoder query) {
     return query.parameters().containsKey(StoreProtocol.LEASE_PARAMETER)
-        ? Optional.of(new LeaseId(numberParameter(query, StoreProtocol.LEASE_PARAMETER)))
+        ? Optional.of(leaseId(query))
         : Optional.empty();
   }
 
+  private LeaseId leaseId(QueryStringDecoder query) {
+    return new LeaseId(numberParameter(query, StoreProtocol.LEASE_PARAMETER), store.era());
+  }
+
+  /** Returns the number of a revision, which clients state without the era. */
+  private long revision(long stated) {
+    return StoreRevision.of(store.era(), stated);
+  }
+
   private static long numberParameter(QueryStringDecoder query, String parameter) {
     return parseNumber(textParameter(query, parameter));
   }
--- a/standins/src/main/java/org/wagtailpin/standins/store/StoreStandIn.java
+++ b/standins/src/main/java/org/wagtailpin/standins/store/StoreStandIn.java
@@ -38,6 +38,7 @@
   private final ThreadControlLoop loop = new ThreadControlLoop("store-standin");
   private final FaultyStore store;
   private final CallCounts counts = new CallCounts();
+  private final StoreCopies copies = new StoreCopies();
   private final EventLoopGroup group = EventLoops.create(1, "store-standin-io");
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private InetSocketAddress boundAddress;
@@ -78,7 +79,7 @@
                         .pipeline()
                         .addLast(new HttpServerCodec())
                         .addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
-                        .addLast(new StoreRequestHandler(store, counts));
+                        .addLast(new StoreRequestHandler(store, counts, copies));
                   }
                 });
     ChannelFuture bound = bootstrap.bind(boundAddress).awaitUninterruptibly();
@@ -110,6 +111,22 @@
     store.changeFaults(faults);
   }
 
+  /** Makes a copy of the content, without leases and their keys, and keeps it for a restore. */
+  public void copy() {
+    copies.take(store);
+  }
+
+  /**
+   * Restores the last copy, which begins the next era of the store.
+   *
+   * @throws IllegalStateException if no copy was made
+   */
+  public void restore() {
+    if (!copies.restore(store)) {
+      throw new IllegalStateException("no copy of the store was made");
+    }
+  }
+
   /** Returns the live call counters; they keep counting after this call. */
   public CallCounts counts() {
     return counts;
--- a/standins/src/test/java/org/wagtailpin/standins/store/HttpStoreTest.java
+++ b/standins/src/test/java/org/wagtailpin/standins/store/HttpStoreTest.java
@@ -22,6 +22,7 @@
 import org.wagtailpin.store.ReadResult;
 import org.wagtailpin.store.StoreEntry;
 import org.wagtailpin.store.StoreHttpClient;
+import org.wagtailpin.store.StoreRevision;
 import org.wagtailpin.store.StoreTimeouts;
 import org.wagtailpin.store.WatchResult;
 import org.wagtailpin.store.WriteCondition;
@@ -221,4 +222,31 @@
     ReadResult.Found found = (ReadResult.Found) await(store.read("k"));
     assertThat(valueOf(found.entry())).isEqualTo("kept");
   }
+
+  @Test
+  void aRestoredStoreAnswersWithTheCopyAndTheNextEra() {
+    writeAndGetRevision("k", "old", new WriteCondition.Absent());
+    standIn.copy();
+    long lost = writeAndGetRevision("k", "new", new WriteCondition.Always());
+    CompletableFuture<WatchResult> waiting = store.watch("", lost, 20_000);
+    standIn.restore();
+
+    assertThat(await(waiting)).isInstanceOf(WatchResult.Compacted.class);
+    ReadResult.Found found = (ReadResult.Found) await(store.read("k"));
+    assertThat(valueOf(found.entry())).isEqualTo("old");
+    assertThat(found.entry().revision()).isEqualTo(StoreRevision.of(1, 1));
+    ListResult.Listed listed = (ListResult.Listed) await(store.list(""));
+    assertThat(listed.storeRevision()).isEqualTo(found.storeRevision());
+
+    long next =
+        writeAndGetRevision(
+            "k", "next", new WriteCondition.AtRevision(listed.entries().get(0).revision()));
+    assertThat(next).isEqualTo(StoreRevision.of(1, 2));
+    WatchResult.Changed changed =
+        (WatchResult.Changed) await(store.watch("", listed.storeRevision(), 1_000));
+    assertThat(changed.changes().get(0).revision()).isEqualTo(next);
+    LeaseResult.Held held = (LeaseResult.Held) await(store.grantLease(1_000));
+    assertThat(held.lease().era()).isEqualTo(1);
+    assertThat(await(store.renewLease(held.lease()))).isEqualTo(held);
+  }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -149,7 +149,9 @@
 
   private void recordDocumentHeld(long listedVersion, long listedRevision) {
     for (VersionedObject object : merger.merged().objects()) {
-      if (object.value().isPresent() && object.value().get() instanceof ConfigDocument held) {
+      if (object.value().isPresent()
+          && object.value().get() instanceof ConfigDocument held
+          && held.version() > listedVersion) {
         events.recordEvent(
             Event.of(EventKind.CONFIG_HELD)
                 .with("config", held.version())
@@ -311,7 +313,9 @@
       VersionedObject listedState =
           stateOf(name.get(), entry.revision(), Optional.of(read.server()));
       if (merger.merged().isHeldOverEras(listedState)) {
-        recordRegistrationHeld(known, read.server(), entry.revision());
+        if (known.isEmpty() || read.server().isOlderThan(known.get())) {
+          recordRegistrationHeld(known, read.server(), entry.revision());
+        }
         return;
       }
       RegisteredServer newest =
--- a/wagtailpin/src/main/java/org/wagtailpin/store/HttpStore.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/HttpStore.java
@@ -90,7 +90,7 @@
 
   private static String conditionParameter(WriteCondition condition) {
     if (condition instanceof WriteCondition.AtRevision at) {
-      return Long.toString(at.revision());
+      return Long.toString(StoreRevision.bare(at.revision()));
     }
     return condition instanceof WriteCondition.Absent ? StoreProtocol.ABSENT : StoreProtocol.ALWAYS;
   }
@@ -136,7 +136,8 @@
     BoundRequestBuilder request =
         newRequest("GET", StoreProtocol.CHANGES_PATH)
             .addQueryParam(StoreProtocol.PREFIX_PARAMETER, prefix)
-            .addQueryParam(StoreProtocol.AFTER_PARAMETER, Long.toString(afterRevision))
+            .addQueryParam(
+                StoreProtocol.AFTER_PARAMETER, Long.toString(StoreRevision.bare(afterRevision)))
             .addQueryParam(StoreProtocol.WAIT_PARAMETER, Long.toString(waitMillis))
             .setRequestTimeout(Duration.ofMillis(waitMillis + timeouts.callMillis()));
     return send(
@@ -159,9 +160,9 @@
     return request
         .execute()
         .toCompletableFuture()
-        .handle(
-            (response, error) ->
-                error == null ? onResponse.apply(response) : onFailure.apply(causeOf(error)));
+        .thenApply(onResponse)
+        // Also for a response whose era or revision is not valid.
+        .exceptionally(error -> onFailure.apply(causeOf(error)));
   }
 
   private static Throwable causeOf(Throwable error) {
--- a/wagtailpin/src/main/java/org/wagtailpin/store/StoreResponseParser.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/StoreResponseParser.java
@@ -7,9 +7,7 @@
 import org.wagtailpin.error.Fault;
 import org.wagtailpin.error.Peer;
 import org.wagtailpin.error.Step;
-import org.wagtailpin.store.wire.ChangeMessage;
 import org.wagtailpin.store.wire.ChangesMessage;
-import org.wagtailpin.store.wire.EntryMessage;
 import org.wagtailpin.store.wire.ListMessage;
 import org.wagtailpin.store.wire.StoreMessages;
 import org.wagtailpin.store.wire.StoreProtocol;
@@ -32,15 +30,16 @@
   ReadResult read(String key, Response response) {
     OptionalLong storeRevision = numericHeader(response, StoreProtocol.STORE_REVISION_HEADER);
     if (response.getStatusCode() == NOT_FOUND && storeRevision.isPresent()) {
-      return new ReadResult.Absent(storeRevision.getAsLong());
+      return new ReadResult.Absent(number(response, storeRevision.getAsLong()));
     }
     OptionalLong revision = numericHeader(response, StoreProtocol.KEY_REVISION_HEADER);
     if (response.getStatusCode() != OK || storeRevision.isEmpty() || revision.isEmpty()) {
       return new ReadResult.Failed(unexpectedResponse(Step.READ_STORE, response));
     }
     byte[] value = response.getResponseBodyAsBytes();
-    StoreEntry entry = new StoreEntry(key, value, revision.getAsLong(), leaseOf(response));
-    return new ReadResult.Found(entry, storeRevision.getAsLong());
+    StoreEntry entry =
+        new StoreEntry(key, value, number(response, revision.getAsLong()), leaseOf(response));
+    return new ReadResult.Found(entry, number(response, storeRevision.getAsLong()));
   }
 
   ListResult list(Response response) {
@@ -51,17 +50,20 @@
     if (message.isEmpty()) {
       return new ListResult.Failed(unexpectedResponse(Step.READ_STORE, response));
     }
-    List<StoreEntry> entries = message.get().entries().stream().map(EntryMessage::toEntry).toList();
-    return new ListResult.Listed(entries, message.get().storeRevision());
+    long era = era(response);
+    List<StoreEntry> entries =
+        message.get().entries().stream().map(entry -> entry.toEntry(era)).toList();
+    return new ListResult.Listed(entries, number(response, message.get().storeRevision()));
   }
 
   WriteResult write(Response response) {
     OptionalLong revision = numericHeader(response, StoreProtocol.KEY_REVISION_HEADER);
     if (response.getStatusCode() == OK && revision.isPresent()) {
-      return new WriteResult.Written(revision.getAsLong());
+      return new WriteResult.Written(number(response, revision.getAsLong()));
     }
     if (response.getStatusCode() == CONFLICT && revision.isPresent()) {
-      return new WriteResult.Conflict(revision.getAsLong());
+      boolean exists = revision.getAsLong() > 0;
+      return new WriteResult.Conflict(exists ? number(response, revision.getAsLong()) : 0);
     }
     Fault fault = unexpectedResponse(Step.WRITE_STORE, response);
     return response.getHeader(StoreProtocol.REFUSED_HEADER) != null
@@ -85,7 +87,7 @@
   WatchResult changes(Response response) {
     OptionalLong storeRevision = numericHeader(response, StoreProtocol.STORE_REVISION_HEADER);
     if (response.getStatusCode() == GONE && storeRevision.isPresent()) {
-      return new WatchResult.Compacted(storeRevision.getAsLong());
+      return new WatchResult.Compacted(number(response, storeRevision.getAsLong()));
     }
     Optional<ChangesMessage> message =
         response.getStatusCode() == OK
@@ -94,14 +96,29 @@
     if (message.isEmpty()) {
       return new WatchResult.Failed(unexpectedResponse(Step.WATCH_STORE, response));
     }
+    long era = era(response);
     List<StoreChange> changes =
-        message.get().changes().stream().map(ChangeMessage::toChange).toList();
-    return new WatchResult.Changed(changes, message.get().storeRevision());
+        message.get().changes().stream().map(change -> change.toChange(era)).toList();
+    return new WatchResult.Changed(changes, number(response, message.get().storeRevision()));
   }
 
   private static Optional<LeaseId> leaseOf(Response response) {
     OptionalLong lease = numericHeader(response, StoreProtocol.LEASE_HEADER);
-    return lease.isPresent() ? Optional.of(new LeaseId(lease.getAsLong())) : Optional.empty();
+    return lease.isPresent()
+        ? Optional.of(new LeaseId(lease.getAsLong(), era(response)))
+        : Optional.empty();
+  }
+
+  private static long number(Response response, long revision) {
+    return StoreRevision.of(era(response), revision);
+  }
+
+  /** A response without the header is one of a store that was never restored. */
+  private static long era(Response response) {
+    return response.getHeader(StoreProtocol.ERA_HEADER) == null
+        ? 0
+        : numericHeader(response, StoreProtocol.ERA_HEADER)
+            .orElseThrow(() -> new IllegalArgumentException("an era that is no number"));
   }
 
   private static OptionalLong numericHeader(Response response, String header) {
--- a/wagtailpin/src/main/java/org/wagtailpin/store/wire/ChangeMessage.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/wire/ChangeMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.wagtailpin.store.StoreChange;
+import org.wagtailpin.store.StoreRevision;
 
 /**
  * JSON form of a {@link StoreChange}.
@@ -21,12 +22,17 @@
   /** Converts a change to its JSON form. */
   public static ChangeMessage of(StoreChange change) {
     List<EntryMessage> entries = change.entry().map(EntryMessage::of).stream().toList();
-    return new ChangeMessage(change.key(), change.revision(), entries);
+    return new ChangeMessage(change.key(), StoreRevision.bare(change.revision()), entries);
   }
 
-  /** Converts this message to a change. */
-  public StoreChange toChange() {
+  /**
+   * Converts this message to a change.
+   *
+   * @param era the era of the store that sent it
+   */
+  public StoreChange toChange(long era) {
     Optional<EntryMessage> entry = entries.stream().findFirst();
-    return new StoreChange(key, revision, entry.map(EntryMessage::toEntry));
+    return new StoreChange(
+        key, StoreRevision.of(era, revision), entry.map(message -> message.toEntry(era)));
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/store/wire/StoreProtocol.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/store/wire/StoreProtocol.java
@@ -35,6 +35,12 @@
   /** Header with the revision of the store at the time of the response. */
   public static final String STORE_REVISION_HEADER = "Store-Revision";
 
+  /**
+   * Header with the number of times that the store was restored from an older copy. Revisions and
+   * leases are those of this era; each restore assigns some of them again.
+   */
+  public static final String ERA_HEADER = "Store-Era";
+
   /** Header with the revision of the key's last change, 0 if the key does not exist. */
   public static final String KEY_REVISION_HEADER = "Key-Revision";
 
