Limit requests to cold servers

Cause: a server that has just started got its share of the work, although it tolerates only a few requests per second from all entries together.

Change: ColdState gathers what the registration, the start during traffic and answers to probes state; ColdServers lets each entry send one request in each period of its part, at a rate for which a peak of the whole fleet above warmupPerS x 1.5 + 8 in any second is six standard deviations from the mean. An entry sends cold servers nothing in its first 5 s. Servers of a domain whose evacuation has ended are limited in the same way; entries without calls note the evacuation when it is merged. Events, metrics and documentation are added.

Result: ColdServersTest plays 1 to 300 entries over servers that all turn cold at once and stays within 17.15 in any second. It found that entries without calls during an evacuation did not limit the returning servers (49 in a second), which the refresh on merging mends.

--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryGauges.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryGauges.java
@@ -58,6 +58,11 @@
         node.control()::configInForce,
         node.control()::stateConfirmation,
         node.control()::watchPhase);
+    registerGauge(
+        registry,
+        "wagtailpin_evacuated_domains",
+        "Failure domains whose servers get no requests.",
+        () -> node.control().published().current().evacuatedDomains().size());
     registerServerGauges(registry, node);
     registerPeerGauges(registry, node);
     registerCounter(
--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -82,6 +82,15 @@
                     new PrometheusPlacementObserver(registry),
                     new EventLogPlacementObserver(events))),
             new BackendLoadProbe(backend, trafficLoops, platform.dialect(), PROBE_TIMEOUT_MILLIS));
+    // An entry without calls during an evacuation has to know, too, that the servers return cold.
+    control
+        .merger()
+        .addListener(
+            merged -> {
+              if (!control.published().current().evacuatedDomains().isEmpty()) {
+                placement.refresh();
+              }
+            });
     environment =
         new CallEnvironment(
             CallSettings.defaults(),
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendLoadProbe.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendLoadProbe.java
@@ -81,7 +81,11 @@
       // The address may have been reassigned to another server, whose load must not be reported.
       String instance = dialect.instance().map(name -> head.headers().get(name)).orElse(null);
       if (instance == null || instance.equals(server.name())) {
-        answer = new ProbeAnswer(head.load(), head.limit());
+        answer =
+            new ProbeAnswer(
+                head.load(),
+                head.limit(),
+                SlowStartHeader.read(head.status(), head.headers(), dialect.slowStart()));
       }
     }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ConfigServer.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ConfigServer.java
@@ -14,8 +14,8 @@
  * @param leaving whether it gets no new work
  * @param startedMillis when it was started, in milliseconds since 1970-01-01T00:00:00Z, 0 if
  *     unknown; nothing is carried over from an earlier start under the same name
- * @param slowStartMillis how long it is slow after its start, in milliseconds, from 0 to {@link
- *     #MAX_SLOW_START_MILLIS}
+ * @param slowStartMillis for how long it is cold from its registration on, in milliseconds, from 0
+ *     to {@link #MAX_SLOW_START_MILLIS}
  * @param sequence the number of the registration that this was read from, which rises from its
  *     start on; 0 if the server does not register itself
  */
--- a/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
@@ -135,6 +135,8 @@
   SERVER_RETURNED("server-returned", false, "server"),
   SERVER_LIMITED("server-limited", false, "server", "perSecond", "sharePerSecond"),
   SERVER_UNLIMITED("server-unlimited", false, "server"),
+  SERVER_COLD("server-cold", false, "server"),
+  SERVER_WARM("server-warm", false, "server"),
   EVACUATION_BEGUN("evacuation-begun", false, "failureDomain", "revision"),
   EVACUATION_ENDED("evacuation-ended", false, "failureDomain", "revision"),
   KEY_REFUSED("key-refused", false, "reason", "keyHash", "omitted"),
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/UncoordinatedRate.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/UncoordinatedRate.java
@@ -23,6 +23,15 @@
   /** Standard deviations between the mean and a peak that is not to occur. */
   private static final double DEVIATIONS = 6;
 
+  /**
+   * What servers tolerate.
+   *
+   * @param factor the multiple of the limit
+   * @param surplus the requests beyond that multiple
+   * @param windowSeconds the time over which they judge the rate, in seconds
+   */
+  public record Tolerance(double factor, double surplus, double windowSeconds) {}
+
   private UncoordinatedRate() {}
 
   /**
@@ -32,7 +41,22 @@
    * @param entries the number of entries that use it, at least 1
    */
   public static double perSecond(double limitPerSecond, double entries) {
-    double tolerated = TOLERATED_FACTOR * limitPerSecond * WINDOW_SECONDS + TOLERATED_SURPLUS;
+    return perSecond(
+        limitPerSecond,
+        entries,
+        new Tolerance(TOLERATED_FACTOR, TOLERATED_SURPLUS, WINDOW_SECONDS));
+  }
+
+  /**
+   * Returns the rate of all entries together, in requests per second, at most the limit.
+   *
+   * @param limitPerSecond the limit, in requests per second, at least 0
+   * @param entries the number of entries that use it, at least 1
+   * @param tolerance what servers tolerate
+   */
+  public static double perSecond(double limitPerSecond, double entries, Tolerance tolerance) {
+    double tolerated =
+        tolerance.factor() * limitPerSecond * tolerance.windowSeconds() + tolerance.surplus();
     // The requests of a window are binomial: the largest mean m with
     // m + DEVIATIONS * sqrt(m * (1 - m / entries)) = tolerated is a root of a quadratic equation.
     double variance = DEVIATIONS * DEVIATIONS;
@@ -43,6 +67,6 @@
       return limitPerSecond;
     }
     double mean = (b - Math.sqrt(discriminant)) / (2 * a);
-    return Math.min(limitPerSecond, mean / WINDOW_SECONDS);
+    return Math.min(limitPerSecond, mean / tolerance.windowSeconds());
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptOutcome.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptOutcome.java
@@ -31,4 +31,9 @@
    * have run the request.
    */
   record Cancelled() implements AttemptOutcome {}
+
+  /** Returns whether the server may still run the request after the end of the attempt. */
+  default boolean mayStillRun() {
+    return this instanceof Unknown || this instanceof Cancelled;
+  }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
@@ -198,6 +198,9 @@
               double now = clock.exactMillis();
               answer.load().ifPresent(load -> service.recordLoad(server, load, now));
               limits.record(server, answer.limit());
+              answer
+                  .slowStartMillis()
+                  .ifPresent(millis -> server.cold().stated(millis, clock.millis()));
               if (pending.decrementAndGet() == 0 && finished.compareAndSet(false, true)) {
                 timeout.cancel();
                 nextRound();
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/PrometheusPlacementObserver.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/PrometheusPlacementObserver.java
@@ -40,7 +40,7 @@
     changes =
         Counter.builder()
             .name("wagtailpin_server_changes_total")
-            .help("Servers ejected, returned, leaving and staying")
+            .help("Servers ejected, returned, leaving, staying, cold and warm")
             .labelNames("change")
             .register(registry);
     limits =
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -106,7 +106,8 @@
     RegionLinks links = new RegionLinks(locality.region(), shares, clock, config.current());
     this.table = new RoutingTable(config, locality, clock, links);
     ServerCosts costs = new ServerCosts(statistics);
-    RequestLimits limits = new RequestLimits(shares, clock, random, observer);
+    ColdServers coldServers = new ColdServers(shares, clock, random, observer);
+    RequestLimits limits = new RequestLimits(shares, clock, random, observer, coldServers);
     ServerPicker picker = new ServerPicker(clock, random, leavingHosts, costs, limits);
     this.dispatcher = new Dispatcher(picker, links, shares, statistics, costs, clock, limits);
     this.admission = new Admission(clock, statistics, dispatcher);
@@ -118,6 +119,11 @@
     this.returnTime = new BacklogReturnTime(clock, random);
   }
 
+  /** Takes over the configuration in force, which otherwise happens with the next call. */
+  public void refresh() {
+    table.refresh();
+  }
+
   @Override
   public PlacementHandle request(
       CallDescriptor call, AttemptHistory history, PlacementListener listener) {
@@ -360,7 +366,7 @@
   private void attemptEnded(
       ServiceState service, ServerState server, QueuedCall queued, AttemptReport report) {
     CallDescriptor call = queued.call();
-    if (mayStillRun(report.outcome())) {
+    if (report.outcome().mayStillRun()) {
       double remainingMillis = statistics.expectedMillis(service.name(), call.route().name());
       scheduler.schedule(
           (long) Math.ceil(remainingMillis), () -> freeSlot(service, server, queued.longWork()));
@@ -371,10 +377,6 @@
     service.serveFreed(server, this::serveQueue);
   }
 
-  private static boolean mayStillRun(AttemptOutcome outcome) {
-    return outcome instanceof AttemptOutcome.Unknown || outcome instanceof AttemptOutcome.Cancelled;
-  }
-
   private static void freeSlot(ServiceState service, ServerState server, boolean longWork) {
     server.load().releaseSlot();
     service.attemptEnded(longWork);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RequestLimits.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RequestLimits.java
@@ -25,9 +25,15 @@
   private final Clock clock;
   private final UniformRandomProvider random;
   private final PlacementObserver observer;
+  private final ColdServers coldServers;
 
   RequestLimits(
-      LimitShares shares, Clock clock, UniformRandomProvider random, PlacementObserver observer) {
+      LimitShares shares,
+      Clock clock,
+      UniformRandomProvider random,
+      PlacementObserver observer,
+      ColdServers coldServers) {
+    this.coldServers = coldServers;
     this.shares = shares;
     this.clock = clock;
     this.random = random;
@@ -70,18 +76,26 @@
 
   /** Returns whether a request may be sent to a server now. */
   boolean allow(ServerState server) {
-    return server
-        .requestLimit()
-        .map(limit -> limit.pace().isOpen(clock.exactMillis(), sharePerSecond(limit)))
-        .orElse(true);
+    return coldServers.allow(server)
+        && server
+            .requestLimit()
+            .map(limit -> limit.pace().isOpen(clock.exactMillis(), sharePerSecond(limit)))
+            .orElse(true);
+  }
+
+  /** Returns whether a server is cold, so that its limit takes the place of a ramp. */
+  boolean isCold(ServerState server) {
+    return coldServers.isCold(server);
   }
 
   /** Counts a request to a server, if it may be sent now. */
   boolean tryTake(ServerState server) {
-    return server
-        .requestLimit()
-        .map(limit -> limit.pace().tryUse(clock.exactMillis(), sharePerSecond(limit)))
-        .orElse(true);
+    return coldServers.allow(server)
+        && server
+            .requestLimit()
+            .map(limit -> limit.pace().tryUse(clock.exactMillis(), sharePerSecond(limit)))
+            .orElse(true)
+        && coldServers.tryTake(server);
   }
 
   /**
@@ -99,17 +113,24 @@
     }
     double nextMillis = Double.POSITIVE_INFINITY;
     for (ServerState server : servers) {
-      Optional<ServerLimit> limit = server.requestLimit();
-      if (limit.isPresent() && accepts.test(server)) {
-        RequestPace pace = limit.get().pace();
-        nextMillis =
-            Math.min(
-                nextMillis, pace.millisToNext(clock.exactMillis(), sharePerSecond(limit.get())));
+      if (accepts.test(server)) {
+        double namedMillis =
+            server
+                .requestLimit()
+                .map(limit -> limit.pace().millisToNext(clock.exactMillis(), sharePerSecond(limit)))
+                .orElse(0.0);
+        nextMillis = Math.min(nextMillis, Math.max(namedMillis, coldServers.millisToNext(server)));
       }
     }
     return nextMillis + ahead * millisPerRequest;
   }
 
+  /** Returns this entry's share of the limits of a server, infinite if it has none. */
+  private double sharePerSecond(ServerState server) {
+    double named = server.requestLimit().map(this::sharePerSecond).orElse(Double.POSITIVE_INFINITY);
+    return Math.min(named, coldServers.sharePerSecond(server).orElse(Double.POSITIVE_INFINITY));
+  }
+
   /**
    * Returns the expected time, in milliseconds, between two requests of this entry that the limits
    * let through; 0 if one of the servers has no limit, infinite if there is no server.
@@ -121,11 +142,11 @@
     double perSecond = 0;
     for (ServerState server : servers) {
       if (accepts.test(server)) {
-        Optional<ServerLimit> limit = server.requestLimit();
-        if (limit.isEmpty()) {
+        double share = sharePerSecond(server);
+        if (Double.isInfinite(share)) {
           return 0;
         }
-        perSecond += sharePerSecond(limit.get());
+        perSecond += share;
       }
     }
     return MILLIS_PER_SECOND / perSecond;
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
@@ -127,7 +127,7 @@
     List<ServerState> far = new ArrayList<>();
     for (ConfigServer server : snapshot.servers(service)) {
       double delayMillis = networkDelayMillis(snapshot, settings, server);
-      ServerState state = serverState(server, delayMillis, newService);
+      ServerState state = serverState(snapshot, service, server, delayMillis, newService);
       state.evacuated(snapshot.evacuatedDomains().contains(server.failureDomain()), clock.millis());
       state.updateTransferCost(transferMillisPerKib(settings, server));
       servers.put(server.name(), state);
@@ -146,14 +146,31 @@
    * running already, so they take full work at once; other new servers ramp up.
    */
   private ServerState serverState(
-      ConfigServer server, double networkDelayMillis, boolean newService) {
+      ConfigSnapshot snapshot,
+      String service,
+      ConfigServer server,
+      double networkDelayMillis,
+      boolean newService) {
+    long now = clock.millis();
     ServerState known = tables.servers().get(server.name());
     if (known != null && sameInstance(known.server(), server)) {
       known.update(server, networkDelayMillis);
+      known.cold().configure(snapshot.service(service));
+      known.cold().registered(server, now);
       return known;
     }
-    long rampStartMillis = newService ? Long.MIN_VALUE / 2 : clock.millis();
-    return new ServerState(server, networkDelayMillis, rampStartMillis);
+    long rampStartMillis = newService ? Long.MIN_VALUE / 2 : now;
+    ServerState state = new ServerState(server, networkDelayMillis, rampStartMillis);
+    state.cold().configure(snapshot.service(service));
+    state.cold().registered(server, now);
+    if (!newService) {
+      state.cold().appeared(ageMillis(server), now);
+    }
+    return state;
+  }
+
+  private long ageMillis(ConfigServer server) {
+    return server.startedMillis() == 0 ? 0 : clock.wallMillis() - server.startedMillis();
   }
 
   private static boolean sameInstance(ConfigServer one, ConfigServer other) {
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerChange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerChange.java
@@ -5,7 +5,9 @@
   EJECTED("ejected"),
   RETURNED("returned"),
   LEAVING("leaving"),
-  STAYING("staying");
+  STAYING("staying"),
+  COLD("cold"),
+  WARM("warm");
 
   private final String label;
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
@@ -115,6 +115,9 @@
 
   /** Admits a server that is ramping up with the probability of its ramp share. */
   private boolean admittedByRamp(ServiceState service, ServerState server) {
+    if (limits.isCold(server)) {
+      return true;
+    }
     double rampMillis = service.view().settings().value(Tunable.RAMP_MILLIS);
     double share = server.health().rampShare(clock.millis(), rampMillis);
     return share >= 1 || random.nextDouble() < share;
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerState.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerState.java
@@ -14,6 +14,7 @@
   private volatile boolean evacuated;
   private volatile Optional<ServerLimit> requestLimit = Optional.empty();
   private final LoadEstimate load = new LoadEstimate();
+  private final ColdState cold = new ColdState();
   private final ServerHealth health;
 
   ServerState(ConfigServer server, double networkDelayMillis, long rampStartMillis) {
@@ -49,6 +50,10 @@
     return load;
   }
 
+  ColdState cold() {
+    return cold;
+  }
+
   ServerHealth health() {
     return health;
   }
@@ -78,7 +83,7 @@
 
   /**
    * Sets whether the server's failure domain is evacuated. From the end of an evacuation on, the
-   * server's work ramps up.
+   * server's work ramps up, within the limit of a cold server.
    *
    * @param now whether it is evacuated
    * @param nowMillis the current time
@@ -86,6 +91,7 @@
   void evacuated(boolean now, long nowMillis) {
     if (evacuated && !now) {
       health.rampFrom(nowMillis);
+      cold.returned(nowMillis);
     }
     evacuated = now;
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/transport/HttpDialect.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/transport/HttpDialect.java
@@ -32,6 +32,8 @@
  * @param allowsFractionalRetryAfter whether Retry-After may have fractions of a second
  * @param buffersAnswers whether answers up to a maximum length are buffered before they are
  *     relayed, so that one that fails midway can be replaced
+ * @param slowStart header in which a backend server's answer to a probe states for how many
+ *     milliseconds the server is cold, empty if there is none
  * @param customerHeaders headers by which customers are identified; empty if they are not
  */
 public record HttpDialect(
@@ -50,9 +52,10 @@
     boolean allowsUnframedAnswers,
     boolean allowsFractionalRetryAfter,
     boolean buffersAnswers,
+    Optional<AsciiString> slowStart,
     Optional<CustomerHeaders> customerHeaders) {
 
-  /** Creates a dialect without customers. */
+  /** Creates a dialect without customers and cold servers. */
   public HttpDialect(
       AsciiString requestId,
       AsciiString callerTimeout,
@@ -85,6 +88,7 @@
         allowsUnframedAnswers,
         allowsFractionalRetryAfter,
         buffersAnswers,
+        Optional.empty(),
         Optional.empty());
   }
 
--- a/wagtailpin/src/test/java/org/wagtailpin/call/CustomerEntry.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/CustomerEntry.java
@@ -74,6 +74,7 @@
             false,
             false,
             false,
+            Optional.empty(),
             Optional.of(
                 new CustomerHeaders(
                     AsciiString.cached("X-Api-Key"), AsciiString.cached("Wagtailpin-Tenant"))));
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
@@ -34,6 +34,8 @@
   final List<ConfigServer> servers = new ArrayList<>();
   final List<ConfigObject> extraObjects = new ArrayList<>();
   private Optional<String> probePath = Optional.empty();
+  private Optional<Long> slowStartMillis = Optional.empty();
+  private Optional<Double> warmupPerSecond = Optional.empty();
   int connectionShare = Integer.MAX_VALUE;
   double rateShare = 1;
   private volatile ConfigSnapshot snapshot = ConfigSnapshot.empty();
@@ -50,6 +52,12 @@
     return this;
   }
 
+  PlacementFixture withSlowStart(long millis, double perSecond) {
+    slowStartMillis = Optional.of(millis);
+    warmupPerSecond = Optional.of(perSecond);
+    return this;
+  }
+
   PlacementFixture servers(int count, int slots) {
     for (int i = 0; i < count; i++) {
       server("s" + i, "north", "n1", slots);
@@ -91,7 +99,15 @@
 
   PlacementFixture publish() {
     List<ConfigObject> objects = new ArrayList<>(extraObjects);
-    objects.add(new ConfigService(SERVICE, false, List.of(), probePath));
+    objects.add(
+        new ConfigService(
+            SERVICE,
+            false,
+            List.of(),
+            probePath,
+            Optional.empty(),
+            slowStartMillis,
+            warmupPerSecond));
     objects.add(new ConfigServerSet("set", SERVICE, List.copyOf(servers)));
     snapshot = new ConfigSnapshot(++version, objects);
     return this;
