--- a/wagtailpin/src/main/java/org/wagtailpin/caller/AnswerWriter.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/caller/AnswerWriter.java
@@ -169,6 +169,10 @@
     if (!requestId.isEmpty()) {
       headers.set(dialect.requestId(), requestId);
     }
+    if (problem.status() == HttpResponseStatus.UNAUTHORIZED.code()) {
+      // RFC 9110 section 15.5.2 requires a challenge. No registered scheme describes a key header.
+      headers.set(HttpHeaderNames.WWW_AUTHENTICATE, "ApiKey");
+    }
     problem
         .retryAfterMillis()
         .ifPresent(millis -> headers.set(HttpHeaderNames.RETRY_AFTER, retryAfter(millis)));
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ColdServers.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ColdServers.java
@@ -48,6 +48,9 @@
    * the server is not cold.
    */
   Optional<Double> sharePerSecond(ServerState server) {
+    if (server.cold().isSurelyWarm()) {
+      return Optional.empty();
+    }
     long now = clock.millis();
     Optional<Double> perSecond = server.cold().perSecond(now);
     if (server.cold().changes(perSecond.isPresent())) {
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ColdState.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ColdState.java
@@ -67,6 +67,14 @@
     statedUntilMillis = nowMillis + remainingMillis;
   }
 
+  /**
+   * Returns whether the server is not cold, and is not noted as such. Costs less than the other
+   * methods, for services that do not limit cold servers.
+   */
+  boolean isSurelyWarm() {
+    return warmupPerSecond.isEmpty() && !announced.get();
+  }
+
   /** Returns the rate that the server tolerates now, empty if it is not cold. */
   Optional<Double> perSecond(long nowMillis) {
     return warmupPerSecond.filter(
