--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RampGate.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RampGate.java
@@ -7,9 +7,11 @@
 final class RampGate implements ServerGate {
 
   private final UniformRandomProvider random;
+  private final ColdServers coldServers;
 
-  RampGate(UniformRandomProvider random) {
+  RampGate(UniformRandomProvider random, ColdServers coldServers) {
     this.random = random;
+    this.coldServers = coldServers;
   }
 
   @Override
@@ -19,6 +21,10 @@
 
   @Override
   public double millisUntilOpen(ServiceState service, ServerState server, double nowMillis) {
+    if (coldServers.isCold(server)) {
+      // Its limit takes the place of the ramp.
+      return 0;
+    }
     double rampMillis = service.view().settings().value(Tunable.RAMP_MILLIS);
     double share = server.health().rampShare((long) nowMillis, rampMillis);
     return share >= 1 || random.nextDouble() < share ? 0 : UNKNOWN_MILLIS;
