Notice servers that never answer what they cannot queue

Cause: a request that a full server ignored waited until its deadline, and nothing was learned from it. An entry without an attempt in flight sent its next request whatever the servers reported, and the load of others without a recent report was an average that an entry with one answer a second follows in a minute.

Change: UnansweredRequests takes a server for one that ignores requests when an attempt ended after longer than a straggler takes (seven times the shortest usual work, and the wait of the slowest answers) and the server then answers a probe. Nothing changes before that. Afterwards each attempt is watched for that time and a quarter more: its server counts as full for a second, and a repeatable request asks for another server within its retry budget; it goes on until one is granted, and the connection of the one given up is closed. Other requests go on until their deadline. Servers are not filled above half of the longest queue that was reported, and the load without a report is that of the last second.

The constructor of QueueingPlacement without a probe gave way to LoadProbe.none(). The existing tests that were run (routing, keyed calls, deadlines) pass unchanged.

--- a/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/Versions.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/experiment/Versions.java
@@ -14,6 +14,7 @@
 import org.wagtailpin.config.ConfigSource;
 import org.wagtailpin.membership.LimitShares;
 import org.wagtailpin.routing.LeavingHosts;
+import org.wagtailpin.routing.LoadProbe;
 import org.wagtailpin.routing.Placement;
 import org.wagtailpin.routing.QueueingPlacement;
 import org.wagtailpin.routing.SharedRandom;
@@ -79,7 +80,8 @@
         random(context),
         context.scheduler(),
         context.statistics(),
-        context.observer());
+        context.observer(),
+        LoadProbe.none());
   }
 
   private static LimitShares evenShares(int number, int entries) {
--- a/benchmark/src/main/java/org/wagtailpin/benchmark/jmh/PlacementBenchmark.java
+++ b/benchmark/src/main/java/org/wagtailpin/benchmark/jmh/PlacementBenchmark.java
@@ -29,6 +29,7 @@
 import org.wagtailpin.routing.CallDescriptor;
 import org.wagtailpin.routing.Grant;
 import org.wagtailpin.routing.LeavingHosts;
+import org.wagtailpin.routing.LoadProbe;
 import org.wagtailpin.routing.LoadReport;
 import org.wagtailpin.routing.Locality;
 import org.wagtailpin.routing.PlacementListener;
@@ -77,7 +78,8 @@
             new SharedRandom(SEED),
             (delay, task) -> () -> {},
             new RouteStatistics(clock),
-            PlacementObserver.none());
+            PlacementObserver.none(),
+            LoadProbe.none());
     report =
         new AttemptReport(
             new AttemptOutcome.Answered(200), 20, Optional.of(new LoadReport(2, 0, false)));
--- a/wagtailpin/src/main/java/org/wagtailpin/call/Attempt.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Attempt.java
@@ -19,6 +19,7 @@
 import org.wagtailpin.routing.Grant;
 import org.wagtailpin.routing.LimitStatement;
 import org.wagtailpin.routing.LoadReport;
+import org.wagtailpin.routing.PlacementHandle;
 
 /**
  * One attempt to run a call on a backend server. Classifies the server's answer as an answer to the
@@ -39,6 +40,8 @@
   private boolean refused;
   private boolean unprovenRefusal;
   private boolean finished;
+  private AnswerWatch watch = AnswerWatch.none();
+  private Optional<PlacementHandle> replacement = Optional.empty();
 
   Attempt(Call call, ConfigService service, Grant grant) {
     this.call = call;
@@ -51,6 +54,19 @@
     bytes = request.body() instanceof RequestBody.Buffered held ? held.bytes().length : 0;
     BackendExchange started = call.environment().backend().send(request, call.loop(), this);
     exchange = started;
+    if (awaitsAnswer() && request.body().replayable()) {
+      watch = AnswerWatch.start(call.loop(), grant.silenceMillis(), this::unanswered);
+    }
+  }
+
+  private void unanswered() {
+    grant.unanswered();
+    String server = grant.server().name();
+    replacement =
+        call.replaceUnanswered(
+            this,
+            new Fault(
+                Step.AWAIT_ANSWER, Peer.BACKEND_SERVER, server, "the server left it unanswered"));
   }
 
   Grant grant() {
@@ -65,6 +81,16 @@
     return status;
   }
 
+  /** Returns whether no part of an answer was received, and the attempt goes on. */
+  boolean awaitsAnswer() {
+    return !finished && status == 0;
+  }
+
+  private void stopWatch() {
+    watch.stop();
+    replacement.ifPresent(PlacementHandle::withdraw);
+  }
+
   void pause() {
     if (exchange != null) {
       exchange.pause();
@@ -105,6 +131,7 @@
 
   @Override
   public void head(AnswerHead head) {
+    stopWatch();
     load = head.load();
     status = head.status();
     refused = isRefusal(head);
@@ -199,6 +226,7 @@
       return;
     }
     finished = true;
+    stopWatch();
     double latencyMillis = call.nowMillis() - startedMillis;
     grant.finished(new AttemptReport(outcome, latencyMillis, load, bytes, limit));
     call.attemptFinished(this, outcome, latencyMillis);
--- a/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
@@ -1,17 +1,13 @@
 package org.wagtailpin.call;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.Future;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.wagtailpin.backend.RequestBody;
 import org.wagtailpin.claims.HeldAnswer;
-import org.wagtailpin.claims.HeldHeader;
 import org.wagtailpin.config.ConfigService;
 import org.wagtailpin.error.Fault;
 import org.wagtailpin.error.Peer;
@@ -27,7 +23,6 @@
 import org.wagtailpin.routing.RetryDecision;
 import org.wagtailpin.transport.EndToEndHeaders;
 import org.wagtailpin.transport.HttpDialect;
-import org.wagtailpin.transport.WagtailpinHeaders;
 
 /**
  * Lifecycle of one caller request, from its admission to its answer: claim of the idempotency key,
@@ -150,18 +145,8 @@
   }
 
   private void replay(HeldAnswer answer) {
-    HttpHeaders headers = new DefaultHttpHeaders();
-    for (HeldHeader header : answer.headers()) {
-      headers.add(header.name(), header.value());
-    }
-    headers.set(WagtailpinHeaders.REPLAYED, "true");
-    headers.set(environment.dialect().requestId(), request.id());
     end(CallEnd.replayed(answer.status()));
-    sink.head(answer.status(), headers);
-    if (answer.body().length > 0) {
-      sink.part(Unpooled.wrappedBuffer(answer.body()));
-    }
-    sink.end(EmptyHttpHeaders.INSTANCE);
+    AnswerReplay.write(answer, request.id(), environment.dialect(), sink);
   }
 
   private void firstAttempt() {
@@ -174,7 +159,7 @@
       return;
     }
     PlacementHandle handle =
-        environment.placement().request(descriptor, history, new GrantListener());
+        environment.placement().request(descriptor, history, new GrantListener(Optional.empty()));
     if (attempt.isEmpty() && !ended) {
       pendingPlacement = Optional.of(handle);
     }
@@ -182,23 +167,35 @@
 
   /** Forwards the placement decision to the call's event loop. */
   private final class GrantListener implements PlacementListener {
+    private final Optional<ReplacedAttempt> replaced;
+
+    GrantListener(Optional<ReplacedAttempt> replaced) {
+      this.replaced = replaced;
+    }
+
     @Override
     public void granted(Grant grant) {
-      runOnLoop(() -> startAttempt(grant));
+      runOnLoop(() -> startAttempt(grant, replaced));
     }
 
     @Override
     public void refused(Refusal refusal) {
-      runOnLoop(() -> placementRefused(refusal));
+      if (replaced.isEmpty()) {
+        runOnLoop(() -> placementRefused(refusal));
+      }
     }
   }
 
-  private void startAttempt(Grant grant) {
-    pendingPlacement = Optional.empty();
-    if (ended) {
+  private void startAttempt(Grant grant, Optional<ReplacedAttempt> replaced) {
+    boolean superseded = replaced.isPresent() && !replaced.get().attempt().awaitsAnswer();
+    if (replaced.isEmpty()) {
+      pendingPlacement = Optional.empty();
+    }
+    if (ended || superseded) {
       grant.finished(new AttemptReport(new AttemptOutcome.Cancelled(), 0, Optional.empty()));
       return;
     }
+    replaced.ifPresent(before -> before.attempt().expire(before.fault()));
     history = history.with(grant.server().name());
     Attempt next = new Attempt(this, service, grant);
     attempt = Optional.of(next);
@@ -305,6 +302,17 @@
     answerWithProblem(problems.failed(mayHaveRun, AttemptLabels.fault(outcome)));
   }
 
+  /** Requests another server for an unanswered attempt, which goes on until there is one. */
+  Optional<PlacementHandle> replaceUnanswered(Attempt unanswered, Fault fault) {
+    RetryDecision decision = retryDecision(new AttemptOutcome.Unknown(fault));
+    if (ended || callerHasDisconnected || !decision.retry()) {
+      return Optional.empty();
+    }
+    recorder.recordRetryDecision(history.attempts(), decision);
+    GrantListener listener = new GrantListener(Optional.of(new ReplacedAttempt(unanswered, fault)));
+    return Optional.of(environment.placement().request(descriptor, history, listener));
+  }
+
   private void retryIn(long delayMillis) {
     if (delayMillis <= 0) {
       place();
@@ -334,7 +342,7 @@
       checkAnswerStall();
       return;
     }
-    Fault fault = deadlineFault();
+    Fault fault = CallProblems.deadlineFault(attempt, pendingPlacement.isPresent());
     pendingPlacement.ifPresent(PlacementHandle::withdraw);
     attempt.ifPresent(running -> running.expire(fault));
     if (callerHasDisconnected) {
@@ -345,15 +353,6 @@
     }
   }
 
-  private Fault deadlineFault() {
-    if (attempt.isPresent()) {
-      String server = attempt.get().grant().server().name();
-      return new Fault(Step.AWAIT_ANSWER, Peer.BACKEND_SERVER, server, "the deadline passed");
-    }
-    Step step = pendingPlacement.isPresent() ? Step.PICK_SERVER : Step.ADMIT;
-    return new Fault(step, Peer.SELF, "", "the deadline passed");
-  }
-
   /**
    * Handles the deadline timer after the answer has begun. From then on the route's deadline limits
    * the time without progress instead of the total time; time for which the caller itself blocks
@@ -367,7 +366,7 @@
       timer = loop.schedule(this::expire, nextMillis, TimeUnit.MILLISECONDS);
       return;
     }
-    Fault fault = deadlineFault();
+    Fault fault = CallProblems.deadlineFault(attempt, pendingPlacement.isPresent());
     lastFault = Optional.of(fault);
     attempt.ifPresent(running -> running.expire(fault));
     abortAnswer();
--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallProblems.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallProblems.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 import org.wagtailpin.error.Fault;
+import org.wagtailpin.error.Peer;
+import org.wagtailpin.error.Step;
 import org.wagtailpin.routing.Refusal;
 import org.wagtailpin.transport.HttpDialect;
 
@@ -20,6 +22,16 @@
     this.dialect = dialect;
   }
 
+  /** Returns the fault of a call whose deadline has passed. */
+  static Fault deadlineFault(Optional<Attempt> attempt, boolean awaitsServer) {
+    if (attempt.isPresent()) {
+      String server = attempt.get().grant().server().name();
+      return new Fault(Step.AWAIT_ANSWER, Peer.BACKEND_SERVER, server, "the deadline passed");
+    }
+    Step step = awaitsServer ? Step.PICK_SERVER : Step.ADMIT;
+    return new Fault(step, Peer.SELF, "", "the deadline passed");
+  }
+
   static Outcome outcome(boolean mayHaveRun) {
     return mayHaveRun ? Outcome.UNKNOWN : Outcome.NOT_RUN;
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
@@ -133,6 +133,8 @@
       "omitted"),
   SERVER_EJECTED("server-ejected", false, "server"),
   SERVER_RETURNED("server-returned", false, "server"),
+  SERVER_UNANSWERING("server-unanswering", false, "server"),
+  SERVER_ANSWERING("server-answering", false, "server"),
   SERVER_LIMITED("server-limited", false, "server", "perSecond", "sharePerSecond"),
   SERVER_UNLIMITED("server-unlimited", false, "server"),
   WATCHER_ELECTED("watcher-elected", false, "reason", "rank", "before"),
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/QuantileEstimator.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/QuantileEstimator.java
@@ -14,10 +14,14 @@
   /** Lower bound of a sample; estimates are divided by. */
   private static final double MIN_MILLIS = 0.05;
 
+  /** Quantile that stands for the time without any waiting. */
+  private static final double LOW_QUANTILE = 0.1;
+
   private final double quantile;
   private final double[] samples;
   private volatile long count;
   private volatile double estimateMillis = Double.NaN;
+  private volatile double lowMillis;
   private volatile long lastSampleMillis;
 
   /**
@@ -37,6 +41,7 @@
     count++;
     double[] sorted = Arrays.copyOf(samples, (int) Math.min(count, samples.length));
     Arrays.sort(sorted);
+    lowMillis = sorted[(int) (LOW_QUANTILE * sorted.length)];
     estimateMillis = sorted[(int) (quantile * sorted.length)];
   }
 
@@ -45,6 +50,11 @@
     return Double.isNaN(estimate) ? fallback : estimate;
   }
 
+  /** Returns the time that nine in ten samples reach, 0 before the first. */
+  double lowMillis() {
+    return lowMillis;
+  }
+
   /** Returns how many samples the estimate is based on. */
   int size() {
     return (int) Math.min(count, samples.length);
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/RouteStatistics.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/RouteStatistics.java
@@ -25,6 +25,12 @@
 
   private static final int SERVICE_WINDOW = 101;
 
+  /** Answers of a route before its longest work is estimated. */
+  private static final int MIN_ANSWERS = 8;
+
+  /** How much longer than usual the work of stragglers takes, which are 3 in 100. */
+  private static final double STRAGGLER_FACTOR = 7;
+
   /**
    * Time without answers after which the expected time of a route starts to decay, and the time
    * constant of that decay.
@@ -139,6 +145,24 @@
     return tail == null ? medianMillis(service) : tail.millisOrElse(DEFAULT_MILLIS);
   }
 
+  /**
+   * Returns a time that hardly any answer to a route exceeds, in milliseconds: that of a straggler
+   * which waits at its server as long as the slowest of the other answers. Empty while there are
+   * too few answers to tell.
+   *
+   * @param route the route
+   */
+  public OptionalDouble longestMillis(String route) {
+    QuantileEstimator tail = routeTails.get(route);
+    if (tail == null || tail.size() < MIN_ANSWERS) {
+      return OptionalDouble.empty();
+    }
+    // While servers have queues, the median is mostly the time in these, which is not multiplied.
+    double workMillis = tail.lowMillis();
+    double waitMillis = Math.max(0, tail.millisOrElse(workMillis) - workMillis);
+    return OptionalDouble.of(STRAGGLER_FACTOR * workMillis + waitMillis);
+  }
+
   /**
    * Returns the median time of the answers of a service, in milliseconds.
    *
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptRecorder.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptRecorder.java
@@ -16,13 +16,19 @@
   private final RouteStatistics statistics;
   private final PlacementObserver observer;
   private final RequestLimits limits;
+  private final UnansweredRequests unanswered;
 
   AttemptRecorder(
-      Clock clock, RouteStatistics statistics, PlacementObserver observer, RequestLimits limits) {
+      Clock clock,
+      RouteStatistics statistics,
+      PlacementObserver observer,
+      RequestLimits limits,
+      UnansweredRequests unanswered) {
     this.clock = clock;
     this.statistics = statistics;
     this.observer = observer;
     this.limits = limits;
+    this.unanswered = unanswered;
   }
 
   /**
@@ -38,6 +44,7 @@
     double now = clock.exactMillis();
     report.load().ifPresent(load -> recordLoad(service, server, load, now));
     limits.record(server, report.limit());
+    unanswered.attemptEnded(service, server, call, report);
     String route = call.route().name();
     double expectedServiceMillis = statistics.expectedMillis(service.name(), route);
     // A passing slowdown of the server's machine, which the report states, does not count against
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -21,7 +21,7 @@
   private final RegionLinks links;
   private final LimitShares shares;
   private final RouteStatistics statistics;
-  private final ServerCosts costs;
+  private final UnansweredRequests unanswered;
   private final Clock clock;
   private final RequestLimits limits;
   private final ServerGates gates;
@@ -31,7 +31,7 @@
       RegionLinks links,
       LimitShares shares,
       RouteStatistics statistics,
-      ServerCosts costs,
+      UnansweredRequests unanswered,
       Clock clock,
       RequestLimits limits,
       ServerGates gates) {
@@ -39,7 +39,7 @@
     this.links = links;
     this.shares = shares;
     this.statistics = statistics;
-    this.costs = costs;
+    this.unanswered = unanswered;
     this.clock = clock;
     this.limits = limits;
     this.gates = gates;
@@ -142,7 +142,7 @@
   }
 
   private boolean isFast(ServiceState service, Candidate near) {
-    double slowness = costs.slowness(service, near.server(), clock.exactMillis());
+    double slowness = ServerCosts.slowness(service, near.server(), clock.exactMillis());
     return slowness < service.view().settings().value(Tunable.TOLERATED_SLOWNESS)
         || slowness <= service.averageSlowness();
   }
@@ -160,7 +160,7 @@
     if (hasSlotFor(service, candidate, request)) {
       return tryTakeSlot(service, candidate, request, PlacementRule.FREE_SLOT);
     }
-    if (service.inFlight() == 0) {
+    if (service.inFlight() == 0 && unanswered.leavesRoom(service, candidate)) {
       return tryTakeSlot(service, candidate, request, PlacementRule.NOTHING_IN_FLIGHT);
     }
     if (request.longWork() || !shorterAtServer(service, candidate)) {
@@ -253,6 +253,7 @@
     return picker
         .anyAcceptingWork(service)
         .filter(candidate -> candidate.overload() <= 0 || service.inFlight() == 0)
+        .filter(candidate -> unanswered.leavesRoom(service, candidate))
         .flatMap(candidate -> tryTakeSlot(service, candidate, request, PlacementRule.ALL_BAD));
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/EventLogPlacementObserver.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/EventLogPlacementObserver.java
@@ -57,6 +57,8 @@
     switch (change) {
       case EJECTED -> events.recordEvent(changed(EventKind.SERVER_EJECTED, server));
       case RETURNED -> events.recordEvent(changed(EventKind.SERVER_RETURNED, server));
+      case UNANSWERING -> events.recordEvent(changed(EventKind.SERVER_UNANSWERING, server));
+      case ANSWERING -> events.recordEvent(changed(EventKind.SERVER_ANSWERING, server));
       // Leaving and staying are logged where they are detected.
       case LEAVING, STAYING -> {}
       default -> throw new IllegalArgumentException("unknown change " + change);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Grant.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Grant.java
@@ -8,6 +8,17 @@
   /** Returns the server to run the attempt on. */
   ConfigServer server();
 
+  /**
+   * Returns the time without an answer from which on the attempt counts as unanswered, in
+   * milliseconds; infinite if it never does.
+   */
+  default double silenceMillis() {
+    return Double.POSITIVE_INFINITY;
+  }
+
+  /** Reports that no answer has begun for {@link #silenceMillis()}; the attempt goes on. */
+  default void unanswered() {}
+
   /**
    * Releases the slot and reports the result of the attempt. Must be called exactly once.
    *
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/LoadEstimate.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/LoadEstimate.java
@@ -60,6 +60,11 @@
     return average + weight * (report.slowness() - average);
   }
 
+  /** Returns when the last report was received; infinitely long ago if there is none. */
+  double lastReportMillis() {
+    return lastReport.atMillis();
+  }
+
   int lastOtherLoad() {
     return lastReport.otherLoad();
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/LoadProbe.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/LoadProbe.java
@@ -14,4 +14,9 @@
    * @param done called once, on any thread, with the result
    */
   void probe(ConfigServer server, String path, Consumer<ProbeAnswer> done);
+
+  /** Returns a probe that servers never answer. */
+  static LoadProbe none() {
+    return (server, path, done) -> done.accept(ProbeAnswer.none());
+  }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
@@ -8,9 +8,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.wagtailpin.clock.Clock;
-import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.config.Tunable;
-import org.wagtailpin.limits.ProbeBudget;
 
 /**
  * Probes a few servers for their load before a call is placed, if no recent report is known.
@@ -23,29 +21,23 @@
 
   private final Clock clock;
   private final ServerPicker picker;
-  private final ServerCosts costs;
-  private final LoadProbe probe;
+  private final ServerProbes probes;
   private final RequestLimits limits;
   private final ServerGates gates;
-  private final ProbeBudget budget;
   private final TaskScheduler scheduler;
 
   ProbeRounds(
       Clock clock,
       ServerPicker picker,
-      ServerCosts costs,
-      LoadProbe probe,
+      ServerProbes probes,
       RequestLimits limits,
       ServerGates gates,
-      ProbeBudget budget,
       TaskScheduler scheduler) {
     this.clock = clock;
     this.picker = picker;
-    this.costs = costs;
-    this.probe = probe;
+    this.probes = probes;
     this.limits = limits;
     this.gates = gates;
-    this.budget = budget;
     this.scheduler = scheduler;
   }
 
@@ -145,7 +137,7 @@
           && candidate.overload() <= 0
           && !ServerCosts.nearlyFull(
               service, candidate.estimatedLoad(), candidate.server().server().slots())
-          && costs.slowness(service, candidate.server(), now)
+          && ServerCosts.slowness(service, candidate.server(), now)
               < service.view().settings().value(Tunable.TOLERATED_SLOWNESS);
     }
 
@@ -164,7 +156,7 @@
             && !probed.contains(server.server().name())
             && !hasFreshReport(server, now)
             && mayBeProbed(service, server)
-            && withinBudget(server)) {
+            && probes.tryTake(service, server)) {
           probed.add(server.server().name());
           selected.add(server);
         }
@@ -172,14 +164,6 @@
       return selected;
     }
 
-    private boolean withinBudget(ServerState server) {
-      double perServer = service.view().settings().value(Tunable.SERVER_PROBES_PER_SECOND);
-      double perEntry = perServer * service.view().size();
-      ProbeBudget.Rates rates = new ProbeBudget.Rates(perServer, perEntry, perEntry);
-      ConfigServer config = server.server();
-      return budget.take(config.name(), config.region(), true, rates);
-    }
-
     private void sendProbes(List<ServerState> selected) {
       AtomicBoolean finished = new AtomicBoolean();
       AtomicInteger pending = new AtomicInteger(selected.size());
@@ -193,8 +177,8 @@
                 }
               });
       for (ServerState server : selected) {
-        probe.probe(
-            server.server(),
+        probes.send(
+            server,
             path,
             answer -> {
               double now = clock.exactMillis();
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -38,42 +38,7 @@
   private final ProbeRounds probes;
   private final QueueProbes queueProbes;
   private final ReturnTime returnTime;
-
-  /**
-   * Creates a placement that does not probe servers for their load.
-   *
-   * @param config the configuration in force
-   * @param locality the location of this entry
-   * @param shares this entry's share of fleet-wide limits
-   * @param leavingHosts the hosts that the platform's host list names as leaving
-   * @param clock the clock of the call deadlines
-   * @param random the random numbers by which servers are sampled, safe for all threads
-   * @param scheduler schedules checks of the queues and delayed releases of slots
-   * @param statistics the measured service times, shared with the retry policy
-   * @param observer notified of each decision
-   */
-  public QueueingPlacement(
-      ConfigSource config,
-      Locality locality,
-      LimitShares shares,
-      LeavingHosts leavingHosts,
-      Clock clock,
-      UniformRandomProvider random,
-      TaskScheduler scheduler,
-      RouteStatistics statistics,
-      PlacementObserver observer) {
-    this(
-        config,
-        locality,
-        shares,
-        leavingHosts,
-        clock,
-        random,
-        scheduler,
-        statistics,
-        observer,
-        (server, path, done) -> done.accept(ProbeAnswer.none()));
-  }
+  private final UnansweredRequests unanswered;
 
   /**
    * Creates a placement that may probe servers for their load.
@@ -87,7 +52,7 @@
    * @param scheduler schedules checks of the queues and delayed releases of slots
    * @param statistics the measured service times, shared with the retry policy
    * @param observer notified of each decision
-   * @param probe probes servers for their load
+   * @param probe probes servers for their load, {@link LoadProbe#none()} for none
    */
   public QueueingPlacement(
       ConfigSource config,
@@ -106,7 +71,12 @@
     this.observer = observer;
     RegionLinks links = new RegionLinks(locality.region(), shares, clock, config.current());
     this.table = new RoutingTable(config, locality, clock, links);
-    ServerCosts costs = new ServerCosts(statistics);
+    ServerProbes serverProbes = new ServerProbes(probe, new ProbeBudget(clock, shares));
+    HeldServers full =
+        new HeldServers(
+            clock, scheduler, observer, ServerChange.UNANSWERING, ServerChange.ANSWERING);
+    this.unanswered = new UnansweredRequests(clock, statistics, serverProbes, full);
+    ServerCosts costs = new ServerCosts(statistics, unanswered);
     RequestLimits limits = new RequestLimits(shares, clock, random, observer);
     ServerGates gates =
         new ServerGates(
@@ -114,17 +84,16 @@
                 new LeavingGate(leavingHosts),
                 new EjectionGate(),
                 new RefusalPauseGate(),
+                new FullServerGate(full),
                 limits,
                 new RampGate(random)));
     ServerPicker picker = new ServerPicker(clock, random, gates, costs);
     this.dispatcher =
-        new Dispatcher(picker, links, shares, statistics, costs, clock, limits, gates);
+        new Dispatcher(picker, links, shares, statistics, unanswered, clock, limits, gates);
     this.admission = new Admission(clock, statistics, dispatcher);
-    this.probes =
-        new ProbeRounds(
-            clock, picker, costs, probe, limits, gates, new ProbeBudget(clock, shares), scheduler);
+    this.probes = new ProbeRounds(clock, picker, serverProbes, limits, gates, scheduler);
     this.queueProbes = new QueueProbes(clock, probes);
-    this.recorder = new AttemptRecorder(clock, statistics, observer, limits);
+    this.recorder = new AttemptRecorder(clock, statistics, observer, limits, unanswered);
     this.returnTime = new BacklogReturnTime(clock, random);
   }
 
@@ -229,7 +198,8 @@
       freeSlot(service, dispatch.server(), queued.longWork());
       return false;
     }
-    ServerGrant grant = new ServerGrant(service, dispatch.server(), queued, this::attemptEnded);
+    ServerGrant grant =
+        new ServerGrant(service, dispatch.server(), queued, unanswered, this::attemptEnded);
     observer.granted(queued.call(), grant.server(), dispatch.reason());
     queued.listener().granted(grant);
     return true;
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
@@ -150,7 +150,8 @@
     return new ServerState(server, networkDelayMillis, rampStartMillis);
   }
 
-  private static boolean sameInstance(ConfigServer one, ConfigServer other) {
+  /** Returns whether two registrations are of the same run of a server. */
+  static boolean sameInstance(ConfigServer one, ConfigServer other) {
     return one.address().equals(other.address())
         && one.port() == other.port()
         && one.startedMillis() == other.startedMillis();
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerChange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerChange.java
@@ -5,7 +5,9 @@
   EJECTED("ejected"),
   RETURNED("returned"),
   LEAVING("leaving"),
-  STAYING("staying");
+  STAYING("staying"),
+  UNANSWERING("unanswering"),
+  ANSWERING("answering");
 
   private final String label;
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerCosts.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerCosts.java
@@ -20,9 +20,11 @@
   private static final double MILLIS_PER_SECOND = 1000;
 
   private final RouteStatistics statistics;
+  private final UnansweredRequests unanswered;
 
-  ServerCosts(RouteStatistics statistics) {
+  ServerCosts(RouteStatistics statistics, UnansweredRequests unanswered) {
     this.statistics = statistics;
+    this.unanswered = unanswered;
   }
 
   /**
@@ -71,9 +73,11 @@
    * Returns the work of other entries that a server is expected to have, in calls, without a recent
    * report: what other servers have, but no more than the limit that it names lets through.
    */
-  private static double expectedOtherLoad(
+  private double expectedOtherLoad(
       ServiceState service, ServerState server, double medianServiceMillis) {
-    double average = service.averageOtherLoad(server.server().slots());
+    int slots = server.server().slots();
+    double average =
+        unanswered.seen() ? service.recentOtherLoad(slots) : service.averageOtherLoad(slots);
     return server
         .requestLimit()
         .map(limit -> limit.perSecond() * medianServiceMillis / MILLIS_PER_SECOND)
@@ -90,7 +94,7 @@
   }
 
   /** Returns the factor by which work on a server's machine currently takes longer than usual. */
-  double slowness(ServiceState service, ServerState server, double nowMillis) {
+  static double slowness(ServiceState service, ServerState server, double nowMillis) {
     double decayMillis = service.view().settings().value(Tunable.SLOWNESS_TRUST_MILLIS);
     return server.load().slowness(service.averageSlowness(), decayMillis, nowMillis);
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerGrant.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerGrant.java
@@ -16,14 +16,21 @@
   private final ServerState server;
   private final ConfigServer configServer;
   private final QueuedCall call;
+  private final UnansweredRequests unanswered;
   private final EndListener endListener;
   private final AtomicBoolean unfinished = new AtomicBoolean(true);
 
-  ServerGrant(ServiceState service, ServerState server, QueuedCall call, EndListener endListener) {
+  ServerGrant(
+      ServiceState service,
+      ServerState server,
+      QueuedCall call,
+      UnansweredRequests unanswered,
+      EndListener endListener) {
     this.service = service;
     this.server = server;
     this.configServer = server.server();
     this.call = call;
+    this.unanswered = unanswered;
     this.endListener = endListener;
   }
 
@@ -32,6 +39,16 @@
     return configServer;
   }
 
+  @Override
+  public double silenceMillis() {
+    return unanswered.silenceMillis(service, server, call.call().route().name());
+  }
+
+  @Override
+  public void unanswered() {
+    unanswered.recordSilence(server);
+  }
+
   @Override
   public void finished(AttemptReport report) {
     if (unfinished.compareAndSet(true, false)) {
--- a/wagtailpin/src/test/java/org/wagtailpin/call/InOrderPlacement.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/InOrderPlacement.java
@@ -21,6 +21,10 @@
   private final List<ConfigServer> servers;
   private final List<AttemptReport> reports = new CopyOnWriteArrayList<>();
 
+  private final List<String> unansweredServers = new CopyOnWriteArrayList<>();
+  private volatile double silenceMillis = Double.POSITIVE_INFINITY;
+  private volatile Runnable whenUnanswered = () -> {};
+
   InOrderPlacement(List<ConfigServer> servers) {
     this.servers = servers;
   }
@@ -29,6 +33,21 @@
     return reports;
   }
 
+  /** Sets the time without an answer from which on attempts count as unanswered. */
+  public void silenceMillis(double millis) {
+    silenceMillis = millis;
+  }
+
+  /** Sets what is run when an attempt counts as unanswered. */
+  public void whenUnanswered(Runnable action) {
+    whenUnanswered = action;
+  }
+
+  /** Returns the servers of the attempts that counted as unanswered, in order. */
+  public List<String> unansweredServers() {
+    return unansweredServers;
+  }
+
   @Override
   public PlacementHandle request(
       CallDescriptor call, AttemptHistory history, PlacementListener listener) {
@@ -50,6 +69,17 @@
         return server;
       }
 
+      @Override
+      public double silenceMillis() {
+        return silenceMillis;
+      }
+
+      @Override
+      public void unanswered() {
+        unansweredServers.add(server.name());
+        whenUnanswered.run();
+      }
+
       @Override
       public void finished(AttemptReport report) {
         reports.add(report);
