Heed servers that state that they leave or want a pause

Cause: an entry learned that a server leaves from its registration only, and a 503 with Retry-After was a failure like any other, after which the next request went to the server some milliseconds later.

Change: the client passes on what the head of each answer states, for calls and probes, to ServerNotices, which remembers it for one run of the server (name, address, port and start), so that a registration that is read late changes nothing. Server-Leaving: 1 closes the server for good. Retry-After of a 503 (seconds, at most 300 s; dates, signs, other text and repeated headers state nothing) closes it, probes included, until the longest stated pause ends; then its work ramps up. A call that would be too late when the first pause ends is refused at once by the rule servers-paused, and told to come back no earlier. The header names are known in the platform only; other dialects state neither.

The creation of QueuedCall moved out of QueueingPlacement, the parsing of decimal numbers out of RequestLimitHeader.

Not covered: an answer that arrives after its caller has left is not read, as the connection is closed then.

--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -24,9 +24,12 @@
 import org.wagtailpin.routing.EventLogPlacementObserver;
 import org.wagtailpin.routing.LeavingHosts;
 import org.wagtailpin.routing.Locality;
+import org.wagtailpin.routing.PlacementObserver;
 import org.wagtailpin.routing.PrometheusPlacementObserver;
 import org.wagtailpin.routing.QueueingPlacement;
+import org.wagtailpin.routing.ServerNotices;
 import org.wagtailpin.routing.SharedRandom;
+import org.wagtailpin.routing.TaskScheduler;
 
 /** Components of an entry that serve calls on its traffic threads: placement, retries, backends. */
 public final class TrafficParts implements AutoCloseable {
@@ -59,6 +62,13 @@
     LimitShares shares = control.shares();
     SharedRandom random = new SharedRandom(seed);
     RouteStatistics statistics = new RouteStatistics(clock);
+    PlacementObserver observer =
+        new CompositePlacementObserver(
+            List.of(
+                new PrometheusPlacementObserver(registry), new EventLogPlacementObserver(events)));
+    TaskScheduler scheduler =
+        (delayMillis, task) -> scheduleOnTrafficLoop(trafficLoops, delayMillis, task);
+    ServerNotices notices = new ServerNotices(clock, scheduler, observer);
     backend =
         new BackendClient(
             BackendSettings.defaults(),
@@ -66,7 +76,8 @@
             server -> shares.integerShare("connections/" + server.name(), server.connections()),
             clock,
             platform.dialect(),
-            events);
+            events,
+            notices);
     QueueingPlacement placement =
         new QueueingPlacement(
             control.published(),
@@ -75,13 +86,11 @@
             leavingHosts,
             clock,
             random,
-            (delayMillis, task) -> scheduleOnTrafficLoop(trafficLoops, delayMillis, task),
+            scheduler,
             statistics,
-            new CompositePlacementObserver(
-                List.of(
-                    new PrometheusPlacementObserver(registry),
-                    new EventLogPlacementObserver(events))),
-            new BackendLoadProbe(backend, trafficLoops, platform.dialect(), PROBE_TIMEOUT_MILLIS));
+            observer,
+            new BackendLoadProbe(backend, trafficLoops, platform.dialect(), PROBE_TIMEOUT_MILLIS),
+            notices);
     environment =
         new CallEnvironment(
             CallSettings.defaults(),
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClient.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendClient.java
@@ -14,6 +14,7 @@
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.eventlog.EventLog;
 import org.wagtailpin.eventlog.NoOpEventLog;
+import org.wagtailpin.routing.ServerNoticeListener;
 import org.wagtailpin.transport.HttpDialect;
 
 /** HTTP client that sends requests to backend servers over pooled connections. Thread-safe. */
@@ -26,6 +27,7 @@
   private final ConnectionLimits limits;
   private final Clock clock;
   private final HttpDialect dialect;
+  private final ServerNoticeListener notices;
   private final ConnectionPool pool = new ConnectionPool();
   private final UnmatchedAnswers unmatched;
   private final AsyncHttpClient client;
@@ -61,6 +63,29 @@
       Clock clock,
       HttpDialect dialect,
       EventLog events) {
+    this(settings, loops, limits, clock, dialect, events, ServerNoticeListener.none());
+  }
+
+  /**
+   * Creates a client that passes on what servers state about themselves.
+   *
+   * @param settings the timeouts and size limits of connections
+   * @param loops the event loops, from {@link org.wagtailpin.transport.EventLoops#createAffine}
+   * @param limits the maximum number of connections to each server
+   * @param clock measures how long connections are idle
+   * @param dialect the header names and HTTP conventions of the backend servers
+   * @param events receives an event for input that matches no request
+   * @param notices receives what servers state about themselves
+   */
+  public BackendClient(
+      BackendSettings settings,
+      EventLoopGroup loops,
+      ConnectionLimits limits,
+      Clock clock,
+      HttpDialect dialect,
+      EventLog events,
+      ServerNoticeListener notices) {
+    this.notices = notices;
     this.settings = settings;
     this.limits = limits;
     this.clock = clock;
@@ -89,7 +114,8 @@
   public BackendExchange send(BackendRequest request, EventLoop owner, ExchangeListener listener) {
     ServerConnections connections = pool.of(request.server());
     connections.setMaxOpen(limits.maxConnections(request.server()));
-    BackendExchange exchange = new BackendExchange(request, connections, owner, listener, dialect);
+    BackendExchange exchange =
+        new BackendExchange(request, connections, owner, listener, dialect, notices);
     try {
       exchange.started(client.executeRequest(toRequest(request, connections), exchange));
     } catch (RuntimeException e) {
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/BackendExchange.java
@@ -23,6 +23,7 @@
 import org.wagtailpin.error.Fault;
 import org.wagtailpin.error.Peer;
 import org.wagtailpin.error.Step;
+import org.wagtailpin.routing.ServerNoticeListener;
 import org.wagtailpin.transport.HttpDialect;
 
 /**
@@ -48,6 +49,7 @@
   private final EventLoop owner;
   private final ExchangeListener listener;
   private final HttpDialect dialect;
+  private final ServerNoticeListener notices;
   private final AtomicReference<Dispatch> dispatch = new AtomicReference<>(Dispatch.PENDING);
   private volatile BackendConnectionHandler connection;
   private volatile ListenableFuture<Void> future;
@@ -68,11 +70,22 @@
       EventLoop owner,
       ExchangeListener listener,
       HttpDialect dialect) {
+    this(request, connections, owner, listener, dialect, ServerNoticeListener.none());
+  }
+
+  BackendExchange(
+      BackendRequest request,
+      ServerConnections connections,
+      EventLoop owner,
+      ExchangeListener listener,
+      HttpDialect dialect,
+      ServerNoticeListener notices) {
     this.request = request;
     this.connections = connections;
     this.owner = owner;
     this.listener = listener;
     this.dialect = dialect;
+    this.notices = notices;
   }
 
   void started(ListenableFuture<Void> running) {
@@ -255,6 +268,9 @@
   private void deliverHead(HttpHeaders headers) {
     headDelivered = true;
     step = Step.RELAY_ANSWER;
+    notices.noticed(
+        request.server(),
+        ServerNoticeHeaders.parse(request.server().name(), status, headers, dialect));
     String load = headers.get(dialect.load());
     AnswerHead head =
         new AnswerHead(
--- a/wagtailpin/src/main/java/org/wagtailpin/backend/RequestLimitHeader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/backend/RequestLimitHeader.java
@@ -1,6 +1,7 @@
 package org.wagtailpin.backend;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.OptionalDouble;
 import org.wagtailpin.routing.LimitStatement;
 
 /**
@@ -12,8 +13,6 @@
  */
 final class RequestLimitHeader {
 
-  private static final int MAX_LENGTH = 32;
-
   private RequestLimitHeader() {}
 
   /**
@@ -31,24 +30,9 @@
           ? new LimitStatement.Unlimited()
           : new LimitStatement.Unknown();
     }
-    return parseNumber(value);
-  }
-
-  private static LimitStatement parseNumber(String value) {
-    String number = value.strip();
-    if (number.isEmpty() || number.length() > MAX_LENGTH) {
-      return new LimitStatement.Unknown();
-    }
-    for (int i = 0; i < number.length(); i++) {
-      char c = number.charAt(i);
-      if (c != '.' && (c < '0' || c > '9')) {
-        return new LimitStatement.Unknown();
-      }
-    }
-    try {
-      return new LimitStatement.Limited(Double.parseDouble(number));
-    } catch (NumberFormatException e) {
-      return new LimitStatement.Unknown();
-    }
+    OptionalDouble perSecond = DecimalHeader.parse(value);
+    return perSecond.isPresent()
+        ? new LimitStatement.Limited(perSecond.getAsDouble())
+        : new LimitStatement.Unknown();
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Admission.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Admission.java
@@ -40,6 +40,10 @@
     if (limitWaitMillis > 0 && now + limitWaitMillis > queued.latestStartMillis()) {
       return Optional.of(PlacementRule.SERVER_LIMITS);
     }
+    if (now + dispatcher.pauseMillis(service) > queued.latestStartMillis()
+        && dispatcher.pauseMillis(service) > 0) {
+      return Optional.of(PlacementRule.SERVERS_PAUSED);
+    }
     // The work of other routes shows nothing about a route that has not been answered yet, and a
     // route whose calls are refused gets no answer.
     double measuredMillis = statistics.measuredMillis(queued.call().route().name()).orElse(0);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -25,6 +25,7 @@
   private final Clock clock;
   private final RequestLimits limits;
   private final ServerGates gates;
+  private final ServerNotices notices;
 
   Dispatcher(
       ServerPicker picker,
@@ -34,7 +35,8 @@
       UnansweredRequests unanswered,
       Clock clock,
       RequestLimits limits,
-      ServerGates gates) {
+      ServerGates gates,
+      ServerNotices notices) {
     this.picker = picker;
     this.links = links;
     this.shares = shares;
@@ -43,6 +45,7 @@
     this.clock = clock;
     this.limits = limits;
     this.gates = gates;
+    this.notices = notices;
   }
 
   /** A server on which a slot is occupied for a call, and the reason for choosing it. */
@@ -214,6 +217,21 @@
     return Math.max((ahead + 1) * millisPerSlot(service), limitWaitMillis(service, ahead));
   }
 
+  /**
+   * Returns the time, in milliseconds, for which every server that takes work wants no requests; 0
+   * if one of them has not asked for a pause.
+   */
+  double pauseMillis(ServiceState service) {
+    double now = clock.exactMillis();
+    double shortest = Double.POSITIVE_INFINITY;
+    for (ServerState server : service.view().all()) {
+      if (shortest > 0 && picker.acceptsWork(service, server)) {
+        shortest = Math.min(shortest, notices.pauseMillis(server.server(), now));
+      }
+    }
+    return Double.isInfinite(shortest) ? 0 : shortest;
+  }
+
   /**
    * Returns the expected time, in milliseconds, until the limits that servers name let a call
    * through; 0 if a server that takes work has no limit.
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/EventLogPlacementObserver.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/EventLogPlacementObserver.java
@@ -59,6 +59,9 @@
       case RETURNED -> events.recordEvent(changed(EventKind.SERVER_RETURNED, server));
       case UNANSWERING -> events.recordEvent(changed(EventKind.SERVER_UNANSWERING, server));
       case ANSWERING -> events.recordEvent(changed(EventKind.SERVER_ANSWERING, server));
+      case STATES_LEAVING -> events.recordEvent(changed(EventKind.SERVER_STATES_LEAVING, server));
+      case PAUSED -> events.recordEvent(changed(EventKind.SERVER_PAUSED, server));
+      case RESUMED -> events.recordEvent(changed(EventKind.SERVER_RESUMED, server));
       // Leaving and staying are logged where they are detected.
       case LEAVING, STAYING -> {}
       default -> throw new IllegalArgumentException("unknown change " + change);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementRule.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/PlacementRule.java
@@ -22,6 +22,8 @@
   QUEUE_TOO_LONG("queue-too-long"),
   /** Refused: by the limits that all servers name, none takes the call in time. */
   SERVER_LIMITS("server-limits"),
+  /** Refused: every server that takes work wants no requests until the call is too late. */
+  SERVERS_PAUSED("servers-paused"),
   /** Refused: the maximum time in the queue has passed. */
   QUEUE_TIME_OVER("queue-time-over");
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -32,6 +32,7 @@
   private final RouteStatistics statistics;
   private final PlacementObserver observer;
   private final RoutingTable table;
+  private final QueuedCalls calls;
   private final Dispatcher dispatcher;
   private final Admission admission;
   private final AttemptRecorder recorder;
@@ -65,6 +66,37 @@
       RouteStatistics statistics,
       PlacementObserver observer,
       LoadProbe probe) {
+    this(
+        config,
+        locality,
+        shares,
+        leavingHosts,
+        clock,
+        random,
+        scheduler,
+        statistics,
+        observer,
+        probe,
+        new ServerNotices(clock, scheduler, observer));
+  }
+
+  /**
+   * Creates a placement that also heeds what servers state about themselves.
+   *
+   * @param notices what servers have stated, shared with the client that receives it
+   */
+  public QueueingPlacement(
+      ConfigSource config,
+      Locality locality,
+      LimitShares shares,
+      LeavingHosts leavingHosts,
+      Clock clock,
+      UniformRandomProvider random,
+      TaskScheduler scheduler,
+      RouteStatistics statistics,
+      PlacementObserver observer,
+      LoadProbe probe,
+      ServerNotices notices) {
     this.clock = clock;
     this.scheduler = scheduler;
     this.statistics = statistics;
@@ -76,20 +108,24 @@
         new HeldServers(
             clock, scheduler, observer, ServerChange.UNANSWERING, ServerChange.ANSWERING);
     this.unanswered = new UnansweredRequests(clock, statistics, serverProbes, full);
+    this.calls = new QueuedCalls(table, statistics, clock);
     ServerCosts costs = new ServerCosts(statistics, unanswered);
     RequestLimits limits = new RequestLimits(shares, clock, random, observer);
     ServerGates gates =
         new ServerGates(
             List.of(
                 new LeavingGate(leavingHosts),
+                new StatedLeavingGate(notices),
                 new EjectionGate(),
                 new RefusalPauseGate(),
                 new FullServerGate(full),
                 limits,
-                new RampGate(random)));
+                new PauseGate(notices),
+                new RampGate(random, notices)));
     ServerPicker picker = new ServerPicker(clock, random, gates, costs);
     this.dispatcher =
-        new Dispatcher(picker, links, shares, statistics, unanswered, clock, limits, gates);
+        new Dispatcher(
+            picker, links, shares, statistics, unanswered, clock, limits, gates, notices);
     this.admission = new Admission(clock, statistics, dispatcher);
     this.probes = new ProbeRounds(clock, picker, serverProbes, limits, gates, scheduler);
     this.queueProbes = new QueueProbes(clock, probes);
@@ -100,7 +136,7 @@
   @Override
   public PlacementHandle request(
       CallDescriptor call, AttemptHistory history, PlacementListener listener) {
-    QueuedCall queued = queuedCall(call, history, listener);
+    QueuedCall queued = calls.queuedCall(call, history, listener);
     Optional<ServiceState> service = table.service(call.route().service());
     if (service.isEmpty() || !dispatcher.hasServer(service.get())) {
       refuse(queued, Step.PICK_SERVER, PlacementRule.NO_SERVER);
@@ -138,36 +174,6 @@
     }
   }
 
-  private QueuedCall queuedCall(
-      CallDescriptor call, AttemptHistory history, PlacementListener listener) {
-    String service = call.route().service();
-    String route = call.route().name();
-    Optional<RoutingSettings> settings =
-        table.service(service).map(state -> state.view().settings());
-    double longWorkFactor = settings.map(s -> s.value(Tunable.LONG_WORK_FACTOR)).orElse(1.0);
-    double deadlineMargin = settings.map(s -> s.value(Tunable.DEADLINE_MARGIN)).orElse(1.0);
-    double expectedMillis = statistics.expectedMillis(service, route);
-    return new QueuedCall(
-        call,
-        history,
-        listener,
-        table.groupWeight(call.callerGroup()),
-        statistics.isLongWork(service, route, longWorkFactor),
-        clock.millis(),
-        expectedMillis,
-        computeLatestStart(call, settings, deadlineMargin * expectedMillis));
-  }
-
-  private long computeLatestStart(
-      CallDescriptor call, Optional<RoutingSettings> settings, double neededMillis) {
-    long latestStart = call.deadlineMillis() - (long) neededMillis;
-    if (call.route().mayWait() || settings.isEmpty()) {
-      return latestStart;
-    }
-    long maxQueueMillis = (long) settings.get().value(Tunable.MAX_QUEUE_MILLIS);
-    return Math.min(latestStart, clock.millis() + maxQueueMillis);
-  }
-
   private boolean tryGrant(ServiceState service, QueuedCall queued) {
     return dispatcher
         .dispatch(service, placementRequest(queued))
@@ -211,7 +217,13 @@
     }
     Fault fault = new Fault(step, Peer.SELF, "", "not run: " + rule.label());
     observer.refused(queued.call(), fault, refusalReason(rule, queued));
-    queued.listener().refused(new Refusal(fault, returnTime.millis(backlog(queued))));
+    long returnMillis = returnTime.millis(backlog(queued));
+    long pauseMillis =
+        table
+            .service(queued.call().route().service())
+            .map(service -> (long) Math.ceil(dispatcher.pauseMillis(service)))
+            .orElse(0L);
+    queued.listener().refused(new Refusal(fault, Math.max(returnMillis, pauseMillis)));
   }
 
   private PlacementReason refusalReason(PlacementRule rule, QueuedCall queued) {
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RampGate.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RampGate.java
@@ -3,13 +3,18 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wagtailpin.config.Tunable;
 
-/** Lets a new or returned server take part in a sample with a chance that rises over a time. */
+/**
+ * Lets a new or returned server take part in a sample with a chance that rises over a time, also
+ * after a pause that it asked for.
+ */
 final class RampGate implements ServerGate {
 
   private final UniformRandomProvider random;
+  private final ServerNotices notices;
 
-  RampGate(UniformRandomProvider random) {
+  RampGate(UniformRandomProvider random, ServerNotices notices) {
     this.random = random;
+    this.notices = notices;
   }
 
   @Override
@@ -20,7 +25,11 @@
   @Override
   public double millisUntilOpen(ServiceState service, ServerState server, double nowMillis) {
     double rampMillis = service.view().settings().value(Tunable.RAMP_MILLIS);
-    double share = server.health().rampShare((long) nowMillis, rampMillis);
+    double sincePauseMillis = nowMillis - notices.resumedAtMillis(server.server());
+    double share =
+        Math.min(
+            server.health().rampShare((long) nowMillis, rampMillis),
+            ServerHealth.rampShare(sincePauseMillis, rampMillis));
     return share >= 1 || random.nextDouble() < share ? 0 : UNKNOWN_MILLIS;
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerChange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerChange.java
@@ -7,7 +7,10 @@
   LEAVING("leaving"),
   STAYING("staying"),
   UNANSWERING("unanswering"),
-  ANSWERING("answering");
+  ANSWERING("answering"),
+  STATES_LEAVING("states-leaving"),
+  PAUSED("paused"),
+  RESUMED("resumed");
 
   private final String label;
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerHealth.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerHealth.java
@@ -149,10 +149,14 @@
 
   /** Returns the share of its usual work that the server gets while it ramps up, at most 1. */
   double rampShare(long nowMillis, double rampMillis) {
-    double elapsed = nowMillis - rampStartedAtMillis;
-    if (elapsed >= rampMillis) {
+    return rampShare((double) (nowMillis - rampStartedAtMillis), rampMillis);
+  }
+
+  /** Returns the share of its usual work that a server gets at a time after its return. */
+  static double rampShare(double elapsedMillis, double rampMillis) {
+    if (elapsedMillis >= rampMillis) {
       return 1;
     }
-    return Math.max(MIN_RAMP_SHARE, elapsed / rampMillis);
+    return Math.max(MIN_RAMP_SHARE, elapsedMillis / rampMillis);
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/transport/HttpDialect.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/transport/HttpDialect.java
@@ -32,6 +32,10 @@
  * @param allowsFractionalRetryAfter whether Retry-After may have fractions of a second
  * @param buffersAnswers whether answers up to a maximum length are buffered before they are
  *     relayed, so that one that fails midway can be replaced
+ * @param serverLeaving header whose value 1 in an answer says that the server is leaving, empty if
+ *     there is none
+ * @param serverPause header of an answer with status 503 that states for how many seconds the
+ *     server wants no requests, empty if it has no such meaning
  */
 public record HttpDialect(
     AsciiString requestId,
@@ -48,7 +52,9 @@
     Set<Integer> notRunStatuses,
     boolean allowsUnframedAnswers,
     boolean allowsFractionalRetryAfter,
-    boolean buffersAnswers) {
+    boolean buffersAnswers,
+    Optional<AsciiString> serverLeaving,
+    Optional<AsciiString> serverPause) {
 
   /** Format of the load header. */
   public enum LoadFormat {
@@ -63,6 +69,43 @@
     notRunStatuses = Set.copyOf(notRunStatuses);
   }
 
+  /** Creates a dialect in which servers state neither that they leave nor that they pause. */
+  public HttpDialect(
+      AsciiString requestId,
+      AsciiString callerTimeout,
+      AsciiString deadline,
+      AsciiString load,
+      LoadFormat loadFormat,
+      AsciiString requestLimit,
+      Optional<AsciiString> attempt,
+      Optional<AsciiString> target,
+      Optional<AsciiString> signature,
+      Optional<AsciiString> instance,
+      boolean callerSetsRequestId,
+      Set<Integer> notRunStatuses,
+      boolean allowsUnframedAnswers,
+      boolean allowsFractionalRetryAfter,
+      boolean buffersAnswers) {
+    this(
+        requestId,
+        callerTimeout,
+        deadline,
+        load,
+        loadFormat,
+        requestLimit,
+        attempt,
+        target,
+        signature,
+        instance,
+        callerSetsRequestId,
+        notRunStatuses,
+        allowsUnframedAnswers,
+        allowsFractionalRetryAfter,
+        buffersAnswers,
+        Optional.empty(),
+        Optional.empty());
+  }
+
   /** Returns the default dialect, with the header names of {@link WagtailpinHeaders}. */
   public static HttpDialect standard() {
     return new HttpDialect(
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
@@ -123,6 +123,22 @@
         probe);
   }
 
+  /** Returns a placement that heeds what servers state about themselves. */
+  QueueingPlacement placement(ServerNotices notices) {
+    return new QueueingPlacement(
+        () -> snapshot,
+        new Locality("north", "n1"),
+        shares(),
+        leavingHosts,
+        clock,
+        new SharedRandom(SEED),
+        loop::schedule,
+        statistics,
+        PlacementObserver.none(),
+        LoadProbe.none(),
+        notices);
+  }
+
   LimitShares shares() {
     return new LimitShares() {
       @Override
