--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -21,28 +21,31 @@
   private final RegionLinks links;
   private final LimitShares shares;
   private final RouteStatistics statistics;
-  private final ServerCosts costs;
+  private final UnansweredRequests unanswered;
   private final Clock clock;
   private final RequestLimits limits;
   private final ServerGates gates;
+  private final ServerNotices notices;
 
   Dispatcher(
       ServerPicker picker,
       RegionLinks links,
       LimitShares shares,
       RouteStatistics statistics,
-      ServerCosts costs,
+      UnansweredRequests unanswered,
       Clock clock,
       RequestLimits limits,
-      ServerGates gates) {
+      ServerGates gates,
+      ServerNotices notices) {
     this.picker = picker;
     this.links = links;
     this.shares = shares;
     this.statistics = statistics;
-    this.costs = costs;
+    this.unanswered = unanswered;
     this.clock = clock;
     this.limits = limits;
     this.gates = gates;
+    this.notices = notices;
   }
 
   /** A server on which a slot is occupied for a call, and the reason for choosing it. */
@@ -142,7 +145,7 @@
   }
 
   private boolean isFast(ServiceState service, Candidate near) {
-    double slowness = costs.slowness(service, near.server(), clock.exactMillis());
+    double slowness = ServerCosts.slowness(service, near.server(), clock.exactMillis());
     return slowness < service.view().settings().value(Tunable.TOLERATED_SLOWNESS)
         || slowness <= service.averageSlowness();
   }
@@ -160,7 +163,7 @@
     if (hasSlotFor(service, candidate, request)) {
       return tryTakeSlot(service, candidate, request, PlacementRule.FREE_SLOT);
     }
-    if (service.inFlight() == 0) {
+    if (service.inFlight() == 0 && unanswered.leavesRoom(service, candidate)) {
       return tryTakeSlot(service, candidate, request, PlacementRule.NOTHING_IN_FLIGHT);
     }
     if (request.longWork() || !shorterAtServer(service, candidate)) {
@@ -214,6 +217,21 @@
     return Math.max((ahead + 1) * millisPerSlot(service), limitWaitMillis(service, ahead));
   }
 
+  /**
+   * Returns the time, in milliseconds, for which every server that takes work wants no requests; 0
+   * if one of them has not asked for a pause.
+   */
+  double pauseMillis(ServiceState service) {
+    double now = clock.exactMillis();
+    double shortest = Double.POSITIVE_INFINITY;
+    for (ServerState server : service.view().all()) {
+      if (shortest > 0 && picker.acceptsWork(service, server)) {
+        shortest = Math.min(shortest, notices.pauseMillis(server.server(), now));
+      }
+    }
+    return Double.isInfinite(shortest) ? 0 : shortest;
+  }
+
   /**
    * Returns the expected time, in milliseconds, until the limits that servers name let a call
    * through; 0 if a server that takes work has no limit.
@@ -253,6 +271,7 @@
     return picker
         .anyAcceptingWork(service)
         .filter(candidate -> candidate.overload() <= 0 || service.inFlight() == 0)
+        .filter(candidate -> unanswered.leavesRoom(service, candidate))
         .flatMap(candidate -> tryTakeSlot(service, candidate, request, PlacementRule.ALL_BAD));
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RoutingTable.java
@@ -173,7 +173,8 @@
     return server.startedMillis() == 0 ? 0 : clock.wallMillis() - server.startedMillis();
   }
 
-  private static boolean sameInstance(ConfigServer one, ConfigServer other) {
+  /** Returns whether two registrations are of the same run of a server. */
+  static boolean sameInstance(ConfigServer one, ConfigServer other) {
     return one.address().equals(other.address())
         && one.port() == other.port()
         && one.startedMillis() == other.startedMillis();
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerChange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerChange.java
@@ -7,7 +7,12 @@
   LEAVING("leaving"),
   STAYING("staying"),
   COLD("cold"),
-  WARM("warm");
+  WARM("warm"),
+  UNANSWERING("unanswering"),
+  ANSWERING("answering"),
+  STATES_LEAVING("states-leaving"),
+  PAUSED("paused"),
+  RESUMED("resumed");
 
   private final String label;
 
--- a/wagtailpin/src/test/java/org/wagtailpin/call/CustomerEntry.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/CustomerEntry.java
@@ -77,7 +77,9 @@
             Optional.empty(),
             Optional.of(
                 new CustomerHeaders(
-                    AsciiString.cached("X-Api-Key"), AsciiString.cached("Wagtailpin-Tenant"))));
+                    AsciiString.cached("X-Api-Key"), AsciiString.cached("Wagtailpin-Tenant"))),
+            Optional.empty(),
+            Optional.empty());
     SystemClock clock = new SystemClock();
     backend =
         new BackendClient(BackendSettings.defaults(), loops, server -> 100, clock, dialect, events);
