--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallProblems.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallProblems.java
@@ -26,6 +26,16 @@
     this.dialect = dialect;
   }
 
+  /** Returns the fault of a call whose deadline has passed. */
+  static Fault deadlineFault(Optional<Attempt> attempt, boolean awaitsServer) {
+    if (attempt.isPresent()) {
+      String server = attempt.get().grant().server().name();
+      return new Fault(Step.AWAIT_ANSWER, Peer.BACKEND_SERVER, server, "the deadline passed");
+    }
+    Step step = awaitsServer ? Step.PICK_SERVER : Step.ADMIT;
+    return new Fault(step, Peer.SELF, "", "the deadline passed");
+  }
+
   static Outcome outcome(boolean mayHaveRun) {
     return mayHaveRun ? Outcome.UNKNOWN : Outcome.NOT_RUN;
   }
@@ -75,21 +85,6 @@
             Optional.of(refusal.retryAfterMillis()));
   }
 
-  /**
-   * Returns the fault of a call whose deadline has passed.
-   *
-   * @param attempt the attempt in flight
-   * @param placing whether the call waits for a server
-   */
-  static Fault deadlinePassed(Optional<Attempt> attempt, boolean placing) {
-    if (attempt.isPresent()) {
-      String server = attempt.get().grant().server().name();
-      return new Fault(Step.AWAIT_ANSWER, Peer.BACKEND_SERVER, server, "the deadline passed");
-    }
-    Step step = placing ? Step.PICK_SERVER : Step.ADMIT;
-    return new Fault(step, Peer.SELF, "", "the deadline passed");
-  }
-
   /**
    * Returns the problem of a call whose deadline has passed. In a dialect whose callers recognize a
    * request that was not run by the status code 503 alone, such a request must not get a 504, which
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptOutcome.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptOutcome.java
@@ -34,4 +34,9 @@
 
   /** The attempt was not sent, so it states nothing about the server. */
   record NotSent() implements AttemptOutcome {}
+
+  /** Returns whether the server may still run the request after the end of the attempt. */
+  default boolean mayStillRun() {
+    return this instanceof Unknown || this instanceof Cancelled;
+  }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -32,15 +32,17 @@
   private final RouteStatistics statistics;
   private final PlacementObserver observer;
   private final RoutingTable table;
+  private final QueuedCalls calls;
   private final Dispatcher dispatcher;
   private final Admission admission;
   private final AttemptRecorder recorder;
   private final ProbeRounds probes;
   private final QueueProbes queueProbes;
   private final ReturnTime returnTime;
+  private final UnansweredRequests unanswered;
 
   /**
-   * Creates a placement that does not probe servers for their load.
+   * Creates a placement that may probe servers for their load.
    *
    * @param config the configuration in force
    * @param locality the location of this entry
@@ -51,6 +53,7 @@
    * @param scheduler schedules checks of the queues and delayed releases of slots
    * @param statistics the measured service times, shared with the retry policy
    * @param observer notified of each decision
+   * @param probe probes servers for their load, {@link LoadProbe#none()} for none
    */
   public QueueingPlacement(
       ConfigSource config,
@@ -61,7 +64,8 @@
       UniformRandomProvider random,
       TaskScheduler scheduler,
       RouteStatistics statistics,
-      PlacementObserver observer) {
+      PlacementObserver observer,
+      LoadProbe probe) {
     this(
         config,
         locality,
@@ -72,22 +76,14 @@
         scheduler,
         statistics,
         observer,
-        (server, path, done) -> done.accept(ProbeAnswer.none()));
+        probe,
+        new ServerNotices(clock, scheduler, observer));
   }
 
   /**
-   * Creates a placement that may probe servers for their load.
+   * Creates a placement that also heeds what servers state about themselves.
    *
-   * @param config the configuration in force
-   * @param locality the location of this entry
-   * @param shares this entry's share of fleet-wide limits
-   * @param leavingHosts the hosts that the platform's host list names as leaving
-   * @param clock the clock of the call deadlines
-   * @param random the random numbers by which servers are sampled, safe for all threads
-   * @param scheduler schedules checks of the queues and delayed releases of slots
-   * @param statistics the measured service times, shared with the retry policy
-   * @param observer notified of each decision
-   * @param probe probes servers for their load
+   * @param notices what servers have stated, shared with the client that receives it
    */
   public QueueingPlacement(
       ConfigSource config,
@@ -99,40 +95,55 @@
       TaskScheduler scheduler,
       RouteStatistics statistics,
       PlacementObserver observer,
-      LoadProbe probe) {
+      LoadProbe probe,
+      ServerNotices notices) {
     this.clock = clock;
     this.scheduler = scheduler;
     this.statistics = statistics;
     this.observer = observer;
     RegionLinks links = new RegionLinks(locality.region(), shares, clock, config.current());
     this.table = new RoutingTable(config, locality, clock, links);
-    ServerCosts costs = new ServerCosts(statistics);
-    RequestLimits limits = new RequestLimits(shares, clock, random, observer);
+    ServerProbes serverProbes = new ServerProbes(probe, new ProbeBudget(clock, shares));
+    HeldServers full =
+        new HeldServers(
+            clock, scheduler, observer, ServerChange.UNANSWERING, ServerChange.ANSWERING);
+    this.unanswered = new UnansweredRequests(clock, statistics, serverProbes, full);
+    this.calls = new QueuedCalls(table, statistics, clock);
+    ServerCosts costs = new ServerCosts(statistics, unanswered);
+    ColdServers coldServers = new ColdServers(shares, clock, random, observer);
+    RequestLimits limits = new RequestLimits(shares, clock, random, observer, coldServers);
     ServerGates gates =
         new ServerGates(
             List.of(
                 new LeavingGate(leavingHosts),
                 new EvacuationGate(),
+                new StatedLeavingGate(notices),
                 new EjectionGate(),
                 new RefusalPauseGate(),
+                new FullServerGate(full),
                 limits,
-                new RampGate(random)));
+                new PauseGate(notices),
+                new RampGate(random, coldServers, notices)));
     ServerPicker picker = new ServerPicker(clock, random, gates, costs);
     this.dispatcher =
-        new Dispatcher(picker, links, shares, statistics, costs, clock, limits, gates);
+        new Dispatcher(
+            picker, links, shares, statistics, unanswered, clock, limits, gates, notices);
     this.admission = new Admission(clock, statistics, dispatcher);
-    this.probes =
-        new ProbeRounds(
-            clock, picker, costs, probe, limits, gates, new ProbeBudget(clock, shares), scheduler);
+    this.probes = new ProbeRounds(clock, picker, serverProbes, limits, gates, scheduler);
     this.queueProbes = new QueueProbes(clock, probes);
-    this.recorder = new AttemptRecorder(clock, statistics, observer, limits);
+    this.recorder = new AttemptRecorder(clock, statistics, observer, limits, unanswered);
     this.returnTime = new BacklogReturnTime(clock, random);
   }
 
+  /** Takes over the configuration in force, which otherwise happens with the next call. */
+  public void refresh() {
+    table.refresh();
+  }
+
   @Override
   public PlacementHandle request(
       CallDescriptor call, AttemptHistory history, PlacementListener listener) {
-    QueuedCall queued = queuedCall(call, history, listener);
+    QueuedCall queued = calls.queuedCall(call, history, listener);
     Optional<ServiceState> service = table.service(call);
     if (service.isEmpty() || !dispatcher.hasServer(service.get())) {
       refuse(queued, Step.PICK_SERVER, PlacementRule.NO_SERVER);
@@ -170,35 +181,6 @@
     }
   }
 
-  private QueuedCall queuedCall(
-      CallDescriptor call, AttemptHistory history, PlacementListener listener) {
-    String service = call.route().service();
-    String route = call.route().name();
-    Optional<RoutingSettings> settings = table.service(call).map(state -> state.view().settings());
-    double longWorkFactor = settings.map(s -> s.value(Tunable.LONG_WORK_FACTOR)).orElse(1.0);
-    double deadlineMargin = settings.map(s -> s.value(Tunable.DEADLINE_MARGIN)).orElse(1.0);
-    double expectedMillis = statistics.expectedMillis(service, route);
-    return new QueuedCall(
-        call,
-        history,
-        listener,
-        table.groupWeight(call.callerGroup()),
-        statistics.isLongWork(service, route, longWorkFactor),
-        clock.millis(),
-        expectedMillis,
-        computeLatestStart(call, settings, deadlineMargin * expectedMillis));
-  }
-
-  private long computeLatestStart(
-      CallDescriptor call, Optional<RoutingSettings> settings, double neededMillis) {
-    long latestStart = call.deadlineMillis() - (long) neededMillis;
-    if (call.route().mayWait() || settings.isEmpty()) {
-      return latestStart;
-    }
-    long maxQueueMillis = (long) settings.get().value(Tunable.MAX_QUEUE_MILLIS);
-    return Math.min(latestStart, clock.millis() + maxQueueMillis);
-  }
-
   private boolean tryGrant(ServiceState service, QueuedCall queued) {
     return dispatcher
         .dispatch(service, placementRequest(queued))
@@ -229,7 +211,8 @@
       freeSlot(service, dispatch.server(), queued.longWork());
       return false;
     }
-    ServerGrant grant = new ServerGrant(service, dispatch.server(), queued, this::attemptEnded);
+    ServerGrant grant =
+        new ServerGrant(service, dispatch.server(), queued, unanswered, this::attemptEnded);
     observer.granted(queued.call(), grant.server(), dispatch.reason());
     queued.listener().granted(grant);
     return true;
@@ -241,7 +224,13 @@
     }
     Fault fault = new Fault(step, Peer.SELF, "", "not run: " + rule.label());
     observer.refused(queued.call(), fault, refusalReason(rule, queued));
-    queued.listener().refused(new Refusal(fault, returnTime.millis(backlog(queued))));
+    long returnMillis = returnTime.millis(backlog(queued));
+    long pauseMillis =
+        table
+            .service(queued.call().route().service())
+            .map(service -> (long) Math.ceil(dispatcher.pauseMillis(service)))
+            .orElse(0L);
+    queued.listener().refused(new Refusal(fault, Math.max(returnMillis, pauseMillis)));
   }
 
   private PlacementReason refusalReason(PlacementRule rule, QueuedCall queued) {
@@ -371,7 +360,7 @@
   private void attemptEnded(
       ServiceState service, ServerState server, QueuedCall queued, AttemptReport report) {
     CallDescriptor call = queued.call();
-    if (mayStillRun(report.outcome())) {
+    if (report.outcome().mayStillRun()) {
       double remainingMillis = statistics.expectedMillis(service.name(), call.route().name());
       scheduler.schedule(
           (long) Math.ceil(remainingMillis), () -> freeSlot(service, server, queued.longWork()));
@@ -382,10 +371,6 @@
     service.serveFreed(server, this::serveQueue);
   }
 
-  private static boolean mayStillRun(AttemptOutcome outcome) {
-    return outcome instanceof AttemptOutcome.Unknown || outcome instanceof AttemptOutcome.Cancelled;
-  }
-
   private static void freeSlot(ServiceState service, ServerState server, boolean longWork) {
     server.load().releaseSlot();
     service.attemptEnded(longWork);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RequestLimits.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RequestLimits.java
@@ -25,9 +25,15 @@
   private final Clock clock;
   private final UniformRandomProvider random;
   private final PlacementObserver observer;
+  private final ColdServers coldServers;
 
   RequestLimits(
-      LimitShares shares, Clock clock, UniformRandomProvider random, PlacementObserver observer) {
+      LimitShares shares,
+      Clock clock,
+      UniformRandomProvider random,
+      PlacementObserver observer,
+      ColdServers coldServers) {
+    this.coldServers = coldServers;
     this.shares = shares;
     this.clock = clock;
     this.random = random;
@@ -75,18 +81,22 @@
 
   @Override
   public double millisUntilOpen(ServiceState service, ServerState server, double nowMillis) {
-    Optional<ServerLimit> limit = server.requestLimit();
-    return limit.isEmpty()
-        ? 0
-        : limit.get().pace().millisToNext(nowMillis, sharePerSecond(limit.get()));
+    double namedMillis =
+        server
+            .requestLimit()
+            .map(limit -> limit.pace().millisToNext(nowMillis, sharePerSecond(limit)))
+            .orElse(0.0);
+    return Math.max(namedMillis, coldServers.millisToNext(server));
   }
 
   @Override
   public boolean tryPass(ServiceState service, ServerState server, double nowMillis) {
-    return server
-        .requestLimit()
-        .map(limit -> limit.pace().tryUse(nowMillis, sharePerSecond(limit)))
-        .orElse(true);
+    return coldServers.allow(server)
+        && server
+            .requestLimit()
+            .map(limit -> limit.pace().tryUse(nowMillis, sharePerSecond(limit)))
+            .orElse(true)
+        && coldServers.tryTake(server);
   }
 
   /** A probe counts against the limit that a server names. */
@@ -110,17 +120,24 @@
     }
     double nextMillis = Double.POSITIVE_INFINITY;
     for (ServerState server : servers) {
-      Optional<ServerLimit> limit = server.requestLimit();
-      if (limit.isPresent() && accepts.test(server)) {
-        RequestPace pace = limit.get().pace();
-        nextMillis =
-            Math.min(
-                nextMillis, pace.millisToNext(clock.exactMillis(), sharePerSecond(limit.get())));
+      if (accepts.test(server)) {
+        double namedMillis =
+            server
+                .requestLimit()
+                .map(limit -> limit.pace().millisToNext(clock.exactMillis(), sharePerSecond(limit)))
+                .orElse(0.0);
+        nextMillis = Math.min(nextMillis, Math.max(namedMillis, coldServers.millisToNext(server)));
       }
     }
     return nextMillis + ahead * millisPerRequest;
   }
 
+  /** Returns this entry's share of the limits of a server, infinite if it has none. */
+  private double sharePerSecond(ServerState server) {
+    double named = server.requestLimit().map(this::sharePerSecond).orElse(Double.POSITIVE_INFINITY);
+    return Math.min(named, coldServers.sharePerSecond(server).orElse(Double.POSITIVE_INFINITY));
+  }
+
   /**
    * Returns the expected time, in milliseconds, between two requests of this entry that the limits
    * let through; 0 if one of the servers has no limit, infinite if there is no server.
@@ -132,11 +149,11 @@
     double perSecond = 0;
     for (ServerState server : servers) {
       if (accepts.test(server)) {
-        Optional<ServerLimit> limit = server.requestLimit();
-        if (limit.isEmpty()) {
+        double share = sharePerSecond(server);
+        if (Double.isInfinite(share)) {
           return 0;
         }
-        perSecond += sharePerSecond(limit.get());
+        perSecond += share;
       }
     }
     return MILLIS_PER_SECOND / perSecond;
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerChange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerChange.java
@@ -5,7 +5,14 @@
   EJECTED("ejected"),
   RETURNED("returned"),
   LEAVING("leaving"),
-  STAYING("staying");
+  STAYING("staying"),
+  COLD("cold"),
+  WARM("warm"),
+  UNANSWERING("unanswering"),
+  ANSWERING("answering"),
+  STATES_LEAVING("states-leaving"),
+  PAUSED("paused"),
+  RESUMED("resumed");
 
   private final String label;
 
--- a/wagtailpin/src/main/java/org/wagtailpin/transport/HttpDialect.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/transport/HttpDialect.java
@@ -32,7 +32,13 @@
  * @param allowsFractionalRetryAfter whether Retry-After may have fractions of a second
  * @param buffersAnswers whether answers up to a maximum length are buffered before they are
  *     relayed, so that one that fails midway can be replaced
+ * @param slowStart header in which a backend server's answer to a probe states for how many
+ *     milliseconds the server is cold, empty if there is none
  * @param customerHeaders headers by which customers are identified; empty if they are not
+ * @param serverLeaving header whose value 1 in an answer says that the server is leaving, empty if
+ *     there is none
+ * @param serverPause header of an answer with status 503 that states for how many seconds the
+ *     server wants no requests, empty if it has no such meaning
  */
 public record HttpDialect(
     AsciiString requestId,
@@ -50,9 +56,28 @@
     boolean allowsUnframedAnswers,
     boolean allowsFractionalRetryAfter,
     boolean buffersAnswers,
-    Optional<CustomerHeaders> customerHeaders) {
+    Optional<AsciiString> slowStart,
+    Optional<CustomerHeaders> customerHeaders,
+    Optional<AsciiString> serverLeaving,
+    Optional<AsciiString> serverPause) {
 
-  /** Creates a dialect without customers. */
+  /** Format of the load header. */
+  public enum LoadFormat {
+    /** Named members: {@code inflight=3, queued=0, leaving}. */
+    MEMBERS,
+    /** Numbers in this order: running, waiting, slots and, if known, the slowness in percent. */
+    COLUMNS
+  }
+
+  /** Makes the dialect immutable by copying the set of status codes. */
+  public HttpDialect {
+    notRunStatuses = Set.copyOf(notRunStatuses);
+  }
+
+  /**
+   * Creates a dialect without customers, in which servers state neither that they are cold nor that
+   * they leave or pause.
+   */
   public HttpDialect(
       AsciiString requestId,
       AsciiString callerTimeout,
@@ -85,22 +110,12 @@
         allowsUnframedAnswers,
         allowsFractionalRetryAfter,
         buffersAnswers,
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
         Optional.empty());
   }
 
-  /** Format of the load header. */
-  public enum LoadFormat {
-    /** Named members: {@code inflight=3, queued=0, leaving}. */
-    MEMBERS,
-    /** Numbers in this order: running, waiting, slots and, if known, the slowness in percent. */
-    COLUMNS
-  }
-
-  /** Makes the dialect immutable by copying the set of status codes. */
-  public HttpDialect {
-    notRunStatuses = Set.copyOf(notRunStatuses);
-  }
-
   /** Returns the default dialect, with the header names of {@link WagtailpinHeaders}. */
   public static HttpDialect standard() {
     return new HttpDialect(
--- a/wagtailpin/src/test/java/org/wagtailpin/call/CustomerEntry.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/CustomerEntry.java
@@ -74,9 +74,12 @@
             false,
             false,
             false,
+            Optional.empty(),
             Optional.of(
                 new CustomerHeaders(
-                    AsciiString.cached("X-Api-Key"), AsciiString.cached("Wagtailpin-Tenant"))));
+                    AsciiString.cached("X-Api-Key"), AsciiString.cached("Wagtailpin-Tenant"))),
+            Optional.empty(),
+            Optional.empty());
     SystemClock clock = new SystemClock();
     backend =
         new BackendClient(BackendSettings.defaults(), loops, server -> 100, clock, dialect, events);
