--- a/wagtailpin/src/main/java/org/wagtailpin/limits/BacklogReturnTime.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/BacklogReturnTime.java
@@ -1,5 +1,6 @@
 package org.wagtailpin.limits;
 
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wagtailpin.clock.Clock;
@@ -11,7 +12,8 @@
  * <p>For crests, in which many callers of one service are refused within a moment: each of them is
  * given a time of its own after those that were refused before it. The more urgent a request is,
  * the less work is ahead of it, so the sooner its caller comes back. A caller that must finish soon
- * is not sent away for longer than a part of the time that it has left. Thread-safe.
+ * is not sent away for longer than a part of the time that it has left. Callers of a customer that
+ * exceeds its share have a line of their own, at the pace of that share. Thread-safe.
  */
 public final class BacklogReturnTime implements ReturnTime {
 
@@ -22,7 +24,16 @@
   /** The share of the longest time from which on callers that find no time of their own return. */
   private static final double LATE_SHARE = 0.5;
 
-  private record Line(String service, int priority) {}
+  /**
+   * The longest time for the callers of a customer that exceeds its share. Above the other limit,
+   * also beyond the deadline, as a caller that came sooner would be refused again.
+   */
+  private static final long MAX_CUSTOMER_MILLIS = 5_000;
+
+  /** From how many lines on those are forgotten whose last caller is due. */
+  private static final int MIN_FORGET_LINES = 1_024;
+
+  private record Line(String service, int priority, Optional<String> customer) {}
 
   private final Clock clock;
   private final UniformRandomProvider random;
@@ -45,14 +56,19 @@
     double excessMillis = backlog.waitMillis() - backlog.acceptedWaitMillis();
     double knownMillis = Double.isFinite(excessMillis) ? excessMillis : MIN_MILLIS;
     double earliest = now + Math.max(MIN_MILLIS, knownMillis);
+    boolean ofCustomer = backlog.customer().isPresent();
+    long longestMillis = ofCustomer ? MAX_CUSTOMER_MILLIS : MAX_MILLIS;
     double maxMillis =
-        Math.max(1, Math.min(MAX_MILLIS, backlog.remainingMillis() * MAX_REMAINING_SHARE));
+        ofCustomer
+            ? MAX_CUSTOMER_MILLIS
+            : Math.max(1, Math.min(MAX_MILLIS, backlog.remainingMillis() * MAX_REMAINING_SHARE));
     double paceMillis =
         Double.isFinite(backlog.millisPerCall()) ? Math.max(0, backlog.millisPerCall()) : 0;
+    forgetDue(now);
     double time =
         lastReturns.compute(
-            new Line(backlog.service(), backlog.priority()),
-            (line, last) -> nextReturn(last, earliest, paceMillis, now + MAX_MILLIS));
+            new Line(backlog.service(), backlog.priority(), backlog.customer()),
+            (line, last) -> nextReturn(last, earliest, paceMillis, now + longestMillis));
     double millis = time - now + paceMillis * random.nextDouble();
     if (millis > maxMillis) {
       millis = maxMillis * (LATE_SHARE + (1 - LATE_SHARE) * random.nextDouble());
@@ -60,6 +76,12 @@
     return Math.max(1, (long) millis);
   }
 
+  private void forgetDue(double now) {
+    if (lastReturns.size() > MIN_FORGET_LINES) {
+      lastReturns.values().removeIf(last -> last < now);
+    }
+  }
+
   private static double nextReturn(Double last, double earliest, double paceMillis, double latest) {
     double next = last == null ? earliest : Math.max(earliest, last + paceMillis);
     return Math.min(next, latest);
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/FairQueue.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/FairQueue.java
@@ -20,6 +20,12 @@
  */
 public final class FairQueue<W extends QueuedWork> {
 
+  /** From how many groups on those are forgotten that have no effect on the order any more. */
+  private static final int MIN_FORGET_GROUPS = 64;
+
+  /** How many groups are remembered for what they have used, though they have nothing queued. */
+  private static final int MAX_IDLE_GROUPS = 1_024;
+
   private record Tagged<W>(W work, double startTag, long sequence) {}
 
   private final PriorityQueue<Tagged<W>> regular =
@@ -30,6 +36,7 @@
   private final Map<String, Double> finishTags = new HashMap<>();
   private double virtualTime;
   private long nextSequence;
+  private int forgetGroups = MIN_FORGET_GROUPS;
 
   /**
    * Adds an item.
@@ -46,6 +53,30 @@
     double cost = 1 / (work.weight() * (1 + work.depth()));
     finishTags.put(work.callerGroup(), startTag + cost);
     regular.add(new Tagged<>(work, startTag, nextSequence++));
+    if (finishTags.size() > forgetGroups) {
+      forgetGroups();
+    }
+  }
+
+  private void forgetGroups() {
+    // The next start tag of such a group is the virtual time with or without its finish tag.
+    finishTags.values().removeIf(tag -> tag <= virtualTime);
+    if (finishTags.size() > MAX_IDLE_GROUPS) {
+      finishTags.keySet().retainAll(sizeByGroup().keySet());
+    }
+    forgetGroups = Math.max(MIN_FORGET_GROUPS, 2 * finishTags.size());
+  }
+
+  /** Returns how many groups are remembered. */
+  int groups() {
+    return finishTags.size();
+  }
+
+  /** Returns how many items of each group are queued, without those that may wait. */
+  Map<String, Integer> sizeByGroup() {
+    Map<String, Integer> sizes = new HashMap<>();
+    regular.forEach(tagged -> sizes.merge(tagged.work().callerGroup(), 1, Integer::sum));
+    return sizes;
   }
 
   /**
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/ReturnTime.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/ReturnTime.java
@@ -1,5 +1,7 @@
 package org.wagtailpin.limits;
 
+import java.util.Optional;
+
 /**
  * Decides when the caller of a refused request may come back. What is decided is named in the
  * answer, so that callers neither wait in vain nor come before there is room for them.
@@ -18,6 +20,8 @@
    * @param millisPerCall the time between two slots that become free, in milliseconds; infinite if
    *     that is not known
    * @param remainingMillis the time that is left until the request's deadline, in milliseconds
+   * @param customer the customer whose share of the service the request exceeds, if that is why it
+   *     is refused; the times are then those of the share
    */
   record Backlog(
       String service,
@@ -25,7 +29,27 @@
       double waitMillis,
       double acceptedWaitMillis,
       double millisPerCall,
-      long remainingMillis) {}
+      long remainingMillis,
+      Optional<String> customer) {
+
+    /** Creates the backlog of a request that does not exceed the share of a customer. */
+    public Backlog(
+        String service,
+        int priority,
+        double waitMillis,
+        double acceptedWaitMillis,
+        double millisPerCall,
+        long remainingMillis) {
+      this(
+          service,
+          priority,
+          waitMillis,
+          acceptedWaitMillis,
+          millisPerCall,
+          remainingMillis,
+          Optional.empty());
+    }
+  }
 
   /**
    * Returns the time after which the caller may come back, in milliseconds, at least 1.
