Show operators and callers how customers share a service

Cause: nothing tells why a customer's calls are refused, and the entry's parts do not share what they know of customers.

--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -38,6 +38,7 @@
 import org.wagtailpin.hostlist.HostState;
 import org.wagtailpin.hostlist.HostStates;
 import org.wagtailpin.hostlist.HttpHostList;
+import org.wagtailpin.limits.CustomerAdmission;
 import org.wagtailpin.membership.ConfigWatchController;
 import org.wagtailpin.membership.EqualShares;
 import org.wagtailpin.membership.FleetMembership;
@@ -79,6 +80,7 @@
   private final Supplier<Optional<StateConfirmation>> confirmation;
   private final EventLogConfigListener configEvents;
   private final ShardedClaims claims;
+  private final CustomerAdmission customerAdmission;
   private final ControlLoop loop;
   private final Clock clock;
   private final EventLog events;
@@ -94,6 +96,7 @@
     this.loop = loop;
     this.clock = clock;
     this.events = events;
+    customerAdmission = new CustomerAdmission(clock);
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     incarnation = clock.wallMillis();
     storeClient = new StoreHttpClient(StoreTimeouts.defaults());
@@ -348,6 +351,11 @@
     return shares;
   }
 
+  /** Returns what decides which calls exceed the shares of their customers. */
+  public CustomerAdmission customerAdmission() {
+    return customerAdmission;
+  }
+
   /** Returns the claims of idempotency keys. */
   public ShardedClaims claims() {
     return claims;
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryGauges.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryGauges.java
@@ -6,11 +6,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 import org.wagtailpin.backend.UnmatchedReason;
 import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.config.ConfigService;
 import org.wagtailpin.config.ConfigSnapshot;
+import org.wagtailpin.limits.CustomerAdmission;
 import org.wagtailpin.membership.PeerStatus;
 
 /**
@@ -60,6 +62,8 @@
         node.control()::watchPhase);
     registerServerGauges(registry, node);
     registerPeerGauges(registry, node);
+    registerCustomerGauges(
+        registry, node.control().published()::current, node.control().customerAdmission());
     registerCounter(
         registry, "wagtailpin_log_lines_dropped", "Log lines dropped.", node.events()::dropped);
     registerCounter(
@@ -104,6 +108,30 @@
         .register(registry);
   }
 
+  private static void registerCustomerGauges(
+      PrometheusRegistry registry, Supplier<ConfigSnapshot> config, CustomerAdmission customers) {
+    GaugeWithCallback.builder()
+        .name("wagtailpin_customers_over_share")
+        .help("Customers that ask an overloaded service for more than their share.")
+        .labelNames("service")
+        .callback(
+            gauge -> {
+              for (ConfigService service : config.get().services()) {
+                gauge.call(customers.excessiveCustomers(service.name()), service.name());
+              }
+            })
+        .register(registry);
+    GaugeWithCallback.builder()
+        .name("wagtailpin_customer_sums_age_seconds")
+        .help("Age of the sums of the failure domain by which customers share capacity.")
+        .callback(
+            gauge ->
+                customers
+                    .sumsAgeMillis()
+                    .ifPresent(millis -> gauge.call(millis / MILLIS_PER_SECOND)))
+        .register(registry);
+  }
+
   private static void registerPeerGauges(PrometheusRegistry registry, EntryNode node) {
     registerGauge(
         registry,
--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -81,7 +81,8 @@
                 List.of(
                     new PrometheusPlacementObserver(registry),
                     new EventLogPlacementObserver(events))),
-            new BackendLoadProbe(backend, trafficLoops, platform.dialect(), PROBE_TIMEOUT_MILLIS));
+            new BackendLoadProbe(backend, trafficLoops, platform.dialect(), PROBE_TIMEOUT_MILLIS),
+            control.customerAdmission());
     environment =
         new CallEnvironment(
             CallSettings.defaults(),
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/PrometheusPlacementObserver.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/PrometheusPlacementObserver.java
@@ -15,6 +15,7 @@
 
   private final Counter granted;
   private final Counter refused;
+  private final Counter shareRefused;
   private final Counter changes;
   private final Counter limits;
   private final Histogram queued;
@@ -37,6 +38,12 @@
             .help("Attempts that got no server, by service and rule")
             .labelNames("service", "rule")
             .register(registry);
+    shareRefused =
+        Counter.builder()
+            .name("wagtailpin_customer_share_refusals_total")
+            .help("Calls beyond their customer's share that got no server, by where it is known")
+            .labelNames("service", "sums")
+            .register(registry);
     changes =
         Counter.builder()
             .name("wagtailpin_server_changes_total")
@@ -68,7 +75,12 @@
 
   @Override
   public void refused(CallDescriptor call, Fault fault, PlacementReason reason) {
-    refused.labelValues(call.route().service(), reason.rule().label()).inc();
+    String service = call.route().service();
+    refused.labelValues(service, reason.rule().label()).inc();
+    reason
+        .excess()
+        .map(excess -> excess.domainSums() ? "domain" : "own")
+        .ifPresent(sums -> shareRefused.labelValues(service, sums).inc());
   }
 
   @Override
