--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -90,7 +90,8 @@
             statistics,
             observer,
             new BackendLoadProbe(backend, trafficLoops, platform.dialect(), PROBE_TIMEOUT_MILLIS),
-            notices);
+            notices,
+            control.customerAdmission());
     // An entry without calls during an evacuation has to know, too, that the servers return cold.
     control
         .merger()
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
@@ -18,6 +18,7 @@
 import org.wagtailpin.config.IdempotencyKeyRule;
 import org.wagtailpin.config.Tunable;
 import org.wagtailpin.control.ManualControlLoop;
+import org.wagtailpin.limits.CustomerAdmission;
 import org.wagtailpin.limits.RouteStatistics;
 import org.wagtailpin.membership.LimitShares;
 
@@ -141,18 +142,34 @@
 
   /** Returns a placement that heeds what servers state about themselves. */
   QueueingPlacement placement(ServerNotices notices) {
+    return placement(SEED, statistics, notices, new CustomerAdmission(clock));
+  }
+
+  /** Returns the placement of one of several entries, with its own statistics. */
+  QueueingPlacement placement(
+      long seed, RouteStatistics ownStatistics, CustomerAdmission customerAdmission) {
+    ServerNotices notices = new ServerNotices(clock, loop::schedule, PlacementObserver.none());
+    return placement(seed, ownStatistics, notices, customerAdmission);
+  }
+
+  private QueueingPlacement placement(
+      long seed,
+      RouteStatistics ownStatistics,
+      ServerNotices notices,
+      CustomerAdmission customerAdmission) {
     return new QueueingPlacement(
         () -> snapshot,
         new Locality("north", "n1"),
         shares(),
         leavingHosts,
         clock,
-        new SharedRandom(SEED),
+        new SharedRandom(seed),
         loop::schedule,
-        statistics,
+        ownStatistics,
         PlacementObserver.none(),
         LoadProbe.none(),
-        notices);
+        notices,
+        customerAdmission);
   }
 
   LimitShares shares() {
