--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -9,6 +9,11 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.wagtailpin.budget.BudgetMetrics;
+import org.wagtailpin.budget.BudgetSettings;
+import org.wagtailpin.budget.ConfigBudgetLimits;
+import org.wagtailpin.budget.FleetBudgets;
+import org.wagtailpin.budget.PeerBudgetLink;
 import org.wagtailpin.claims.ClaimSettings;
 import org.wagtailpin.claims.ShardedClaims;
 import org.wagtailpin.clock.Clock;
@@ -78,6 +83,7 @@
   private final NettyPeerMessenger messenger;
   private final FleetMembership membership;
   private final LimitShares shares;
+  private final Optional<FleetBudgets> budgets;
   private final Supplier<Optional<StateConfirmation>> confirmation;
   private final EventLogConfigListener configEvents;
   private final ShardedClaims claims;
@@ -93,6 +99,7 @@
       Clock clock,
       ControlLoop loop,
       EventLog events,
+      BudgetMetrics budgetMetrics,
       long seed) {
     this.loop = loop;
     this.clock = clock;
@@ -133,10 +140,13 @@
     hostListPoller = createHostListPoller(settings, clock, random);
     Fleet fleet =
         registryWatcher
-            .map(watch -> domainFleet(settings, addresses, watch, random, timing, events))
+            .map(
+                watch ->
+                    domainFleet(settings, addresses, watch, random, timing, events, budgetMetrics))
             .orElseGet(() -> meshFleet(settings, platform, addresses, random));
     membership = fleet.membership();
     shares = fleet.shares();
+    budgets = fleet.budgets();
     PeerEventRecorder peerEventRecorder =
         new PeerEventRecorder(events, platform.membershipSettings().suspicionTimeoutMillis());
     membership.setStatusListener(status -> peerEventRecorder.update(status.peers()));
@@ -160,7 +170,8 @@
   private record Fleet(
       FleetMembership membership,
       LimitShares shares,
-      Supplier<Optional<StateConfirmation>> confirmation) {}
+      Supplier<Optional<StateConfirmation>> confirmation,
+      Optional<FleetBudgets> budgets) {}
 
   private Fleet domainFleet(
       EntrySettings settings,
@@ -168,7 +179,8 @@
       RegistryWatcher watch,
       UniformRandomProvider random,
       FleetTiming timing,
-      EventLog events) {
+      EventLog events,
+      BudgetMetrics budgetMetrics) {
     DomainFleet fleet =
         new DomainFleet(
             selfMember(settings, incarnation),
@@ -188,7 +200,8 @@
     return new Fleet(
         fleet,
         new EqualShares(new HighestCount(fleet::fleetSize, clock, FLEET_SIZE_MEMORY_MILLIS)),
-        fleet::confirmation);
+        fleet::confirmation,
+        Optional.of(createBudgets(settings, fleet, events, budgetMetrics)));
   }
 
   private Fleet meshFleet(
@@ -210,7 +223,26 @@
             random,
             platform.membershipSettings(),
             seedNames(settings));
-    return new Fleet(mesh, mesh, Optional::empty);
+    return new Fleet(mesh, mesh, Optional::empty, Optional.empty());
+  }
+
+  private FleetBudgets createBudgets(
+      EntrySettings settings, DomainFleet fleet, EventLog events, BudgetMetrics metrics) {
+    PeerBudgetLink link = new PeerBudgetLink(messenger);
+    FleetBudgets created =
+        new FleetBudgets(
+            settings.id(),
+            BudgetSettings.ofQuotas(
+                Math.max(1, settings.failureDomains().size()), settings.constants()),
+            new ConfigBudgetLimits(published),
+            fleet.budgetPeers(),
+            link,
+            loop,
+            clock,
+            metrics,
+            events);
+    link.answerWith(created);
+    return created;
   }
 
   private static ConfigLimit tunableDefaults(Map<Tunable, Double> tunables) {
@@ -278,6 +310,7 @@
       throw new IOException(failed.fault().toString());
     }
     loop.execute(membership::start);
+    budgets.ifPresent(shared -> loop.execute(shared::start));
     registryWatcher.ifPresent(watch -> loop.execute(confirmationRecorder(watch)::start));
     hostListPoller.ifPresent(poller -> loop.execute(poller::start));
   }
@@ -369,6 +402,11 @@
     return customerAdmission;
   }
 
+  /** Returns the budgets shared with other entries, empty if there is no registry. */
+  Optional<FleetBudgets> budgets() {
+    return budgets;
+  }
+
   /** Returns the claims of idempotency keys. */
   public ShardedClaims claims() {
     return claims;
@@ -382,6 +420,7 @@
   @Override
   public void close() {
     loop.execute(membership::stop);
+    budgets.ifPresent(shared -> loop.execute(shared::stop));
     loop.execute(configWatcher::stop);
     hostListPoller.ifPresent(poller -> loop.execute(poller::stop));
     messenger.close();
--- a/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/EntryNode.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import org.wagtailpin.budget.PrometheusBudgetMetrics;
 import org.wagtailpin.caller.CallerLimits;
 import org.wagtailpin.caller.CallerListener;
 import org.wagtailpin.caller.CallerSettings;
@@ -110,7 +111,9 @@
     this.events =
         new BoundedEventLog(settings.id(), settings.eventLog(), clock, eventLines, flushEventLines);
     long seed = settings.seed().orElseGet(System::nanoTime);
-    this.control = new ControlParts(settings, platform, clock, loop, events, seed);
+    this.control =
+        new ControlParts(
+            settings, platform, clock, loop, events, new PrometheusBudgetMetrics(registry), seed);
     this.traffic =
         new TrafficParts(
             settings, platform, clock, loop, trafficLoops, control, registry, events, seed);
--- a/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
@@ -194,10 +194,17 @@
     Optional<Fault> refusal =
         ended || superseded ? Optional.empty() : requestFactory.refusal();
     if (ended || superseded || refusal.isPresent()) {
-      grant.finished(new AttemptReport(new AttemptOutcome.Cancelled(), 0, Optional.empty()));
+      grant.finished(AttemptReport.cancelled());
       refusal.ifPresent(this::refuseRemovedKey);
       return;
     }
+    if (!grant.usable()) {
+      grant.finished(AttemptReport.notSent());
+      if (replaced.isEmpty()) {
+        place();
+      }
+      return;
+    }
     replaced.ifPresent(before -> before.attempt().expire(before.fault()));
     history = history.with(grant.server().name());
     Attempt next = new Attempt(this, service, grant);
--- a/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventKind.java
@@ -152,6 +152,8 @@
   SERVER_UNLIMITED("server-unlimited", false, "server"),
   SERVER_COLD("server-cold", false, "server"),
   SERVER_WARM("server-warm", false, "server"),
+  BUDGET_EXHAUSTED("budget-exhausted", false, "kind", "name"),
+  BUDGET_AVAILABLE("budget-available", false, "kind", "name", "exhaustedMillis", "denied"),
   EVACUATION_BEGUN("evacuation-begun", false, "failureDomain", "revision"),
   EVACUATION_ENDED("evacuation-ended", false, "failureDomain", "revision"),
   KEY_REFUSED("key-refused", false, "reason", "keyHash", "omitted"),
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptOutcome.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptOutcome.java
@@ -32,6 +32,9 @@
    */
   record Cancelled() implements AttemptOutcome {}
 
+  /** The attempt was not sent, so it states nothing about the server. */
+  record NotSent() implements AttemptOutcome {}
+
   /** Returns whether the server may still run the request after the end of the attempt. */
   default boolean mayStillRun() {
     return this instanceof Unknown || this instanceof Cancelled;
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Grant.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Grant.java
@@ -8,6 +8,11 @@
   /** Returns the server to run the attempt on. */
   ConfigServer server();
 
+  /** Returns whether the attempt may still be sent; if not, the grant is finished without it. */
+  default boolean usable() {
+    return true;
+  }
+
   /**
    * Returns the time without an answer from which on the attempt counts as unanswered, in
    * milliseconds; infinite if it never does.
