Register again and refuse claims after a restore of the store

A registration without a lease was written once, so that it was missing for good from a restored store; it is written again with the first lease of the later era. Claims granted since the copy are missing as well, so an owner that sees the era change grants none for a whole window.

--- a/wagtailpin/src/main/java/org/wagtailpin/claims/OwnedShards.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/claims/OwnedShards.java
@@ -28,6 +28,7 @@
   private final UniformRandomProvider random;
   private final ClaimCounters counters;
   private final WindowLease lease;
+  private final RestoreBarrier barrier;
   private final Map<Integer, ClaimShard> shards = new HashMap<>();
   private long viewVersion;
 
@@ -49,6 +50,7 @@
     this.random = random;
     this.counters = counters;
     this.lease = new WindowLease(store, clock, loop, counters, settings.windowMillis());
+    this.barrier = new RestoreBarrier(clock, settings.windowMillis());
   }
 
   /**
@@ -117,6 +119,7 @@
         new ShardWriter(
             shardStore,
             new SegmentArchive(shardStore, lease),
+            barrier,
             log,
             settings.maxSegmentBytes(),
             clock,
--- a/wagtailpin/src/main/java/org/wagtailpin/claims/ShardWriter.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/claims/ShardWriter.java
@@ -12,6 +12,7 @@
 import org.wagtailpin.store.ListResult;
 import org.wagtailpin.store.ReadResult;
 import org.wagtailpin.store.StoreEntry;
+import org.wagtailpin.store.StoreRevision;
 import org.wagtailpin.store.WriteResult;
 
 /**
@@ -41,6 +42,7 @@
 
   private final ShardStore store;
   private final SegmentArchive archive;
+  private final RestoreBarrier barrier;
   private final ShardLog log;
   private final int maxSegmentBytes;
   private final Clock clock;
@@ -52,6 +54,7 @@
   ShardWriter(
       ShardStore store,
       SegmentArchive archive,
+      RestoreBarrier barrier,
       ShardLog log,
       int maxSegmentBytes,
       Clock clock,
@@ -60,6 +63,7 @@
       ClaimCounters counters) {
     this.store = store;
     this.archive = archive;
+    this.barrier = barrier;
     this.log = log;
     this.maxSegmentBytes = maxSegmentBytes;
     this.clock = clock;
@@ -85,7 +89,10 @@
   void load(Consumer<Boolean> callback) {
     store.listAll(
         result -> {
-          loaded = result instanceof ListResult.Listed listed && rebuild(listed, 0, "").isPresent();
+          loaded =
+              result instanceof ListResult.Listed listed
+                  && barrier.mayGrantAfter(listed.storeRevision())
+                  && rebuild(listed, 0, "").isPresent();
           callback.accept(loaded);
         });
   }
@@ -145,7 +152,10 @@
   private void readNewerHead(PendingWrite write) {
     store.readHead(
         result -> {
-          if (result instanceof ReadResult.Found found && isNewEnough(found.entry(), write)) {
+          if (isOfLaterEra(storeRevision(result), write)) {
+            abandonLog(write, storeRevision(result));
+          } else if (result instanceof ReadResult.Found found
+              && isNewEnough(found.entry(), write)) {
             applyNewerHead(write, found.entry());
           } else {
             loop.schedule(backoffMillis(), () -> readNewerHead(write));
@@ -153,6 +163,24 @@
         });
   }
 
+  private static long storeRevision(ReadResult result) {
+    if (result instanceof ReadResult.Found found) {
+      return found.storeRevision();
+    }
+    return result instanceof ReadResult.Absent absent ? absent.storeRevision() : 0;
+  }
+
+  private static boolean isOfLaterEra(long number, PendingWrite write) {
+    return StoreRevision.era(number) > StoreRevision.era(write.revision);
+  }
+
+  /** The log of a restored store is not a continuation of this copy, so it is loaded anew. */
+  private void abandonLog(PendingWrite write, long number) {
+    loaded = false;
+    var unused = barrier.mayGrantAfter(number);
+    write.callback.accept(false);
+  }
+
   // A read can return a state that is older than the conflict that caused it.
   private static boolean isNewEnough(StoreEntry entry, PendingWrite write) {
     return entry.revision() >= write.conflictRevision && entry.revision() > write.revision;
@@ -174,6 +202,11 @@
     String mark = write.batch.getMark();
     store.listAll(
         result -> {
+          if (result instanceof ListResult.Listed listed
+              && isOfLaterEra(listed.storeRevision(), write)) {
+            abandonLog(write, listed.storeRevision());
+            return;
+          }
           Optional<List<ClaimSegment>> segments =
               result instanceof ListResult.Listed listed
                   ? rebuild(listed, write.conflictRevision, mark)
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/LeaseManager.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/LeaseManager.java
@@ -34,6 +34,8 @@
   private boolean keyWritten;
   private boolean storeReachable;
   private Consumer<Boolean> reachabilityListener = reachable -> {};
+  private Runnable eraListener = () -> {};
+  private Optional<Long> era = Optional.empty();
   private Optional<Boolean> lastNotifiedReachable = Optional.empty();
   private boolean stopped;
   private long leaseEndMillis = NOT_HELD;
@@ -74,6 +76,24 @@
     reachabilityListener = listener;
   }
 
+  /**
+   * Sets the listener for a restore of the store from an older copy, after which it assigns leases
+   * of a later era.
+   *
+   * @param listener called on the control loop
+   */
+  void setEraListener(Runnable listener) {
+    eraListener = listener;
+  }
+
+  private void observeEra(long observed) {
+    boolean later = era.filter(known -> observed > known).isPresent();
+    era = Optional.of(observed);
+    if (later) {
+      eraListener.run();
+    }
+  }
+
   private void notifyReachability() {
     boolean changed =
         lastNotifiedReachable.isPresent() && lastNotifiedReachable.get() != storeReachable;
@@ -139,6 +159,7 @@
     storeReachable = !(result instanceof LeaseResult.Failed);
     notifyReachability();
     if (result instanceof LeaseResult.Held held) {
+      observeEra(held.lease().era());
       lease = Optional.of(held.lease());
       leaseEndMillis = sentMillis + held.ttlMillis() - settings.leaseMarginMillis();
       ensureKey(held.lease());
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/Membership.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/Membership.java
@@ -88,6 +88,7 @@
     this.seeds = List.copyOf(seeds);
     this.leaseManager = new LeaseManager(store, loop, clock, random, self, settings);
     this.registration = new Registration(store, loop, random, self, settings, this::onRegistered);
+    this.leaseManager.setEraListener(registration::registerAgain);
     this.reader = new StoreReader(store, loop, clock, random, settings, this::onStoreView);
     this.shares = new CurrentShares(clock, settings.guaranteedFraction(), initialValidity(self));
     PeerTable table = new PeerTable(self.id(), addresses, settings);
--- a/wagtailpin/src/main/java/org/wagtailpin/membership/Registration.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/membership/Registration.java
@@ -36,6 +36,12 @@
     loop.execute(this::register);
   }
 
+  /** Writes the registration again, since the store may have lost it. */
+  void registerAgain() {
+    confirmed = false;
+    register();
+  }
+
   /** Returns whether the store is known to hold the registration. */
   boolean confirmed() {
     return confirmed;
--- a/wagtailpin/src/test/java/org/wagtailpin/claims/ClaimFixture.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/claims/ClaimFixture.java
@@ -79,4 +79,8 @@
   int storedKeys() {
     return ((ListResult.Listed) memory.list("claims/").join()).entries().size();
   }
+
+  MemoryStore memory() {
+    return memory;
+  }
 }
--- a/wagtailpin/src/test/java/org/wagtailpin/fleet/SimulatedDomains.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/fleet/SimulatedDomains.java
@@ -105,10 +105,21 @@
   /** Writes the next version of the document, which the store acknowledges at once. */
   int changeDocument() {
     version++;
-    put(TestRegistryFormat.DOCUMENT, "v" + version);
+    rewriteDocument();
     return version;
   }
 
+  /** Writes the last version of the document again. */
+  void rewriteDocument() {
+    put(TestRegistryFormat.DOCUMENT, "v" + version + " " + version);
+  }
+
+  /** Restores the store from a copy, which all entries may notice late. */
+  void restoreStore(MemoryStore.Copy copy) {
+    faulty.restore(copy);
+    storeDisturbedMillis = clock.millis();
+  }
+
   void register(String server, String state) {
     put(TestRegistryFormat.SERVERS + server, state);
   }
--- a/wagtailpin/src/test/java/org/wagtailpin/fleet/SimulatedMember.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/fleet/SimulatedMember.java
@@ -17,6 +17,7 @@
 import org.wagtailpin.membership.PullConfigSync;
 import org.wagtailpin.registry.RegistryWatcher;
 import org.wagtailpin.registry.TestRegistryFormat;
+import org.wagtailpin.store.EraOrderedStore;
 import org.wagtailpin.store.Store;
 
 /** One entry of {@link SimulatedDomains}, which can be killed, restarted and paused. */
@@ -61,7 +62,7 @@
         new SilentConnections(
             fleet.store().client(id), started, SimulatedDomains.STORE_TIMEOUT_MILLIS);
     storeConnections = Optional.of(connections);
-    Store store = connections.client();
+    Store store = new EraOrderedStore(connections.client());
     published = new PublishedConfig();
     ConfigMerger merger = new ConfigMerger(fleet.clock(), new MergedConfig(), published);
     FleetTiming timing =
--- a/wagtailpin/src/test/java/org/wagtailpin/membership/MembershipTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/membership/MembershipTest.java
@@ -5,6 +5,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.wagtailpin.hostlist.HostState;
+import org.wagtailpin.store.memory.MemoryStore;
 
 /** Checks shares, failure detection and store load of simulated fleets. */
 class MembershipTest {
@@ -174,4 +175,27 @@
         .filter(entry -> entry.membership().status().watchesStore())
         .count();
   }
+
+  // Guards against a registration that is written once and never again, so that a new entry does
+  // not count those of before a restore of the store.
+  @Test
+  void entriesRegisterAgainAfterTheStoreWasRestoredFromAnOlderCopy() {
+    SimulatedFleet fleet = new SimulatedFleet(7);
+    MemoryStore.Copy copy = fleet.memory().copy();
+    for (int i = 0; i < 6; i++) {
+      fleet.startNew();
+    }
+    fleet.run(JOIN_MILLIS);
+    assertLimitsFullyAllocated(fleet);
+    int before = fleet.memory().copy().entries().size();
+
+    fleet.memory().restore(copy);
+    fleet.run(LONG_MILLIS);
+
+    assertThat(before).isEqualTo(6);
+    assertThat(fleet.memory().copy().entries()).hasSize(before);
+    fleet.startNew();
+    fleet.run(LONG_MILLIS);
+    assertLimitsFullyAllocated(fleet);
+  }
 }
--- a/wagtailpin/src/test/java/org/wagtailpin/membership/SimulatedFleet.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/membership/SimulatedFleet.java
@@ -75,6 +75,10 @@
     return store;
   }
 
+  MemoryStore memory() {
+    return store;
+  }
+
   boolean storeDown() {
     return storeDown;
   }
