--- a/proof/src/test/java/org/wagtailpin/proof/model/SpecificationTest.java
+++ b/proof/src/test/java/org/wagtailpin/proof/model/SpecificationTest.java
@@ -20,7 +20,7 @@
 class SpecificationTest {
 
   private static final List<Specification> ALL =
-      Stream.of("claims", "configuration", "shares").map(Specification::load).toList();
+      Stream.of("claims", "configuration", "restore", "shares").map(Specification::load).toList();
 
   @TestFactory
   Stream<DynamicTest> everyCheckHolds() {
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -8,17 +8,13 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.tinylog.Logger;
 import org.wagtailpin.clock.Clock;
-import org.wagtailpin.config.ConfigDocument;
 import org.wagtailpin.config.ConfigKind;
 import org.wagtailpin.config.ConfigMerger;
-import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.config.ConfigServerSet;
 import org.wagtailpin.config.ObjectId;
 import org.wagtailpin.config.VersionedObject;
 import org.wagtailpin.control.ControlLoop;
 import org.wagtailpin.error.Fault;
-import org.wagtailpin.eventlog.Event;
-import org.wagtailpin.eventlog.EventKind;
 import org.wagtailpin.eventlog.EventLog;
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreChange;
@@ -46,7 +42,7 @@
   private final Clock clock;
   private final ConfigMerger merger;
   private final RegistryFormat format;
-  private final EventLog events;
+  private final RegistryEvents registryEvents;
   private final StoreAvailability availability;
   private final StoreEraTracker eras;
   private final PrefixWatcher prefixWatcher;
@@ -83,7 +79,7 @@
     this.format = format;
     this.availability = new StoreAvailability(clock, format.renewalMillis(), events);
     this.eras = new StoreEraTracker(clock, events);
-    this.events = events;
+    this.registryEvents = new RegistryEvents(events);
     this.prefixWatcher =
         new PrefixWatcher(
             store,
@@ -131,34 +127,13 @@
       if (entry.revision() > documentRevision) {
         documentRevision = entry.revision();
         if (merger.merged().isHeldOverEras(document)) {
-          recordDocumentHeld(read.version(), entry.revision());
+          registryEvents.documentHeld(merger.merged(), read.version(), entry.revision());
           return;
         }
-        events.recordEvent(
-            Event.of(EventKind.CONFIG_READ)
-                .with("config", read.version())
-                .with("revision", entry.revision()));
+        registryEvents.documentRead(read.version(), entry.revision());
       }
     } else if (result instanceof DocumentReadResult.Unreadable unreadable) {
-      events.recordEvent(
-          Event.of(EventKind.CONFIG_REFUSED)
-              .with("revision", entry.revision())
-              .with("detail", unreadable.detail()));
-    }
-  }
-
-  private void recordDocumentHeld(long listedVersion, long listedRevision) {
-    for (VersionedObject object : merger.merged().objects()) {
-      if (object.value().isPresent()
-          && object.value().get() instanceof ConfigDocument held
-          && held.version() > listedVersion) {
-        events.recordEvent(
-            Event.of(EventKind.CONFIG_HELD)
-                .with("config", held.version())
-                .with("revision", object.ticket())
-                .with("listed", listedVersion)
-                .with("listedRevision", listedRevision));
-      }
+      registryEvents.documentRefused(entry.revision(), unreadable.detail());
     }
   }
 
@@ -228,7 +203,7 @@
 
     private void recordMissingDocument(List<StoreEntry> entries) {
       if (entries.stream().noneMatch(entry -> entry.key().equals(format.documentKey()))) {
-        recordDocumentHeld(0, 0);
+        registryEvents.documentHeld(merger.merged(), 0, 0);
       }
     }
 
@@ -273,10 +248,7 @@
     public void processingFailed(long revision, Throwable cause) {
       listed = false;
       Logger.error(cause, "failed to process a result of the store");
-      events.recordEvent(
-          Event.of(EventKind.STORE_RESULT_FAILED)
-              .with("revision", revision)
-              .with("detail", cause.toString()));
+      registryEvents.resultFailed(revision, cause);
     }
 
     @Override
@@ -314,20 +286,16 @@
           stateOf(name.get(), entry.revision(), Optional.of(read.server()));
       if (merger.merged().isHeldOverEras(listedState)) {
         if (known.isEmpty() || read.server().isOlderThan(known.get())) {
-          recordRegistrationHeld(known, read.server(), entry.revision());
+          registryEvents.registrationHeld(known, read.server(), entry.revision());
         }
         return;
       }
       RegisteredServer newest =
           known.filter(before -> read.server().isOlderThan(before)).orElse(read.server());
-      logChange(newest, known, entry.revision());
+      registryEvents.serverChanged(newest, known, entry.revision());
       states.add(stateOf(name.get(), entry.revision(), Optional.of(newest)));
     } else if (result instanceof ServerReadResult.Unreadable unreadable) {
-      events.recordEvent(
-          Event.of(EventKind.SERVER_REFUSED)
-              .with("server", name.get())
-              .with("revision", entry.revision())
-              .with("detail", unreadable.detail()));
+      registryEvents.serverRefused(name.get(), entry.revision(), unreadable.detail());
       if (eraGraceMillis(name.get(), entry.revision()) > 0) {
         removeAfterGracePeriod(name.get(), entry.revision(), states);
       } else {
@@ -336,16 +304,6 @@
     }
   }
 
-  private void recordRegistrationHeld(
-      Optional<RegisteredServer> known, RegisteredServer listedServer, long revision) {
-    events.recordEvent(
-        Event.of(EventKind.REGISTRATION_HELD)
-            .with("server", listedServer.server().name())
-            .with("sequence", known.map(held -> held.server().sequence()).orElse(0L))
-            .with("listed", listedServer.server().sequence())
-            .with("revision", revision));
-  }
-
   /** Reads a registration, which anyone may have written, so that one cannot hide the others. */
   private ServerReadResult readServer(String name, StoreEntry entry) {
     try {
@@ -379,20 +337,6 @@
         .map(set -> new RegisteredServer(set.service(), set.servers().get(0)));
   }
 
-  private void logChange(RegisteredServer now, Optional<RegisteredServer> before, long revision) {
-    ConfigServer server = now.server();
-    if (before.isPresent() && before.get().server().leaving() == server.leaving()) {
-      return;
-    }
-    Event event =
-        Event.of(server.leaving() ? EventKind.SERVER_LEAVING : EventKind.SERVER_SEEN)
-            .with("server", server.name())
-            .with("service", now.service())
-            .with("revision", revision);
-    events.recordEvent(
-        server.leaving() ? event : event.with("address", server.address() + ":" + server.port()));
-  }
-
   private void removeAfterGracePeriod(String name, long revision, List<VersionedObject> states) {
     long waitMillis = Math.max(availability.graceMillis(), eraGraceMillis(name, revision));
     boolean leaving = registered(name).map(known -> known.server().leaving()).orElse(false);
@@ -400,11 +344,7 @@
       removeUnlessReregistered(name, revision, states);
       return;
     }
-    events.recordEvent(
-        Event.of(EventKind.SERVER_REMOVAL_HELD)
-            .with("server", name)
-            .with("revision", revision)
-            .with("waitMillis", waitMillis));
+    registryEvents.removalHeld(name, revision, waitMillis);
     loop.schedule(waitMillis, () -> endGracePeriod(name, revision));
   }
 
@@ -430,8 +370,7 @@
     boolean reregistered =
         merger.merged().object(id).map(held -> held.ticket() > revision).orElse(false);
     if (!reregistered) {
-      events.recordEvent(
-          Event.of(EventKind.SERVER_GONE).with("server", name).with("revision", revision));
+      registryEvents.serverGone(name, revision);
       states.add(stateOf(name, revision, Optional.empty()));
     }
   }
--- a/wagtailpin/src/test/java/org/wagtailpin/registry/StoreRestoreTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/registry/StoreRestoreTest.java
@@ -185,6 +185,19 @@
     assertThat(host.sequence("a")).isEqualTo(5);
   }
 
+  // Guards against a server that writes its registration unchanged, and is removed for good.
+  @Test
+  void aServerThatRegistersAgainWithoutAChangeStays() {
+    MemoryStore.Copy copy = store.copy();
+    register("a", 4);
+
+    restore(copy);
+    register("a", 4);
+    loop.advance(10 * GRACE_MILLIS);
+
+    assertThat(host.servers()).containsExactly("a");
+  }
+
   @Test
   void anOlderRegistrationOfTheCopyReplacesNoLaterOne() {
     register("a", 4);
