--- a/wagtailpin/src/test/java/org/wagtailpin/routing/AllowedRegionsTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/AllowedRegionsTest.java
@@ -109,6 +109,28 @@
     assertThat(waiting.server()).isEqualTo("south-1");
   }
 
+  /** Guards against calls that go first only because they may run in fewer regions. */
+  @Test
+  void aFreedSlotGoesToTheMostUrgentCallWhateverItsRegions() {
+    QueueingPlacement placement = fixture.placement();
+    List<RecordingListener> running = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      running.add(request(placement, call()));
+    }
+    RecordingListener restricted = request(placement, call("north"));
+    CallDescriptor lower = fixture.call(1, DEADLINE_MILLIS);
+    RecordingListener lessUrgent = request(placement, lower);
+
+    for (RecordingListener call : running) {
+      if (call.server().equals("north-2")) {
+        call.grant().orElseThrow().finished(PlacementFixture.answered(20));
+      }
+    }
+
+    assertThat(restricted.server()).isEqualTo("north-2");
+    assertThat(lessUrgent.undecided()).isTrue();
+  }
+
   @Test
   void probesForACallGoToItsRegionsOnly() {
     Set<String> probed = new HashSet<>();
