Check the rate for cold servers against its derivation

Cause: a mutant that uses the whole limit passed the simulated seconds of ColdServersTest, since peaks above the bound are too rare to appear there.

Change: a test that the mean and six standard deviations stay within the bound for 10 to 1000 entries.

--- a/wagtailpin/src/test/java/org/wagtailpin/routing/ColdServersTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/ColdServersTest.java
@@ -125,6 +125,29 @@
     assertThat(arrivals).isNotEmpty();
   }
 
+  /**
+   * Guards against a rate at which the simulated seconds happen to stay within the bound, but a
+   * peak of the independent entries above it is to be expected in a longer run.
+   */
+  @ParameterizedTest
+  @CsvSource({"10", "16", "120", "174", "300", "1000"})
+  void aPeakAboveTheBoundIsSixDeviationsFromTheMean(int count) {
+    fixture.rateShare = 1.0 / count;
+    ColdServers coldServers =
+        new ColdServers(
+            fixture.shares(), fixture.clock, new SharedRandom(1), PlacementObserver.none());
+    fixture.clock.advance(ColdServers.SETTLING_MILLIS);
+    ServerState server =
+        new ServerState(new ConfigServer("s", "10.0.0.1", 80, "north", "n1", 4, 240, false), 0, 0);
+    server.cold().configure(Optional.of(service(Optional.empty())));
+    server.cold().stated(SLOW_START_MILLIS, fixture.clock.millis());
+
+    double mean = count * coldServers.sharePerSecond(server).orElseThrow();
+
+    assertThat(mean).isGreaterThan(0.6 * WARMUP_PER_SECOND);
+    assertThat(mean + 6 * Math.sqrt(mean * (1 - mean / count))).isAtMost(TOLERATED + 0.001);
+  }
+
   /** Guards against servers that stay limited after their slow start. */
   @Test
   void serversThatAreWarmAgainGetAllRequests() {
@@ -178,19 +201,21 @@
     assertThat((double) mostInAWindow()).isAtMost(TOLERATED);
   }
 
+  private static ConfigService service(Optional<Long> slowStartMillis) {
+    return new ConfigService(
+        "work",
+        false,
+        List.of(),
+        Optional.empty(),
+        Optional.empty(),
+        slowStartMillis,
+        Optional.of(WARMUP_PER_SECOND));
+  }
+
   @Test
   void aServerIsColdForAsLongAsItsAnswersToProbesState() {
     ColdState state = new ColdState();
-    state.configure(
-        Optional.of(
-            new ConfigService(
-                "work",
-                false,
-                List.of(),
-                Optional.empty(),
-                Optional.empty(),
-                Optional.empty(),
-                Optional.of(WARMUP_PER_SECOND))));
+    state.configure(Optional.of(service(Optional.empty())));
 
     assertThat(state.perSecond(1_000)).isEmpty();
     state.stated(500, 1_000);
@@ -205,16 +230,7 @@
   @Test
   void aServerThatIsKnownToBeOldIsNotColdWhenItAppears() {
     ColdState state = new ColdState();
-    state.configure(
-        Optional.of(
-            new ConfigService(
-                "work",
-                false,
-                List.of(),
-                Optional.empty(),
-                Optional.empty(),
-                Optional.of(SLOW_START_MILLIS),
-                Optional.of(WARMUP_PER_SECOND))));
+    state.configure(Optional.of(service(Optional.of(SLOW_START_MILLIS))));
 
     state.appeared(SLOW_START_MILLIS + 5_000, 1_000);
     assertThat(state.perSecond(1_000)).isEmpty();
