--- a/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/Call.java
@@ -158,11 +158,16 @@
     if (ended) {
       return;
     }
+    request(Optional.empty());
+  }
+
+  private PlacementHandle request(Optional<ReplacedAttempt> replaced) {
     PlacementHandle handle =
-        environment.placement().request(descriptor, history, new GrantListener(Optional.empty()));
-    if (attempt.isEmpty() && !ended) {
+        environment.placement().request(descriptor, history, new GrantListener(replaced));
+    if (replaced.isEmpty() && attempt.isEmpty() && !ended) {
       pendingPlacement = Optional.of(handle);
     }
+    return handle;
   }
 
   /** Forwards the placement decision to the call's event loop. */
@@ -191,8 +196,7 @@
     if (replaced.isEmpty()) {
       pendingPlacement = Optional.empty();
     }
-    Optional<Fault> refusal =
-        ended || superseded ? Optional.empty() : requestFactory.refusal();
+    Optional<Fault> refusal = ended || superseded ? Optional.empty() : requestFactory.refusal();
     if (ended || superseded || refusal.isPresent()) {
       grant.finished(AttemptReport.cancelled());
       refusal.ifPresent(this::refuseRemovedKey);
@@ -200,9 +204,7 @@
     }
     if (!grant.usable()) {
       grant.finished(AttemptReport.notSent());
-      if (replaced.isEmpty()) {
-        place();
-      }
+      request(replaced);
       return;
     }
     replaced.ifPresent(before -> before.attempt().expire(before.fault()));
@@ -324,8 +326,7 @@
       return Optional.empty();
     }
     recorder.recordRetryDecision(history.attempts(), decision);
-    GrantListener listener = new GrantListener(Optional.of(new ReplacedAttempt(unanswered, fault)));
-    return Optional.of(environment.placement().request(descriptor, history, listener));
+    return Optional.of(request(Optional.of(new ReplacedAttempt(unanswered, fault))));
   }
 
   private void retryIn(long delayMillis) {
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueuedCalls.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueuedCalls.java
@@ -21,8 +21,7 @@
   QueuedCall queuedCall(CallDescriptor call, AttemptHistory history, PlacementListener listener) {
     String service = call.route().service();
     String route = call.route().name();
-    Optional<RoutingSettings> settings =
-        table.service(call).map(state -> state.view().settings());
+    Optional<RoutingSettings> settings = table.service(call).map(state -> state.view().settings());
     double longWorkFactor = settings.map(s -> s.value(Tunable.LONG_WORK_FACTOR)).orElse(1.0);
     double deadlineMargin = settings.map(s -> s.value(Tunable.DEADLINE_MARGIN)).orElse(1.0);
     double expectedMillis = statistics.expectedMillis(service, route);
