Keep connections in large fleets by a subset of servers for each entry

Cause: an entry keeps an idle connection for 4 s, and with 174 entries, 195 servers and some 400 requests a second it sends a server one request in 85 s. Nearly each request found no open connection, and neither did the up to three probes before it.

Change: ServerSubsets ranks the servers of a service by distance and then by rendezvous hashing over the entry's name, and restricts an entry to as many as get two requests each in 4 s. A call that finds no free slot there looks at twice as many, up to all; probes stay within it. Takes effect with more than 64 entries and less than one request in 16 s from an entry to a server.

--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -28,6 +28,7 @@
 import org.wagtailpin.routing.PrometheusPlacementObserver;
 import org.wagtailpin.routing.QueueingPlacement;
 import org.wagtailpin.routing.ServerNotices;
+import org.wagtailpin.routing.ServerSubsets;
 import org.wagtailpin.routing.SharedRandom;
 import org.wagtailpin.routing.TaskScheduler;
 
@@ -90,7 +91,8 @@
             statistics,
             observer,
             new BackendLoadProbe(backend, trafficLoops, platform.dialect(), PROBE_TIMEOUT_MILLIS),
-            notices);
+            notices,
+            new ServerSubsets(settings.id(), shares));
     environment =
         new CallEnvironment(
             CallSettings.defaults(),
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -26,6 +26,7 @@
   private final RequestLimits limits;
   private final ServerGates gates;
   private final ServerNotices notices;
+  private final ServerSubsets subsets;
 
   Dispatcher(
       ServerPicker picker,
@@ -36,7 +37,8 @@
       Clock clock,
       RequestLimits limits,
       ServerGates gates,
-      ServerNotices notices) {
+      ServerNotices notices,
+      ServerSubsets subsets) {
     this.picker = picker;
     this.links = links;
     this.shares = shares;
@@ -46,6 +48,7 @@
     this.limits = limits;
     this.gates = gates;
     this.notices = notices;
+    this.subsets = subsets;
   }
 
   /** A server on which a slot is occupied for a call, and the reason for choosing it. */
@@ -292,6 +295,7 @@
       server.load().releaseSlot();
       return Optional.empty();
     }
+    subsets.recordRequest(service, request.nowMillis());
     service.attemptStarted(request.longWork());
     return Optional.of(
         new Dispatch(
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
@@ -19,6 +19,9 @@
  */
 final class ProbeRounds {
 
+  /** How often the subset of servers is doubled while calls wait. */
+  private static final int QUEUE_WIDENING = 2;
+
   private final Clock clock;
   private final ServerPicker picker;
   private final ServerProbes probes;
@@ -49,7 +52,7 @@
    * @param callback run once, immediately if there is nothing to probe
    */
   void run(ServiceState service, PlacementRequest request, Runnable callback) {
-    run(service, service.view().all(), request, callback);
+    run(service, picker.probeCandidates(service, 0), request, callback);
   }
 
   /**
@@ -63,7 +66,9 @@
   void runNear(ServiceState service, PlacementRequest request, Runnable callback) {
     ServiceView view = service.view();
     boolean nearMayBeProbed = view.near().stream().anyMatch(server -> mayBeProbed(service, server));
-    run(service, nearMayBeProbed ? view.near() : view.all(), request, callback);
+    List<ServerState> candidates = picker.probeCandidates(service, QUEUE_WIDENING);
+    boolean allNear = candidates.size() >= view.near().size();
+    run(service, nearMayBeProbed && allNear ? view.near() : candidates, request, callback);
   }
 
   private boolean mayBeProbed(ServiceState service, ServerState server) {
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -77,13 +77,16 @@
         statistics,
         observer,
         probe,
-        new ServerNotices(clock, scheduler, observer));
+        new ServerNotices(clock, scheduler, observer),
+        ServerSubsets.whole());
   }
 
   /**
-   * Creates a placement that also heeds what servers state about themselves.
+   * Creates a placement that also heeds what servers state about themselves, and that may use some
+   * of the servers only.
    *
    * @param notices what servers have stated, shared with the client that receives it
+   * @param subsets the servers that this entry uses first
    */
   public QueueingPlacement(
       ConfigSource config,
@@ -96,7 +99,8 @@
       RouteStatistics statistics,
       PlacementObserver observer,
       LoadProbe probe,
-      ServerNotices notices) {
+      ServerNotices notices,
+      ServerSubsets subsets) {
     this.clock = clock;
     this.scheduler = scheduler;
     this.statistics = statistics;
@@ -122,10 +126,10 @@
                 limits,
                 new PauseGate(notices),
                 new RampGate(random, notices)));
-    ServerPicker picker = new ServerPicker(clock, random, gates, costs);
+    ServerPicker picker = new ServerPicker(clock, random, gates, costs, subsets);
     this.dispatcher =
         new Dispatcher(
-            picker, links, shares, statistics, unanswered, clock, limits, gates, notices);
+            picker, links, shares, statistics, unanswered, clock, limits, gates, notices, subsets);
     this.admission = new Admission(clock, statistics, dispatcher);
     this.probes = new ProbeRounds(clock, picker, serverProbes, limits, gates, scheduler);
     this.queueProbes = new QueueProbes(clock, probes);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerPicker.java
@@ -17,12 +17,19 @@
   private final UniformRandomProvider random;
   private final ServerGates gates;
   private final ServerCosts costs;
-
-  ServerPicker(Clock clock, UniformRandomProvider random, ServerGates gates, ServerCosts costs) {
+  private final ServerSubsets subsets;
+
+  ServerPicker(
+      Clock clock,
+      UniformRandomProvider random,
+      ServerGates gates,
+      ServerCosts costs,
+      ServerSubsets subsets) {
     this.clock = clock;
     this.random = random;
     this.gates = gates;
     this.costs = costs;
+    this.subsets = subsets;
   }
 
   /** Returns whether a server may be given new work, whatever its health. */
@@ -61,7 +68,11 @@
    */
   Optional<Candidate> cheapestNear(ServiceState service, PlacementRequest request) {
     int maxCandidates = (int) service.view().settings().value(Tunable.CANDIDATES);
-    return cheapest(service, service.view().near(), maxCandidates, request);
+    List<ServerState> near = service.view().near();
+    int width = subsets.width(service, near.size(), clock.exactMillis());
+    return width >= near.size()
+        ? cheapest(service, near, maxCandidates, request)
+        : cheapestOfSubset(service, subsets.rankedNear(service), width, maxCandidates, request);
   }
 
   /**
@@ -72,7 +83,44 @@
    */
   Optional<Candidate> cheapestFar(ServiceState service, PlacementRequest request) {
     int maxCandidates = (int) service.view().settings().value(Tunable.FAR_CANDIDATES);
-    return cheapest(service, service.view().far(), maxCandidates, request);
+    List<ServerState> far = service.view().far();
+    int width = subsets.width(service, far.size(), clock.exactMillis());
+    return width >= far.size()
+        ? cheapest(service, far, maxCandidates, request)
+        : cheapestOfSubset(service, subsets.rankedFar(service), width, maxCandidates, request);
+  }
+
+  /** Widens the subset until one of its servers is estimated to have a free slot. */
+  private Optional<Candidate> cheapestOfSubset(
+      ServiceState service,
+      List<ServerState> ranked,
+      int width,
+      int maxCandidates,
+      PlacementRequest request) {
+    int compared = width;
+    while (true) {
+      Optional<Candidate> best =
+          cheapest(service, ranked.subList(0, compared), maxCandidates, request);
+      boolean free = best.isPresent() && best.get().overload() <= 0;
+      if (free || compared == ranked.size()) {
+        return best;
+      }
+      compared = Math.min(ranked.size(), 2 * compared);
+    }
+  }
+
+  /**
+   * Returns the servers that may be probed for a request: all, or those of the subset.
+   *
+   * @param service the service
+   * @param widening how often the subset is doubled
+   */
+  List<ServerState> probeCandidates(ServiceState service, int widening) {
+    int near = service.view().near().size();
+    int width = subsets.width(service, near, clock.exactMillis());
+    return width >= near
+        ? service.view().all()
+        : subsets.rankedNear(service).subList(0, Math.min(near, width << widening));
   }
 
   private Optional<Candidate> cheapest(
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
@@ -125,18 +125,24 @@
 
   /** Returns a placement that heeds what servers state about themselves. */
   QueueingPlacement placement(ServerNotices notices) {
+    return placement(SEED, notices, ServerSubsets.whole(), LoadProbe.none());
+  }
+
+  QueueingPlacement placement(
+      long seed, ServerNotices notices, ServerSubsets subsets, LoadProbe probe) {
     return new QueueingPlacement(
         () -> snapshot,
         new Locality("north", "n1"),
         shares(),
         leavingHosts,
         clock,
-        new SharedRandom(SEED),
+        new SharedRandom(seed),
         loop::schedule,
-        statistics,
+        new RouteStatistics(clock),
         PlacementObserver.none(),
-        LoadProbe.none(),
-        notices);
+        probe,
+        notices,
+        subsets);
   }
 
   LimitShares shares() {
