Refuse waiting calls when all their servers pause, and log the end of ejections

Cause: a call that already waited when every server asked for a pause waited on until its latest start. server-returned was documented and never written, as nothing noticed the end of an ejection.

An ejection is a state with a start and an end like the others (HeldServers), so server-returned is written and counted. Whether an attempt may still run is asked in one place, AttemptOutcome.

--- a/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptOutcome.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptOutcome.java
@@ -5,6 +5,11 @@
 /** How an attempt on a backend server ended. */
 public sealed interface AttemptOutcome {
 
+  /** Returns whether the server may still run the request. */
+  default boolean mayStillRun() {
+    return this instanceof Unknown || this instanceof Cancelled;
+  }
+
   /**
    * The server sent a complete answer.
    *
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptRecorder.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptRecorder.java
@@ -17,18 +17,21 @@
   private final PlacementObserver observer;
   private final RequestLimits limits;
   private final UnansweredRequests unanswered;
+  private final HeldServers ejected;
 
   AttemptRecorder(
       Clock clock,
       RouteStatistics statistics,
       PlacementObserver observer,
       RequestLimits limits,
-      UnansweredRequests unanswered) {
+      UnansweredRequests unanswered,
+      HeldServers ejected) {
     this.clock = clock;
     this.statistics = statistics;
     this.observer = observer;
     this.limits = limits;
     this.unanswered = unanswered;
+    this.ejected = ejected;
   }
 
   /**
@@ -108,8 +111,9 @@
       return;
     }
     if (!server.health().isEjected(clock.millis()) && mayEject(service)) {
-      server.health().eject(clock.millis() + (long) settings.value(Tunable.EJECT_MILLIS));
-      observer.serverChanged(server.server(), ServerChange.EJECTED);
+      long untilMillis = clock.millis() + (long) settings.value(Tunable.EJECT_MILLIS);
+      server.health().eject(untilMillis);
+      ejected.hold(server.server(), (double) untilMillis);
     }
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -228,9 +228,12 @@
     double now = clock.exactMillis();
     double shortest = Double.POSITIVE_INFINITY;
     for (ServerState server : service.view().all()) {
-      if (shortest > 0 && picker.acceptsWork(service, server)) {
+      if (picker.acceptsWork(service, server)) {
         shortest = Math.min(shortest, notices.pauseMillis(server.server(), now));
       }
+      if (shortest <= 0) {
+        return 0;
+      }
     }
     return Double.isInfinite(shortest) ? 0 : shortest;
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -82,8 +82,7 @@
   }
 
   /**
-   * Creates a placement that also heeds what servers state about themselves, and that may use some
-   * of the servers only.
+   * Creates a placement that also heeds what servers state and may use some of them first.
    *
    * @param notices what servers have stated, shared with the client that receives it
    * @param subsets the servers that this entry uses first
@@ -133,7 +132,15 @@
     this.admission = new Admission(clock, statistics, dispatcher);
     this.probes = new ProbeRounds(clock, picker, serverProbes, limits, gates, scheduler);
     this.queueProbes = new QueueProbes(clock, probes);
-    this.recorder = new AttemptRecorder(clock, statistics, observer, limits, unanswered);
+    this.recorder =
+        new AttemptRecorder(
+            clock,
+            statistics,
+            observer,
+            limits,
+            unanswered,
+            new HeldServers(
+                clock, scheduler, observer, ServerChange.EJECTED, ServerChange.RETURNED));
     this.returnTime = new BacklogReturnTime(clock, random);
   }
 
@@ -222,12 +229,10 @@
     Fault fault = new Fault(step, Peer.SELF, "", "not run: " + rule.label());
     observer.refused(queued.call(), fault, refusalReason(rule, queued));
     long returnMillis = returnTime.millis(backlog(queued));
-    long pauseMillis =
-        table
-            .service(queued.call().route().service())
-            .map(service -> (long) Math.ceil(dispatcher.pauseMillis(service)))
-            .orElse(0L);
-    queued.listener().refused(new Refusal(fault, Math.max(returnMillis, pauseMillis)));
+    Optional<ServiceState> service = table.service(queued.call().route().service());
+    double pauseMillis = service.map(dispatcher::pauseMillis).orElse(0.0);
+    Refusal refusal = new Refusal(fault, Math.max(returnMillis, (long) Math.ceil(pauseMillis)));
+    queued.listener().refused(refusal);
   }
 
   private PlacementReason refusalReason(PlacementRule rule, QueuedCall queued) {
@@ -302,8 +307,11 @@
   }
 
   private void refuseExpired(ServiceState service) {
-    for (QueuedCall expired : service.queue().removeExpired(clock.millis())) {
-      refuse(expired, Step.ADMIT, PlacementRule.QUEUE_TIME_OVER);
+    double pauseMillis = dispatcher.pauseMillis(service);
+    PlacementRule rule =
+        pauseMillis > 0 ? PlacementRule.SERVERS_PAUSED : PlacementRule.QUEUE_TIME_OVER;
+    for (QueuedCall late : service.queue().removeExpired(clock.millis() + (long) pauseMillis)) {
+      refuse(late, Step.ADMIT, rule);
     }
   }
 
@@ -357,7 +365,7 @@
   private void attemptEnded(
       ServiceState service, ServerState server, QueuedCall queued, AttemptReport report) {
     CallDescriptor call = queued.call();
-    if (mayStillRun(report.outcome())) {
+    if (report.outcome().mayStillRun()) {
       double remainingMillis = statistics.expectedMillis(service.name(), call.route().name());
       scheduler.schedule(
           (long) Math.ceil(remainingMillis), () -> freeSlot(service, server, queued.longWork()));
@@ -371,10 +379,6 @@
     }
   }
 
-  private static boolean mayStillRun(AttemptOutcome outcome) {
-    return outcome instanceof AttemptOutcome.Unknown || outcome instanceof AttemptOutcome.Cancelled;
-  }
-
   private static void freeSlot(ServiceState service, ServerState server, boolean longWork) {
     server.load().releaseSlot();
     service.attemptEnded(longWork);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/UnansweredRequests.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/UnansweredRequests.java
@@ -87,7 +87,7 @@
    */
   void attemptEnded(
       ServiceState service, ServerState server, CallDescriptor call, AttemptReport report) {
-    if (seen || report.load().isPresent() || !mayHaveBeenIgnored(report.outcome())) {
+    if (seen || report.load().isPresent() || !report.outcome().mayStillRun()) {
       return;
     }
     OptionalDouble longest = longestMillis(service, server, call.route().name());
@@ -100,10 +100,6 @@
     }
   }
 
-  private static boolean mayHaveBeenIgnored(AttemptOutcome outcome) {
-    return outcome instanceof AttemptOutcome.Unknown || outcome instanceof AttemptOutcome.Cancelled;
-  }
-
   private void probed(ServiceState service, ServerState server, ProbeAnswer answer) {
     if (answer.load().isEmpty()) {
       return;
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/ServerNoticesTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/ServerNoticesTest.java
@@ -136,6 +136,21 @@
     assertThat(refused.refusal().get().retryAfterMillis()).isAtLeast(7_000L);
   }
 
+  @Test
+  void aWaitingCallIsRefusedAtOnceWhenItsServersAskForALongPause() {
+    Placement placement = fixture.servers(1, 1).publish().placement(notices);
+    RecordingListener running = place(placement, 5_000);
+    RecordingListener waiting = place(placement, 5_000);
+    assertThat(running.grant()).isPresent();
+    assertThat(waiting.undecided()).isTrue();
+
+    state(fixture.servers.get(0), false, 7_000);
+    fixture.loop.advance(10);
+
+    assertThat(waiting.fault().get().detail()).contains("servers-paused");
+    assertThat(waiting.refusal().get().retryAfterMillis()).isAtLeast(6_900L);
+  }
+
   @Test
   void aCallThatCanWaitForTheEndOfAPauseGetsTheServerThen() {
     Placement placement = fixture.servers(1, 6).publish().placement(notices);
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/ServerSubsetsTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/ServerSubsetsTest.java
@@ -4,10 +4,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.wagtailpin.config.Tunable;
 import org.wagtailpin.membership.LimitShares;
@@ -151,6 +153,26 @@
     assertThat(subsets.busiestShare()).isLessThan(1.6);
   }
 
+  // Guards against calls that wait for the few servers of the subset while others are free.
+  @Test
+  void theSubsetWidensToAllServersWhileItsOwnAreBusy() {
+    PlacementFixture fixture =
+        new PlacementFixture().tune(Tunable.CANDIDATES, 64).servers(10, 1).publish();
+    ServerNotices notices =
+        new ServerNotices(fixture.clock, fixture.loop::schedule, PlacementObserver.none());
+    Placement placement =
+        fixture.placement(
+            SEED, notices, new ServerSubsets("e1", evenShares(174)), LoadProbe.none());
+    Set<String> used = new HashSet<>();
+    for (int i = 0; i < 10; i++) {
+      RecordingListener listener = new RecordingListener();
+      placement.request(fixture.call(3_000), AttemptHistory.none(), listener);
+      used.add(listener.server());
+    }
+
+    assertThat(used).hasSize(10);
+  }
+
   @Test
   void nothingChangesInASmallFleet() {
     Result whole = new Fleet().play(16, 200, false);
