--- a/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
@@ -142,21 +142,34 @@
 
   /** Returns a placement that heeds what servers state about themselves. */
   QueueingPlacement placement(ServerNotices notices) {
-    return placement(SEED, statistics, notices, new CustomerAdmission(clock));
+    return placement(SEED, notices, ServerSubsets.whole(), LoadProbe.none());
+  }
+
+  QueueingPlacement placement(
+      long seed, ServerNotices notices, ServerSubsets subsets, LoadProbe probe) {
+    CustomerAdmission customers = new CustomerAdmission(clock);
+    return placement(seed, new RouteStatistics(clock), notices, customers, subsets, probe);
   }
 
   /** Returns the placement of one of several entries, with its own statistics. */
   QueueingPlacement placement(
       long seed, RouteStatistics ownStatistics, CustomerAdmission customerAdmission) {
-    ServerNotices notices = new ServerNotices(clock, loop::schedule, PlacementObserver.none());
-    return placement(seed, ownStatistics, notices, customerAdmission);
+    return placement(
+        seed,
+        ownStatistics,
+        new ServerNotices(clock, loop::schedule, PlacementObserver.none()),
+        customerAdmission,
+        ServerSubsets.whole(),
+        LoadProbe.none());
   }
 
   private QueueingPlacement placement(
       long seed,
       RouteStatistics ownStatistics,
       ServerNotices notices,
-      CustomerAdmission customerAdmission) {
+      CustomerAdmission customerAdmission,
+      ServerSubsets subsets,
+      LoadProbe probe) {
     return new QueueingPlacement(
         () -> snapshot,
         new Locality("north", "n1"),
@@ -167,9 +180,10 @@
         loop::schedule,
         ownStatistics,
         PlacementObserver.none(),
-        LoadProbe.none(),
+        probe,
         notices,
-        customerAdmission);
+        customerAdmission,
+        subsets);
   }
 
   LimitShares shares() {
