--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -26,6 +26,7 @@
   private final RequestLimits limits;
   private final ServerGates gates;
   private final ServerNotices notices;
+  private final ServerSubsets subsets;
 
   Dispatcher(
       ServerPicker picker,
@@ -36,7 +37,8 @@
       Clock clock,
       RequestLimits limits,
       ServerGates gates,
-      ServerNotices notices) {
+      ServerNotices notices,
+      ServerSubsets subsets) {
     this.picker = picker;
     this.links = links;
     this.shares = shares;
@@ -46,6 +48,7 @@
     this.limits = limits;
     this.gates = gates;
     this.notices = notices;
+    this.subsets = subsets;
   }
 
   /** A server on which a slot is occupied for a call, and the reason for choosing it. */
@@ -119,6 +122,13 @@
         request.work());
   }
 
+  /** Returns whether any server that may be given the call is estimated to have a free slot. */
+  boolean hasFreeSlot(ServiceState service, PlacementRequest request) {
+    return service.view().all().stream()
+        .flatMap(server -> picker.evaluate(service, server, request).stream())
+        .anyMatch(candidate -> hasSlotFor(service, candidate, request));
+  }
+
   /** Returns whether the service has any server that takes work. */
   boolean hasServer(ServiceState service) {
     return service.view().all().stream().anyMatch(server -> picker.acceptsWork(service, server));
@@ -163,6 +173,9 @@
     if (hasSlotFor(service, candidate, request)) {
       return tryTakeSlot(service, candidate, request, PlacementRule.FREE_SLOT);
     }
+    if (request.freeSlotOnly()) {
+      return Optional.empty();
+    }
     if (service.inFlight() == 0 && unanswered.leavesRoom(service, candidate)) {
       return tryTakeSlot(service, candidate, request, PlacementRule.NOTHING_IN_FLIGHT);
     }
@@ -213,7 +226,19 @@
    * @param priority the priority of the call; less urgent calls do not delay it
    */
   double queueWaitMillis(ServiceState service, int priority) {
-    int ahead = service.queue().sizeAhead(priority);
+    return queueWaitMillisBehind(service, service.queue().sizeAhead(priority));
+  }
+
+  /**
+   * Returns the expected wait, in milliseconds, of a call that joins the queue now, as {@link
+   * #queueWaitMillis(ServiceState, int)}. Calls of other customers that go after it do not delay
+   * it.
+   */
+  double queueWaitMillis(ServiceState service, QueuedCall queued) {
+    return queueWaitMillisBehind(service, service.queue().sizeAhead(queued));
+  }
+
+  private double queueWaitMillisBehind(ServiceState service, int ahead) {
     return Math.max((ahead + 1) * millisPerSlot(service), limitWaitMillis(service, ahead));
   }
 
@@ -225,9 +250,12 @@
     double now = clock.exactMillis();
     double shortest = Double.POSITIVE_INFINITY;
     for (ServerState server : service.view().all()) {
-      if (shortest > 0 && picker.acceptsWork(service, server)) {
+      if (picker.acceptsWork(service, server)) {
         shortest = Math.min(shortest, notices.pauseMillis(server.server(), now));
       }
+      if (shortest <= 0) {
+        return 0;
+      }
     }
     return Double.isInfinite(shortest) ? 0 : shortest;
   }
@@ -270,7 +298,9 @@
   private Optional<Dispatch> dispatchToAny(ServiceState service, PlacementRequest request) {
     return picker
         .anyAcceptingWork(service)
-        .filter(candidate -> candidate.overload() <= 0 || service.inFlight() == 0)
+        .filter(
+            candidate ->
+                candidate.overload() <= 0 || (service.inFlight() == 0 && !request.freeSlotOnly()))
         .filter(candidate -> unanswered.leavesRoom(service, candidate))
         .flatMap(candidate -> tryTakeSlot(service, candidate, request, PlacementRule.ALL_BAD));
   }
@@ -292,6 +322,7 @@
       server.load().releaseSlot();
       return Optional.empty();
     }
+    subsets.recordRequest(service, request.nowMillis());
     service.attemptStarted(request.longWork());
     return Optional.of(
         new Dispatch(
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueuedCalls.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueuedCalls.java
@@ -29,7 +29,7 @@
         call,
         history,
         listener,
-        table.groupWeight(call.callerGroup()),
+        table.groupWeight(call.sharingGroup()),
         statistics.isLongWork(service, route, longWorkFactor),
         clock.millis(),
         expectedMillis,
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -10,6 +10,7 @@
 import org.wagtailpin.error.Peer;
 import org.wagtailpin.error.Step;
 import org.wagtailpin.limits.BacklogReturnTime;
+import org.wagtailpin.limits.CustomerAdmission;
 import org.wagtailpin.limits.PriorityQueues;
 import org.wagtailpin.limits.ProbeBudget;
 import org.wagtailpin.limits.ReturnTime;
@@ -38,7 +39,9 @@
   private final AttemptRecorder recorder;
   private final ProbeRounds probes;
   private final QueueProbes queueProbes;
-  private final ReturnTime returnTime;
+  private final PlacementRequests requests;
+  private final CustomerSharing customers;
+  private final CallRefuser refuser;
   private final UnansweredRequests unanswered;
 
   /**
@@ -77,13 +80,18 @@
         statistics,
         observer,
         probe,
-        new ServerNotices(clock, scheduler, observer));
+        new ServerNotices(clock, scheduler, observer),
+        new CustomerAdmission(clock),
+        ServerSubsets.whole());
   }
 
   /**
-   * Creates a placement that also heeds what servers state about themselves.
+   * Creates a placement that also heeds what servers state about themselves, shares capacity
+   * between customers by what others know of them, and may use some of the servers first.
    *
    * @param notices what servers have stated, shared with the client that receives it
+   * @param customerAdmission decides which calls exceed the shares of their customers
+   * @param subsets the servers that this entry uses first
    */
   public QueueingPlacement(
       ConfigSource config,
@@ -96,7 +104,9 @@
       RouteStatistics statistics,
       PlacementObserver observer,
       LoadProbe probe,
-      ServerNotices notices) {
+      ServerNotices notices,
+      CustomerAdmission customerAdmission,
+      ServerSubsets subsets) {
     this.clock = clock;
     this.scheduler = scheduler;
     this.statistics = statistics;
@@ -124,15 +134,27 @@
                 limits,
                 new PauseGate(notices),
                 new RampGate(random, coldServers, notices)));
-    ServerPicker picker = new ServerPicker(clock, random, gates, costs);
+    ServerPicker picker = new ServerPicker(clock, random, gates, costs, subsets);
     this.dispatcher =
         new Dispatcher(
-            picker, links, shares, statistics, unanswered, clock, limits, gates, notices);
-    this.admission = new Admission(clock, statistics, dispatcher);
+            picker, links, shares, statistics, unanswered, clock, limits, gates, notices, subsets);
+    this.requests = new PlacementRequests(clock, statistics);
+    this.customers = new CustomerSharing(customerAdmission);
+    this.admission = new Admission(clock, statistics, dispatcher, requests, customers);
     this.probes = new ProbeRounds(clock, picker, serverProbes, limits, gates, scheduler);
     this.queueProbes = new QueueProbes(clock, probes);
-    this.recorder = new AttemptRecorder(clock, statistics, observer, limits, unanswered);
-    this.returnTime = new BacklogReturnTime(clock, random);
+    this.recorder =
+        new AttemptRecorder(
+            clock,
+            statistics,
+            observer,
+            limits,
+            unanswered,
+            new HeldServers(
+                clock, scheduler, observer, ServerChange.EJECTED, ServerChange.RETURNED));
+    ReturnTime returnTime = new BacklogReturnTime(clock, random);
+    this.refuser =
+        new CallRefuser(clock, table, dispatcher, requests, observer, returnTime, customers);
   }
 
   /** Takes over the configuration in force, which otherwise happens with the next call. */
@@ -146,17 +168,18 @@
     QueuedCall queued = calls.queuedCall(call, history, listener);
     Optional<ServiceState> service = table.service(call);
     if (service.isEmpty() || !dispatcher.hasServer(service.get())) {
-      refuse(queued, Step.PICK_SERVER, PlacementRule.NO_SERVER);
+      refuser.refuse(queued, Step.PICK_SERVER, PlacementRule.NO_SERVER);
       return queued;
     }
     Optional<PlacementRule> refusal = admission.refusal(service.get(), queued);
     if (refusal.isPresent()) {
-      refuse(queued, Step.ADMIT, refusal.get());
+      refuser.refuse(queued, Step.ADMIT, refusal.get());
       return queued;
     }
+    customers.judge(queued);
     if (service.get().queue().isEmpty()) {
       probes.run(
-          service.get(), placementRequest(queued), () -> grantOrEnqueue(service.get(), queued));
+          service.get(), requests.of(queued), () -> grantOrEnqueue(service.get(), queued));
     } else {
       enqueueInTime(service.get(), queued);
     }
@@ -174,43 +197,27 @@
 
   /** Queues a call that found no free slot, or refuses it if it cannot wait for one. */
   private void enqueueInTime(ServiceState service, QueuedCall queued) {
-    if (admission.canWait(service, queued)) {
-      enqueue(service, queued);
+    Optional<PlacementRule> refusal = admission.waitRefusal(service, queued);
+    if (refusal.isPresent()) {
+      refuser.refuse(queued, Step.ADMIT, refusal.get());
     } else {
-      refuse(queued, Step.ADMIT, PlacementRule.QUEUE_TOO_LONG);
+      enqueue(service, queued);
     }
   }
 
   private boolean tryGrant(ServiceState service, QueuedCall queued) {
     return dispatcher
-        .dispatch(service, placementRequest(queued))
+        .dispatch(service, requests.of(queued))
         .map(dispatch -> grant(service, queued, dispatch))
         .isPresent();
   }
 
-  private PlacementRequest placementRequest(QueuedCall queued) {
-    double now = clock.exactMillis();
-    return new PlacementRequest(
-        queued.history(),
-        queued.longWork(),
-        now,
-        Math.max(0, now - queued.queuedAtMillis()),
-        statistics.expectedBytes(queued.call().route().name()),
-        workEstimate(queued));
-  }
-
-  private WorkEstimate workEstimate(QueuedCall queued) {
-    return new WorkEstimate(
-        queued.expectedMillis(),
-        queued.call().deadlineMillis() - clock.exactMillis(),
-        statistics.answers(queued.call().route().name()));
-  }
-
   private boolean grant(ServiceState service, QueuedCall queued, Dispatcher.Dispatch dispatch) {
     if (!queued.tryEndWait()) {
       freeSlot(service, dispatch.server(), queued.longWork());
       return false;
     }
+    customers.granted(queued);
     ServerGrant grant =
         new ServerGrant(service, dispatch.server(), queued, unanswered, this::attemptEnded);
     observer.granted(queued.call(), grant.server(), dispatch.reason());
@@ -218,44 +225,6 @@
     return true;
   }
 
-  private void refuse(QueuedCall queued, Step step, PlacementRule rule) {
-    if (!queued.tryEndWait()) {
-      return;
-    }
-    Fault fault = new Fault(step, Peer.SELF, "", "not run: " + rule.label());
-    observer.refused(queued.call(), fault, refusalReason(rule, queued));
-    long returnMillis = returnTime.millis(backlog(queued));
-    long pauseMillis =
-        table
-            .service(queued.call().route().service())
-            .map(service -> (long) Math.ceil(dispatcher.pauseMillis(service)))
-            .orElse(0L);
-    queued.listener().refused(new Refusal(fault, Math.max(returnMillis, pauseMillis)));
-  }
-
-  private PlacementReason refusalReason(PlacementRule rule, QueuedCall queued) {
-    PlacementRequest request = placementRequest(queued);
-    return table
-        .service(queued.call())
-        .map(service -> dispatcher.refusalReason(rule, service, request))
-        .orElseGet(
-            () -> PlacementReason.unknownService(rule, request.queuedMillis(), request.work()));
-  }
-
-  private ReturnTime.Backlog backlog(QueuedCall queued) {
-    String name = queued.call().route().service();
-    Optional<ServiceState> service = table.service(queued.call());
-    return new ReturnTime.Backlog(
-        name,
-        queued.priority(),
-        service
-            .map(state -> dispatcher.queueWaitMillis(state, queued.priority()))
-            .orElse(Double.POSITIVE_INFINITY),
-        Math.max(0, queued.maxWaitMillis()),
-        service.map(dispatcher::millisPerCall).orElse(Double.POSITIVE_INFINITY),
-        queued.call().deadlineMillis() - clock.millis());
-  }
-
   private void enqueue(ServiceState service, QueuedCall queued) {
     service.queue().add(queued);
     service.queue().run(() -> serveQueue(service));
@@ -296,7 +265,7 @@
             head ->
                 queueProbes.run(
                     service,
-                    placementRequest(head),
+                    requests.of(head),
                     () -> service.queue().run(() -> serveQueue(service))));
   }
 
@@ -305,8 +274,11 @@
   }
 
   private void refuseExpired(ServiceState service) {
-    for (QueuedCall expired : service.queue().removeExpired(clock.millis())) {
-      refuse(expired, Step.ADMIT, PlacementRule.QUEUE_TIME_OVER);
+    double pauseMillis = dispatcher.pauseMillis(service);
+    PlacementRule rule =
+        pauseMillis > 0 ? PlacementRule.SERVERS_PAUSED : PlacementRule.QUEUE_TIME_OVER;
+    for (QueuedCall late : service.queue().removeExpired(clock.millis() + (long) pauseMillis)) {
+      refuser.refuse(late, Step.ADMIT, rule);
     }
   }
 
@@ -344,7 +316,7 @@
     if (head.isEmpty()) {
       return false;
     }
-    PlacementRequest request = placementRequest(head.get());
+    PlacementRequest request = requests.of(head.get());
     Optional<Dispatcher.Dispatch> dispatch =
         freed.isPresent()
             ? dispatcher.dispatchTo(service, freed.get(), request)
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
@@ -18,6 +18,7 @@
 import org.wagtailpin.config.IdempotencyKeyRule;
 import org.wagtailpin.config.Tunable;
 import org.wagtailpin.control.ManualControlLoop;
+import org.wagtailpin.limits.CustomerAdmission;
 import org.wagtailpin.limits.RouteStatistics;
 import org.wagtailpin.membership.LimitShares;
 
@@ -141,18 +142,48 @@
 
   /** Returns a placement that heeds what servers state about themselves. */
   QueueingPlacement placement(ServerNotices notices) {
+    return placement(SEED, notices, ServerSubsets.whole(), LoadProbe.none());
+  }
+
+  QueueingPlacement placement(
+      long seed, ServerNotices notices, ServerSubsets subsets, LoadProbe probe) {
+    CustomerAdmission customers = new CustomerAdmission(clock);
+    return placement(seed, new RouteStatistics(clock), notices, customers, subsets, probe);
+  }
+
+  /** Returns the placement of one of several entries, with its own statistics. */
+  QueueingPlacement placement(
+      long seed, RouteStatistics ownStatistics, CustomerAdmission customerAdmission) {
+    return placement(
+        seed,
+        ownStatistics,
+        new ServerNotices(clock, loop::schedule, PlacementObserver.none()),
+        customerAdmission,
+        ServerSubsets.whole(),
+        LoadProbe.none());
+  }
+
+  private QueueingPlacement placement(
+      long seed,
+      RouteStatistics ownStatistics,
+      ServerNotices notices,
+      CustomerAdmission customerAdmission,
+      ServerSubsets subsets,
+      LoadProbe probe) {
     return new QueueingPlacement(
         () -> snapshot,
         new Locality("north", "n1"),
         shares(),
         leavingHosts,
         clock,
-        new SharedRandom(SEED),
+        new SharedRandom(seed),
         loop::schedule,
-        statistics,
+        ownStatistics,
         PlacementObserver.none(),
-        LoadProbe.none(),
-        notices);
+        probe,
+        notices,
+        customerAdmission,
+        subsets);
   }
 
   LimitShares shares() {
