--- a/examples/src/main/java/org/wagtailpin/examples/CustomerFloodExample.java
+++ b/examples/src/main/java/org/wagtailpin/examples/CustomerFloodExample.java
@@ -24,6 +24,7 @@
 import org.wagtailpin.routing.CallDescriptor;
 import org.wagtailpin.routing.Grant;
 import org.wagtailpin.routing.LeavingHosts;
+import org.wagtailpin.routing.LoadProbe;
 import org.wagtailpin.routing.Locality;
 import org.wagtailpin.routing.PlacementListener;
 import org.wagtailpin.routing.PlacementObserver;
@@ -81,7 +82,8 @@
         new SharedRandom(SEED),
         loop::schedule,
         new RouteStatistics(clock),
-        PlacementObserver.none());
+        PlacementObserver.none(),
+        LoadProbe.none());
   }
 
   private static LimitShares onlyEntry() {
