--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -9,7 +9,11 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.simple.RandomSource;
+import org.wagtailpin.budget.BudgetMetrics;
+import org.wagtailpin.budget.BudgetSettings;
+import org.wagtailpin.budget.ConfigBudgetLimits;
+import org.wagtailpin.budget.FleetBudgets;
+import org.wagtailpin.budget.PeerBudgetLink;
 import org.wagtailpin.claims.ClaimSettings;
 import org.wagtailpin.claims.ShardedClaims;
 import org.wagtailpin.clock.Clock;
@@ -17,6 +21,7 @@
 import org.wagtailpin.config.ConfigLimit;
 import org.wagtailpin.config.ConfigMerger;
 import org.wagtailpin.config.ConfigReport;
+import org.wagtailpin.config.EvacuationRecorder;
 import org.wagtailpin.config.EventLogConfigListener;
 import org.wagtailpin.config.MergedConfig;
 import org.wagtailpin.config.PublishedConfig;
@@ -50,6 +55,7 @@
 import org.wagtailpin.membership.PullConfigSync;
 import org.wagtailpin.registry.RegistryWatcher;
 import org.wagtailpin.registry.WatchPhase;
+import org.wagtailpin.store.EraOrderedStore;
 import org.wagtailpin.store.GuardedStore;
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreHttpClient;
@@ -68,7 +74,7 @@
 
   private final long incarnation;
   private final StoreHttpClient storeClient;
-  private final Store store;
+  private final EraOrderedStore store;
   private final MergedConfig merged = new MergedConfig();
   private final PublishedConfig published;
   private final ConfigMerger merger;
@@ -77,6 +83,7 @@
   private final NettyPeerMessenger messenger;
   private final FleetMembership membership;
   private final LimitShares shares;
+  private final Optional<FleetBudgets> budgets;
   private final Supplier<Optional<StateConfirmation>> confirmation;
   private final EventLogConfigListener configEvents;
   private final ShardedClaims claims;
@@ -92,17 +99,19 @@
       Clock clock,
       ControlLoop loop,
       EventLog events,
+      BudgetMetrics budgetMetrics,
       long seed) {
     this.loop = loop;
     this.clock = clock;
     this.events = events;
     customerAdmission = new CustomerAdmission(clock);
-    UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    UniformRandomProvider random = SeededRandom.create(seed);
     incarnation = clock.wallMillis();
     storeClient = new StoreHttpClient(StoreTimeouts.defaults());
     store =
-        new GuardedStore(
-            platform.createStore(storeClient.client(), settings), loop, MAX_STORE_CALL_MILLIS);
+        new EraOrderedStore(
+            new GuardedStore(
+                platform.createStore(storeClient.client(), settings), loop, MAX_STORE_CALL_MILLIS));
     published = new PublishedConfig(List.of(tunableDefaults(settings.constants())));
     merger = new ConfigMerger(clock, merged, published);
     configWatcher = new StoreConfigWatcher(store, loop, merger, random);
@@ -126,21 +135,25 @@
             loop,
             clock,
             // The messenger uses its generator on another thread, so it can't share this one.
-            RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 1),
+            SeededRandom.create(seed + 1),
             NettyPeerSettings.defaults(settings.peers().address(), settings.peers().port()));
     hostListPoller = createHostListPoller(settings, clock, random);
     Fleet fleet =
         registryWatcher
-            .map(watch -> domainFleet(settings, addresses, watch, random, timing, events))
+            .map(
+                watch ->
+                    domainFleet(settings, addresses, watch, random, timing, events, budgetMetrics))
             .orElseGet(() -> meshFleet(settings, platform, addresses, random));
     membership = fleet.membership();
     shares = fleet.shares();
+    budgets = fleet.budgets();
     PeerEventRecorder peerEventRecorder =
         new PeerEventRecorder(events, platform.membershipSettings().suspicionTimeoutMillis());
     membership.setStatusListener(status -> peerEventRecorder.update(status.peers()));
     confirmation = fleet.confirmation();
     configEvents = new EventLogConfigListener(events, merger::origin, confirmation, clock);
     merger.addListener(configEvents);
+    merger.addListener(new EvacuationRecorder(events));
     claims =
         new ShardedClaims(
             ClaimSettings.defaults(),
@@ -157,7 +170,8 @@
   private record Fleet(
       FleetMembership membership,
       LimitShares shares,
-      Supplier<Optional<StateConfirmation>> confirmation) {}
+      Supplier<Optional<StateConfirmation>> confirmation,
+      Optional<FleetBudgets> budgets) {}
 
   private Fleet domainFleet(
       EntrySettings settings,
@@ -165,7 +179,8 @@
       RegistryWatcher watch,
       UniformRandomProvider random,
       FleetTiming timing,
-      EventLog events) {
+      EventLog events,
+      BudgetMetrics budgetMetrics) {
     DomainFleet fleet =
         new DomainFleet(
             selfMember(settings, incarnation),
@@ -185,7 +200,8 @@
     return new Fleet(
         fleet,
         new EqualShares(new HighestCount(fleet::fleetSize, clock, FLEET_SIZE_MEMORY_MILLIS)),
-        fleet::confirmation);
+        fleet::confirmation,
+        Optional.of(createBudgets(settings, fleet, events, budgetMetrics)));
   }
 
   private Fleet meshFleet(
@@ -207,7 +223,26 @@
             random,
             platform.membershipSettings(),
             seedNames(settings));
-    return new Fleet(mesh, mesh, Optional::empty);
+    return new Fleet(mesh, mesh, Optional::empty, Optional.empty());
+  }
+
+  private FleetBudgets createBudgets(
+      EntrySettings settings, DomainFleet fleet, EventLog events, BudgetMetrics metrics) {
+    PeerBudgetLink link = new PeerBudgetLink(messenger);
+    FleetBudgets created =
+        new FleetBudgets(
+            settings.id(),
+            BudgetSettings.ofQuotas(
+                Math.max(1, settings.failureDomains().size()), settings.constants()),
+            new ConfigBudgetLimits(published),
+            fleet.budgetPeers(),
+            link,
+            loop,
+            clock,
+            metrics,
+            events);
+    link.answerWith(created);
+    return created;
   }
 
   private static ConfigLimit tunableDefaults(Map<Tunable, Double> tunables) {
@@ -275,6 +310,7 @@
       throw new IOException(failed.fault().toString());
     }
     loop.execute(membership::start);
+    budgets.ifPresent(shared -> loop.execute(shared::start));
     registryWatcher.ifPresent(watch -> loop.execute(confirmationRecorder(watch)::start));
     hostListPoller.ifPresent(poller -> loop.execute(poller::start));
   }
@@ -303,6 +339,16 @@
     return registryWatcher.map(watcher -> clock.millis() - watcher.lastAnswerMillis());
   }
 
+  /** Returns the latest era of the store, which rises when it is restored from an older copy. */
+  long storeEra() {
+    return store.latestEra();
+  }
+
+  /** Returns how many answers of the store were discarded since they were of an earlier era. */
+  long storeAnswersOfEarlierEra() {
+    return store.discardedAnswers();
+  }
+
   /** Returns the configuration in force, without its servers. */
   ConfigInForce configInForce() {
     return configEvents.inForce();
@@ -356,6 +402,11 @@
     return customerAdmission;
   }
 
+  /** Returns the budgets shared with other entries, empty if there is no registry. */
+  Optional<FleetBudgets> budgets() {
+    return budgets;
+  }
+
   /** Returns the claims of idempotency keys. */
   public ShardedClaims claims() {
     return claims;
@@ -369,6 +420,7 @@
   @Override
   public void close() {
     loop.execute(membership::stop);
+    budgets.ifPresent(shared -> loop.execute(shared::stop));
     loop.execute(configWatcher::stop);
     hostListPoller.ifPresent(poller -> loop.execute(poller::stop));
     messenger.close();
--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -12,6 +12,7 @@
 import org.wagtailpin.call.CallEnvironment;
 import org.wagtailpin.call.CallSettings;
 import org.wagtailpin.call.PrometheusCallMetrics;
+import org.wagtailpin.call.QuotaPlacement;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.control.ControlLoop;
 import org.wagtailpin.control.ScheduledTask;
@@ -24,9 +25,13 @@
 import org.wagtailpin.routing.EventLogPlacementObserver;
 import org.wagtailpin.routing.LeavingHosts;
 import org.wagtailpin.routing.Locality;
+import org.wagtailpin.routing.Placement;
+import org.wagtailpin.routing.PlacementObserver;
 import org.wagtailpin.routing.PrometheusPlacementObserver;
 import org.wagtailpin.routing.QueueingPlacement;
+import org.wagtailpin.routing.ServerNotices;
 import org.wagtailpin.routing.SharedRandom;
+import org.wagtailpin.routing.TaskScheduler;
 
 /** Components of an entry that serve calls on its traffic threads: placement, retries, backends. */
 public final class TrafficParts implements AutoCloseable {
@@ -59,6 +64,13 @@
     LimitShares shares = control.shares();
     SharedRandom random = new SharedRandom(seed);
     RouteStatistics statistics = new RouteStatistics(clock);
+    PlacementObserver observer =
+        new CompositePlacementObserver(
+            List.of(
+                new PrometheusPlacementObserver(registry), new EventLogPlacementObserver(events)));
+    TaskScheduler scheduler =
+        (delayMillis, task) -> scheduleOnTrafficLoop(trafficLoops, delayMillis, task);
+    ServerNotices notices = new ServerNotices(clock, scheduler, observer);
     backend =
         new BackendClient(
             BackendSettings.defaults(),
@@ -66,7 +78,8 @@
             server -> shares.integerShare("connections/" + server.name(), server.connections()),
             clock,
             platform.dialect(),
-            events);
+            events,
+            notices);
     QueueingPlacement placement =
         new QueueingPlacement(
             control.published(),
@@ -75,19 +88,26 @@
             leavingHosts,
             clock,
             random,
-            (delayMillis, task) -> scheduleOnTrafficLoop(trafficLoops, delayMillis, task),
+            scheduler,
             statistics,
-            new CompositePlacementObserver(
-                List.of(
-                    new PrometheusPlacementObserver(registry),
-                    new EventLogPlacementObserver(events))),
+            observer,
             new BackendLoadProbe(backend, trafficLoops, platform.dialect(), PROBE_TIMEOUT_MILLIS),
+            notices,
             control.customerAdmission());
+    // An entry without calls during an evacuation has to know, too, that the servers return cold.
+    control
+        .merger()
+        .addListener(
+            merged -> {
+              if (!control.published().current().evacuatedDomains().isEmpty()) {
+                placement.refresh();
+              }
+            });
     environment =
         new CallEnvironment(
             CallSettings.defaults(),
             control.published(),
-            placement,
+            quotaPlacement(placement, trafficLoops, clock),
             new BudgetedRetryPolicy(
                 control.published(), clock, statistics, new RetryBudgets(), shares, random),
             control.claims(),
@@ -98,6 +118,19 @@
             platform.dialect());
   }
 
+  private Placement quotaPlacement(Placement placement, EventLoopGroup trafficLoops, Clock clock) {
+    return control
+        .budgets()
+        .<Placement>map(
+            budgets ->
+                new QuotaPlacement(
+                    placement,
+                    budgets,
+                    clock,
+                    (delayMillis, task) -> scheduleOnTrafficLoop(trafficLoops, delayMillis, task)))
+        .orElse(placement);
+  }
+
   // Queued calls are served by traffic threads rather than by the control thread, so that a long
   // queue does not delay heartbeats.
   private static ScheduledTask scheduleOnTrafficLoop(
--- a/wagtailpin/src/main/java/org/wagtailpin/call/CallProblems.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/CallProblems.java
@@ -2,12 +2,18 @@
 
 import java.util.Optional;
 import org.wagtailpin.error.Fault;
+import org.wagtailpin.error.Peer;
+import org.wagtailpin.error.Step;
 import org.wagtailpin.routing.Refusal;
 import org.wagtailpin.transport.HttpDialect;
 
 /** Creates the problems with which calls are answered, by whether the request may have run. */
 final class CallProblems {
 
+  /** Status of a request that needs a customer's key and carries none that is known. */
+  static final int UNAUTHORIZED = 401;
+
+  private static final int TOO_MANY_REQUESTS = 429;
   private static final int BAD_GATEWAY = 502;
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final int GATEWAY_TIMEOUT = 504;
@@ -20,6 +26,16 @@
     this.dialect = dialect;
   }
 
+  /** Returns the fault of a call whose deadline has passed. */
+  static Fault deadlineFault(Optional<Attempt> attempt, boolean awaitsServer) {
+    if (attempt.isPresent()) {
+      String server = attempt.get().grant().server().name();
+      return new Fault(Step.AWAIT_ANSWER, Peer.BACKEND_SERVER, server, "the deadline passed");
+    }
+    Step step = awaitsServer ? Step.PICK_SERVER : Step.ADMIT;
+    return new Fault(step, Peer.SELF, "", "the deadline passed");
+  }
+
   static Outcome outcome(boolean mayHaveRun) {
     return mayHaveRun ? Outcome.UNKNOWN : Outcome.NOT_RUN;
   }
@@ -39,11 +55,26 @@
     return of(mayHaveRun ? BAD_GATEWAY : SERVICE_UNAVAILABLE, outcome(mayHaveRun), fault);
   }
 
+  /**
+   * Returns the problem of a call whose key is not known any more. If an earlier attempt may have
+   * run, the answer must not state that the request was not.
+   */
+  Problem keyRemoved(boolean mayHaveRun, Fault fault) {
+    return mayHaveRun ? failed(true, fault) : of(UNAUTHORIZED, Outcome.NOT_RUN, fault);
+  }
+
   /**
    * Returns the problem of a call that placement refused. The cause is the failure of the attempt
-   * before, if there was one.
+   * before, if there was one, unless the quota is the reason for the refusal.
    */
   Problem refused(boolean mayHaveRun, Optional<Fault> lastFault, Refusal refusal) {
+    if (refusal.overQuota() && !mayHaveRun) {
+      return new Problem(
+          TOO_MANY_REQUESTS,
+          Outcome.NOT_RUN,
+          refusal.fault(),
+          Optional.of(refusal.retryAfterMillis()));
+    }
     Problem problem = failed(mayHaveRun, lastFault.orElse(refusal.fault()));
     return problem.retryAfterMillis().isEmpty()
         ? problem
--- a/wagtailpin/src/main/java/org/wagtailpin/config/ObjectFieldsReader.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/ObjectFieldsReader.java
@@ -193,7 +193,7 @@
     for (JsonObjectReader object : in.objects("objects")) {
       kind(object, DOCUMENT_KINDS).ifPresent(kind -> objects.add(read(kind, object)));
     }
-    return new ConfigDocument(name, objects);
+    return new ConfigDocument(name, objects, in.integer("version", 0, Long.MAX_VALUE, 0));
   }
 
   private static ConfigCustomer customer(JsonObjectReader in) {
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/BeatExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/BeatExchange.java
@@ -1,6 +1,7 @@
 package org.wagtailpin.fleet;
 
 import java.util.concurrent.CompletableFuture;
+import org.wagtailpin.budget.FollowerCount;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigMerger;
 import org.wagtailpin.entrypeer.PeerMessenger;
@@ -32,9 +33,11 @@
   private final StoreWatch watch;
   private final ConfigMerger merger;
   private final ConfigSync configSync;
+  private final FollowerCount followers;
   private final ConfigObjectCodec codec = new ConfigObjectCodec();
   private final Clock clock;
   private final FleetTiming timing;
+  private int unanswered;
   private boolean leaving;
   private boolean stopped;
 
@@ -47,6 +50,7 @@
       StoreWatch watch,
       ConfigMerger merger,
       ConfigSync configSync,
+      FollowerCount followers,
       Clock clock,
       FleetTiming timing) {
     this.self = self;
@@ -57,6 +61,7 @@
     this.watch = watch;
     this.merger = merger;
     this.configSync = configSync;
+    this.followers = followers;
     this.clock = clock;
     this.timing = timing;
   }
@@ -92,10 +97,20 @@
     if (watch.running()) {
       body.addAllWatchers(knowledge.directory().toRecords(now));
     }
+    unanswered++;
     var unused =
         messenger
             .request(entry, PeerFrame.newBuilder().setDomainBeat(body), timing.silenceMillis())
-            .thenAccept(reply -> onReply(entry, reply, now));
+            .thenAccept(
+                reply -> {
+                  unanswered--;
+                  onReply(entry, reply, now);
+                });
+  }
+
+  /** Returns whether a beat was sent that has neither been answered nor failed. */
+  boolean awaitsAnswer() {
+    return unanswered > 0;
   }
 
   private DomainState state(String receiverDomain, long now) {
@@ -195,6 +210,8 @@
       knowledge.mergeWatchers(beat.getWatchersList(), now);
       if (knowledge.isOwn(member) && beat.getState().getWatching()) {
         following.update(member, beat.getState(), now, now);
+      } else if (knowledge.isOwn(member)) {
+        followers.beat(sender);
       }
       compareConfig(member, beat.getState());
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.wagtailpin.budget.BudgetPeers;
+import org.wagtailpin.budget.FollowerCount;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigMerger;
 import org.wagtailpin.config.StateConfirmation;
@@ -19,6 +21,7 @@
 import org.wagtailpin.eventlog.EventLog;
 import org.wagtailpin.membership.ConfigSync;
 import org.wagtailpin.membership.FleetMembership;
+import org.wagtailpin.membership.HighestCount;
 import org.wagtailpin.membership.Member;
 import org.wagtailpin.membership.MembershipStatus;
 import org.wagtailpin.membership.MembershipView;
@@ -43,10 +46,22 @@
   /** After how long a watcher whose first list of the store fails gives way to the one before. */
   private static final long CHALLENGE_MILLIS = 600;
 
+  /** Interval of the steps of an entry that knows no watcher, so that it finds one soon. */
+  private static final long SEARCH_TICK_MILLIS = 50;
+
+  /** Interval at which an entry that knows no watcher contacts others. */
+  private static final long SEARCH_BEAT_MILLIS = 150;
+
+  /** How long an entry that starts waits for the answers of hosts that are up but busy. */
+  private static final long ANSWER_WAIT_MILLIS = 400;
+
   private static final long STORELESS_EXCHANGE_MILLIS = 1_000;
   private static final long SUCCESSOR_CHECK_MILLIS = 500;
   private static final int MAX_CONTACTS = 4;
 
+  /** For how long an entry that was cut off from its domain does not take itself for all of it. */
+  private static final long DOMAIN_SIZE_MEMORY_MILLIS = 2 * 3_600_000;
+
   /** By how many ranks an entry that leaves comes later in the order of succession. */
   private static final int LEAVING_RANKS = 6;
 
@@ -67,6 +82,8 @@
   private final BeatExchange beats;
   private final FleetKnowledge knowledge;
   private final FleetStatus status;
+  private final ShareHolders holders;
+  private final FollowerCount followers;
   private Optional<String> challenged = Optional.empty();
   private long watchingSinceMillis = NEVER;
   private long lastBeatMillis = NEVER;
@@ -127,6 +144,12 @@
     this.pusher = new ConfigPusher(merger);
     this.followed = new FollowedWatcher(timing, clock.millis());
     this.knowledge = new FleetKnowledge(self, domains, addresses);
+    this.followers =
+        new FollowerCount(
+            new HighestCount(
+                () -> knowledge.ownSize(clock.millis()), clock, DOMAIN_SIZE_MEMORY_MILLIS),
+            clock);
+    this.holders = new ShareHolders(self, knowledge, followed, watch, followers);
     this.beats =
         new BeatExchange(
             self,
@@ -137,6 +160,7 @@
             watch,
             merger,
             configSync,
+            followers,
             clock,
             timing);
     this.status = new FleetStatus(self, domains.size(), knowledge, watch, followed);
@@ -164,13 +188,28 @@
     } finally {
       // An exception of one step must not end the membership.
       double jitter = 1 - TICK_JITTER + 2 * TICK_JITTER * random.nextDouble();
-      loop.schedule((long) (timing.beatMillis() * jitter / TICKS_PER_BEAT), this::tick);
+      loop.schedule((long) (tickMillis() * jitter), this::tick);
     }
   }
 
+  private double tickMillis() {
+    double usual = (double) timing.beatMillis() / TICKS_PER_BEAT;
+    return searching() ? Math.min(SEARCH_TICK_MILLIS, usual) : usual;
+  }
+
+  /** Returns whether this entry neither watches the store nor knows who does. */
+  private boolean searching() {
+    return !watch.running() && followed.id().isEmpty();
+  }
+
+  private double beatMillis() {
+    return searching() ? Math.min(SEARCH_BEAT_MILLIS, timing.beatMillis()) : timing.beatMillis();
+  }
+
   private void step() {
     long now = clock.millis();
     knowledge.recordSelf(now, leaving, watch.running(), beats.current(now));
+    followers.observeSize();
     if (watch.running()) {
       watchStep(now);
     } else {
@@ -182,7 +221,7 @@
   }
 
   private void followStep(long now) {
-    if (now - lastBeatMillis >= timing.beatMillis() * (1 - TICK_JITTER)) {
+    if (now - lastBeatMillis >= beatMillis() * (1 - TICK_JITTER)) {
       lastBeatMillis = now;
       followed.id().ifPresent(beats::send);
       if (!followed.good(now)) {
@@ -198,12 +237,21 @@
       long elapsed = now - followed.sinceMillis(now);
       if (elapsed >= wait.getAsLong() && standing == WatcherStanding.STORE_LOST) {
         challenge.run(() -> endChallenge(rank));
-      } else if (elapsed >= wait.getAsLong()) {
+      } else if (elapsed >= wait.getAsLong() + answerWaitMillis(standing)) {
         startWatching(standing, rank, now);
       }
     }
   }
 
+  /**
+   * Returns how much longer an entry that knows no watcher waits for the answers of those that it
+   * contacted. Entries that start together are busy, so that answers come late; without this wait
+   * most of them list the store at the same time.
+   */
+  private long answerWaitMillis(WatcherStanding standing) {
+    return standing == WatcherStanding.UNKNOWN && beats.awaitsAnswer() ? ANSWER_WAIT_MILLIS : 0;
+  }
+
   private void endChallenge(int rank) {
     long now = clock.millis();
     boolean stillLost = followed.standing(now) == WatcherStanding.STORE_LOST;
@@ -342,6 +390,11 @@
         });
   }
 
+  /** Returns the holders of shared budgets, to be called on the control loop. */
+  public BudgetPeers budgetPeers() {
+    return holders;
+  }
+
   /** Returns the number of live entries in the fleet, as far as known. Thread-safe. */
   public int fleetSize() {
     return status.fleetSize();
--- a/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/registry/RegistryWatcher.java
@@ -10,18 +10,16 @@
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigKind;
 import org.wagtailpin.config.ConfigMerger;
-import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.config.ConfigServerSet;
 import org.wagtailpin.config.ObjectId;
 import org.wagtailpin.config.VersionedObject;
 import org.wagtailpin.control.ControlLoop;
 import org.wagtailpin.error.Fault;
-import org.wagtailpin.eventlog.Event;
-import org.wagtailpin.eventlog.EventKind;
 import org.wagtailpin.eventlog.EventLog;
 import org.wagtailpin.store.Store;
 import org.wagtailpin.store.StoreChange;
 import org.wagtailpin.store.StoreEntry;
+import org.wagtailpin.store.StoreRevision;
 import org.wagtailpin.store.StoreWatch;
 
 /**
@@ -44,8 +42,10 @@
   private final Clock clock;
   private final ConfigMerger merger;
   private final RegistryFormat format;
-  private final EventLog events;
+  private final EvacuationStates evacuations;
+  private final RegistryEvents registryEvents;
   private final StoreAvailability availability;
+  private final StoreEraTracker eras;
   private final PrefixWatcher prefixWatcher;
   private long documentRevision;
   private boolean listed;
@@ -78,8 +78,10 @@
     this.clock = clock;
     this.merger = merger;
     this.format = format;
+    this.evacuations = new EvacuationStates(format.evacuationPrefix());
     this.availability = new StoreAvailability(clock, format.renewalMillis(), events);
-    this.events = events;
+    this.eras = new StoreEraTracker(clock, events);
+    this.registryEvents = new RegistryEvents(events);
     this.prefixWatcher =
         new PrefixWatcher(
             store,
@@ -126,16 +128,14 @@
       states.add(document);
       if (entry.revision() > documentRevision) {
         documentRevision = entry.revision();
-        events.recordEvent(
-            Event.of(EventKind.CONFIG_READ)
-                .with("config", read.version())
-                .with("revision", entry.revision()));
+        if (merger.merged().isHeldOverEras(document)) {
+          registryEvents.documentHeld(merger.merged(), read.version(), entry.revision());
+          return;
+        }
+        registryEvents.documentRead(read.version(), entry.revision());
       }
     } else if (result instanceof DocumentReadResult.Unreadable unreadable) {
-      events.recordEvent(
-          Event.of(EventKind.CONFIG_REFUSED)
-              .with("revision", entry.revision())
-              .with("detail", unreadable.detail()));
+      registryEvents.documentRefused(entry.revision(), unreadable.detail());
     }
   }
 
@@ -180,9 +180,14 @@
   private final class StoreListener implements PrefixWatcher.Listener {
     @Override
     public void listed(List<StoreEntry> entries, long revision) {
+      long known = Math.max(merger.merged().highestTicket(), merger.merged().completeTicket());
+      boolean firstOfEra = eras.listed(known, revision);
       List<VersionedObject> states = new ArrayList<>();
       Set<String> present = new HashSet<>();
+      Set<String> keys = new HashSet<>();
       for (StoreEntry entry : entries) {
+        keys.add(entry.key());
+        evacuations.addPresent(entry, states);
         serverName(entry.key()).ifPresent(present::add);
         addDocumentState(entry, states);
         addServerState(entry, states);
@@ -192,9 +197,20 @@
           removeAfterGracePeriod(name, revision, states);
         }
       }
+      evacuations.addMissing(keys, revision, merger.merged(), states);
       listed = true;
       merger.mergeFromStore(states);
-      merger.markCompleteAsOf(revision);
+      markCompleteAsOf(revision);
+      if (firstOfEra) {
+        recordMissingDocument(entries);
+        loop.schedule(eras.graceMillis(), prefixWatcher::restart);
+      }
+    }
+
+    private void recordMissingDocument(List<StoreEntry> entries) {
+      if (entries.stream().noneMatch(entry -> entry.key().equals(format.documentKey()))) {
+        registryEvents.documentHeld(merger.merged(), 0, 0);
+      }
     }
 
     @Override
@@ -202,15 +218,27 @@
       List<VersionedObject> states = new ArrayList<>();
       for (StoreChange change : changes) {
         if (change.entry().isPresent()) {
+          evacuations.addPresent(change.entry().get(), states);
           addDocumentState(change.entry().get(), states);
           addServerState(change.entry().get(), states);
         } else {
+          evacuations.addRemoved(change.key(), change.revision(), states);
           serverName(change.key())
               .ifPresent(name -> removeAfterGracePeriod(name, change.revision(), states));
         }
       }
       merger.mergeFromStore(states);
-      merger.markCompleteAsOf(revision);
+      markCompleteAsOf(revision);
+    }
+
+    /**
+     * Before servers had time to register again after a restore of the store, what it does not hold
+     * may still exist. It is listed again after that time.
+     */
+    private void markCompleteAsOf(long revision) {
+      if (eras.graceMillis() == 0) {
+        merger.markCompleteAsOf(revision);
+      }
     }
 
     @Override
@@ -228,10 +256,7 @@
     public void processingFailed(long revision, Throwable cause) {
       listed = false;
       Logger.error(cause, "failed to process a result of the store");
-      events.recordEvent(
-          Event.of(EventKind.STORE_RESULT_FAILED)
-              .with("revision", revision)
-              .with("detail", cause.toString()));
+      registryEvents.resultFailed(revision, cause);
     }
 
     @Override
@@ -265,17 +290,25 @@
     ServerReadResult result = readServer(name.get(), entry);
     if (result instanceof ServerReadResult.Read read) {
       Optional<RegisteredServer> known = registered(name.get());
+      VersionedObject listedState =
+          stateOf(name.get(), entry.revision(), Optional.of(read.server()));
+      if (merger.merged().isHeldOverEras(listedState)) {
+        if (known.isEmpty() || read.server().isOlderThan(known.get())) {
+          registryEvents.registrationHeld(known, read.server(), entry.revision());
+        }
+        return;
+      }
       RegisteredServer newest =
           known.filter(before -> read.server().isOlderThan(before)).orElse(read.server());
-      logChange(newest, known, entry.revision());
+      registryEvents.serverChanged(newest, known, entry.revision());
       states.add(stateOf(name.get(), entry.revision(), Optional.of(newest)));
     } else if (result instanceof ServerReadResult.Unreadable unreadable) {
-      events.recordEvent(
-          Event.of(EventKind.SERVER_REFUSED)
-              .with("server", name.get())
-              .with("revision", entry.revision())
-              .with("detail", unreadable.detail()));
-      states.add(stateOf(name.get(), entry.revision(), Optional.empty()));
+      registryEvents.serverRefused(name.get(), entry.revision(), unreadable.detail());
+      if (eraGraceMillis(name.get(), entry.revision()) > 0) {
+        removeAfterGracePeriod(name.get(), entry.revision(), states);
+      } else {
+        states.add(stateOf(name.get(), entry.revision(), Optional.empty()));
+      }
     }
   }
 
@@ -312,35 +345,28 @@
         .map(set -> new RegisteredServer(set.service(), set.servers().get(0)));
   }
 
-  private void logChange(RegisteredServer now, Optional<RegisteredServer> before, long revision) {
-    ConfigServer server = now.server();
-    if (before.isPresent() && before.get().server().leaving() == server.leaving()) {
-      return;
-    }
-    Event event =
-        Event.of(server.leaving() ? EventKind.SERVER_LEAVING : EventKind.SERVER_SEEN)
-            .with("server", server.name())
-            .with("service", now.service())
-            .with("revision", revision);
-    events.recordEvent(
-        server.leaving() ? event : event.with("address", server.address() + ":" + server.port()));
-  }
-
   private void removeAfterGracePeriod(String name, long revision, List<VersionedObject> states) {
-    long waitMillis = availability.graceMillis();
+    long waitMillis = Math.max(availability.graceMillis(), eraGraceMillis(name, revision));
     boolean leaving = registered(name).map(known -> known.server().leaving()).orElse(false);
     if (waitMillis == 0 || leaving) {
       removeUnlessReregistered(name, revision, states);
       return;
     }
-    events.recordEvent(
-        Event.of(EventKind.SERVER_REMOVAL_HELD)
-            .with("server", name)
-            .with("revision", revision)
-            .with("waitMillis", waitMillis));
+    registryEvents.removalHeld(name, revision, waitMillis);
     loop.schedule(waitMillis, () -> endGracePeriod(name, revision));
   }
 
+  /** Only states of earlier eras are held, as the others are known to the restored store. */
+  private long eraGraceMillis(String name, long revision) {
+    boolean ofEarlierEra =
+        merger
+            .merged()
+            .object(new ObjectId(ConfigKind.SERVER_SET, name))
+            .filter(held -> StoreRevision.era(held.ticket()) < StoreRevision.era(revision))
+            .isPresent();
+    return ofEarlierEra ? eras.graceMillis() : 0;
+  }
+
   private void endGracePeriod(String name, long revision) {
     List<VersionedObject> states = new ArrayList<>();
     removeUnlessReregistered(name, revision, states);
@@ -352,8 +378,7 @@
     boolean reregistered =
         merger.merged().object(id).map(held -> held.ticket() > revision).orElse(false);
     if (!reregistered) {
-      events.recordEvent(
-          Event.of(EventKind.SERVER_GONE).with("server", name).with("revision", revision));
+      registryEvents.serverGone(name, revision);
       states.add(stateOf(name, revision, Optional.empty()));
     }
   }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptOutcome.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/AttemptOutcome.java
@@ -31,4 +31,12 @@
    * have run the request.
    */
   record Cancelled() implements AttemptOutcome {}
+
+  /** The attempt was not sent, so it states nothing about the server. */
+  record NotSent() implements AttemptOutcome {}
+
+  /** Returns whether the server may still run the request after the end of the attempt. */
+  default boolean mayStillRun() {
+    return this instanceof Unknown || this instanceof Cancelled;
+  }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/CallQueue.java
@@ -85,6 +85,15 @@
     return priority < PRIORITIES ? sizeAhead.get(Math.max(0, priority)) : size;
   }
 
+  /** Returns the most urgent priority of the calls that the last round left in the queue. */
+  int mostUrgent() {
+    int priority = 0;
+    while (priority < PRIORITIES && sizeAhead.get(priority) == 0) {
+      priority++;
+    }
+    return priority;
+  }
+
   /**
    * Returns how many calls the last round left in the queue that go before a new call: with a
    * customer, those before it in the fair order of the customers.
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/CallRefuser.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/CallRefuser.java
@@ -59,13 +59,18 @@
             .filter(excess -> rule == PlacementRule.CUSTOMER_SHARE)
             .map(excess -> shareBacklog(queued, excess))
             .orElseGet(() -> backlog(queued));
-    queued.listener().refused(new Refusal(fault, returnTime.millis(backlog)));
+    long pauseMillis =
+        table
+            .service(queued.call().route().service())
+            .map(service -> (long) Math.ceil(dispatcher.pauseMillis(service)))
+            .orElse(0L);
+    queued.listener().refused(new Refusal(fault, Math.max(returnTime.millis(backlog), pauseMillis)));
   }
 
   private PlacementReason refusalReason(PlacementRule rule, QueuedCall queued) {
     PlacementRequest request = requests.of(queued);
     return table
-        .service(queued.call().route().service())
+        .service(queued.call())
         .map(service -> dispatcher.refusalReason(rule, service, request))
         .orElseGet(
             () -> PlacementReason.unknownService(rule, request.queuedMillis(), request.work()))
@@ -74,7 +79,7 @@
 
   private ReturnTime.Backlog backlog(QueuedCall queued) {
     String name = queued.call().route().service();
-    Optional<ServiceState> service = table.service(name);
+    Optional<ServiceState> service = table.service(queued.call());
     return new ReturnTime.Backlog(
         name,
         queued.priority(),
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/Dispatcher.java
@@ -21,25 +21,31 @@
   private final RegionLinks links;
   private final LimitShares shares;
   private final RouteStatistics statistics;
-  private final ServerCosts costs;
+  private final UnansweredRequests unanswered;
   private final Clock clock;
   private final RequestLimits limits;
+  private final ServerGates gates;
+  private final ServerNotices notices;
 
   Dispatcher(
       ServerPicker picker,
       RegionLinks links,
       LimitShares shares,
       RouteStatistics statistics,
-      ServerCosts costs,
+      UnansweredRequests unanswered,
       Clock clock,
-      RequestLimits limits) {
+      RequestLimits limits,
+      ServerGates gates,
+      ServerNotices notices) {
     this.picker = picker;
     this.links = links;
     this.shares = shares;
     this.statistics = statistics;
-    this.costs = costs;
+    this.unanswered = unanswered;
     this.clock = clock;
     this.limits = limits;
+    this.gates = gates;
+    this.notices = notices;
   }
 
   /** A server on which a slot is occupied for a call, and the reason for choosing it. */
@@ -65,7 +71,7 @@
     if (near.isPresent()) {
       return dispatchNear(service, near.get(), request);
     }
-    return picker.isHeldByLimit(service, request)
+    return picker.isHeldByPace(service, request)
         ? Optional.empty()
         : dispatchToAny(service, request);
   }
@@ -122,7 +128,7 @@
 
   /** Returns whether the service has any server that takes work. */
   boolean hasServer(ServiceState service) {
-    return service.view().all().stream().anyMatch(picker::acceptsWork);
+    return service.view().all().stream().anyMatch(server -> picker.acceptsWork(service, server));
   }
 
   /**
@@ -146,7 +152,7 @@
   }
 
   private boolean isFast(ServiceState service, Candidate near) {
-    double slowness = costs.slowness(service, near.server(), clock.exactMillis());
+    double slowness = ServerCosts.slowness(service, near.server(), clock.exactMillis());
     return slowness < service.view().settings().value(Tunable.TOLERATED_SLOWNESS)
         || slowness <= service.averageSlowness();
   }
@@ -167,7 +173,7 @@
     if (request.freeSlotOnly()) {
       return Optional.empty();
     }
-    if (service.inFlight() == 0) {
+    if (service.inFlight() == 0 && unanswered.leavesRoom(service, candidate)) {
       return tryTakeSlot(service, candidate, request, PlacementRule.NOTHING_IN_FLIGHT);
     }
     if (request.longWork() || !shorterAtServer(service, candidate)) {
@@ -233,6 +239,21 @@
     return Math.max((ahead + 1) * millisPerSlot(service), limitWaitMillis(service, ahead));
   }
 
+  /**
+   * Returns the time, in milliseconds, for which every server that takes work wants no requests; 0
+   * if one of them has not asked for a pause.
+   */
+  double pauseMillis(ServiceState service) {
+    double now = clock.exactMillis();
+    double shortest = Double.POSITIVE_INFINITY;
+    for (ServerState server : service.view().all()) {
+      if (shortest > 0 && picker.acceptsWork(service, server)) {
+        shortest = Math.min(shortest, notices.pauseMillis(server.server(), now));
+      }
+    }
+    return Double.isInfinite(shortest) ? 0 : shortest;
+  }
+
   /**
    * Returns the expected time, in milliseconds, until the limits that servers name let a call
    * through; 0 if a server that takes work has no limit.
@@ -241,7 +262,8 @@
    * @param ahead how many calls go first
    */
   double limitWaitMillis(ServiceState service, int ahead) {
-    return limits.waitMillis(service.view().all(), picker::acceptsWork, ahead);
+    return limits.waitMillis(
+        service.view().all(), server -> picker.acceptsWork(service, server), ahead);
   }
 
   /**
@@ -261,7 +283,9 @@
    */
   double millisPerCall(ServiceState service) {
     return Math.max(
-        millisPerSlot(service), limits.millisPerRequest(service.view().all(), picker::acceptsWork));
+        millisPerSlot(service),
+        limits.millisPerRequest(
+            service.view().all(), server -> picker.acceptsWork(service, server)));
   }
 
   /** Spreads the work over all servers that take work, as no near server is usable. */
@@ -271,6 +295,7 @@
         .filter(
             candidate ->
                 candidate.overload() <= 0 || (service.inFlight() == 0 && !request.freeSlotOnly()))
+        .filter(candidate -> unanswered.leavesRoom(service, candidate))
         .flatMap(candidate -> tryTakeSlot(service, candidate, request, PlacementRule.ALL_BAD));
   }
 
@@ -287,7 +312,7 @@
       server.load().releaseSlot();
       return Optional.empty();
     }
-    if (!limits.tryTake(server)) {
+    if (!gates.tryPass(service, server, clock.exactMillis())) {
       server.load().releaseSlot();
       return Optional.empty();
     }
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ProbeRounds.java
@@ -8,9 +8,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.wagtailpin.clock.Clock;
-import org.wagtailpin.config.ConfigServer;
 import org.wagtailpin.config.Tunable;
-import org.wagtailpin.limits.ProbeBudget;
 
 /**
  * Probes a few servers for their load before a call is placed, if no recent report is known.
@@ -23,26 +21,23 @@
 
   private final Clock clock;
   private final ServerPicker picker;
-  private final ServerCosts costs;
-  private final LoadProbe probe;
+  private final ServerProbes probes;
   private final RequestLimits limits;
-  private final ProbeBudget budget;
+  private final ServerGates gates;
   private final TaskScheduler scheduler;
 
   ProbeRounds(
       Clock clock,
       ServerPicker picker,
-      ServerCosts costs,
-      LoadProbe probe,
+      ServerProbes probes,
       RequestLimits limits,
-      ProbeBudget budget,
+      ServerGates gates,
       TaskScheduler scheduler) {
     this.clock = clock;
     this.picker = picker;
-    this.costs = costs;
-    this.probe = probe;
+    this.probes = probes;
     this.limits = limits;
-    this.budget = budget;
+    this.gates = gates;
     this.scheduler = scheduler;
   }
 
@@ -67,13 +62,12 @@
    */
   void runNear(ServiceState service, PlacementRequest request, Runnable callback) {
     ServiceView view = service.view();
-    boolean nearMayBeProbed = view.near().stream().anyMatch(this::mayBeProbed);
+    boolean nearMayBeProbed = view.near().stream().anyMatch(server -> mayBeProbed(service, server));
     run(service, nearMayBeProbed ? view.near() : view.all(), request, callback);
   }
 
-  /** Returns whether a server may be probed; a probe would count against a limit that it names. */
-  private boolean mayBeProbed(ServerState server) {
-    return picker.acceptsWork(server) && server.requestLimit().isEmpty();
+  private boolean mayBeProbed(ServiceState service, ServerState server) {
+    return gates.allowsProbe(service, server, clock.exactMillis());
   }
 
   private void run(
@@ -143,7 +137,7 @@
           && candidate.overload() <= 0
           && !ServerCosts.nearlyFull(
               service, candidate.estimatedLoad(), candidate.server().server().slots())
-          && costs.slowness(service, candidate.server(), now)
+          && ServerCosts.slowness(service, candidate.server(), now)
               < service.view().settings().value(Tunable.TOLERATED_SLOWNESS);
     }
 
@@ -161,8 +155,8 @@
         if (selected.size() < maxProbes
             && !probed.contains(server.server().name())
             && !hasFreshReport(server, now)
-            && mayBeProbed(server)
-            && withinBudget(server)) {
+            && mayBeProbed(service, server)
+            && probes.tryTake(service, server)) {
           probed.add(server.server().name());
           selected.add(server);
         }
@@ -170,14 +164,6 @@
       return selected;
     }
 
-    private boolean withinBudget(ServerState server) {
-      double perServer = service.view().settings().value(Tunable.SERVER_PROBES_PER_SECOND);
-      double perEntry = perServer * service.view().size();
-      ProbeBudget.Rates rates = new ProbeBudget.Rates(perServer, perEntry, perEntry);
-      ConfigServer config = server.server();
-      return budget.take(config.name(), config.region(), true, rates);
-    }
-
     private void sendProbes(List<ServerState> selected) {
       AtomicBoolean finished = new AtomicBoolean();
       AtomicInteger pending = new AtomicInteger(selected.size());
@@ -191,13 +177,16 @@
                 }
               });
       for (ServerState server : selected) {
-        probe.probe(
-            server.server(),
+        probes.send(
+            server,
             path,
             answer -> {
               double now = clock.exactMillis();
               answer.load().ifPresent(load -> service.recordLoad(server, load, now));
               limits.record(server, answer.limit());
+              answer
+                  .slowStartMillis()
+                  .ifPresent(millis -> server.cold().stated(millis, clock.millis()));
               if (pending.decrementAndGet() == 0 && finished.compareAndSet(false, true)) {
                 timeout.cancel();
                 nextRound();
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -1,10 +1,13 @@
 package org.wagtailpin.routing;
 
+import java.util.List;
 import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigSource;
 import org.wagtailpin.config.Tunable;
+import org.wagtailpin.error.Fault;
+import org.wagtailpin.error.Peer;
 import org.wagtailpin.error.Step;
 import org.wagtailpin.limits.BacklogReturnTime;
 import org.wagtailpin.limits.CustomerAdmission;
@@ -30,6 +33,7 @@
   private final RouteStatistics statistics;
   private final PlacementObserver observer;
   private final RoutingTable table;
+  private final QueuedCalls calls;
   private final Dispatcher dispatcher;
   private final Admission admission;
   private final AttemptRecorder recorder;
@@ -38,42 +42,7 @@
   private final PlacementRequests requests;
   private final CustomerSharing customers;
   private final CallRefuser refuser;
-
-  /**
-   * Creates a placement that does not probe servers for their load.
-   *
-   * @param config the configuration in force
-   * @param locality the location of this entry
-   * @param shares this entry's share of fleet-wide limits
-   * @param leavingHosts the hosts that the platform's host list names as leaving
-   * @param clock the clock of the call deadlines
-   * @param random the random numbers by which servers are sampled, safe for all threads
-   * @param scheduler schedules checks of the queues and delayed releases of slots
-   * @param statistics the measured service times, shared with the retry policy
-   * @param observer notified of each decision
-   */
-  public QueueingPlacement(
-      ConfigSource config,
-      Locality locality,
-      LimitShares shares,
-      LeavingHosts leavingHosts,
-      Clock clock,
-      UniformRandomProvider random,
-      TaskScheduler scheduler,
-      RouteStatistics statistics,
-      PlacementObserver observer) {
-    this(
-        config,
-        locality,
-        shares,
-        leavingHosts,
-        clock,
-        random,
-        scheduler,
-        statistics,
-        observer,
-        (server, path, done) -> done.accept(ProbeAnswer.none()));
-  }
+  private final UnansweredRequests unanswered;
 
   /**
    * Creates a placement that may probe servers for their load.
@@ -87,7 +56,7 @@
    * @param scheduler schedules checks of the queues and delayed releases of slots
    * @param statistics the measured service times, shared with the retry policy
    * @param observer notified of each decision
-   * @param probe probes servers for their load
+   * @param probe probes servers for their load, {@link LoadProbe#none()} for none
    */
   public QueueingPlacement(
       ConfigSource config,
@@ -111,22 +80,15 @@
         statistics,
         observer,
         probe,
+        new ServerNotices(clock, scheduler, observer),
         new CustomerAdmission(clock));
   }
 
   /**
-   * Creates a placement that shares capacity between customers by what others know of them.
+   * Creates a placement that also heeds what servers state about themselves, and shares capacity
+   * between customers by what others know of them.
    *
-   * @param config the configuration in force
-   * @param locality the location of this entry
-   * @param shares this entry's share of fleet-wide limits
-   * @param leavingHosts the hosts that the platform's host list names as leaving
-   * @param clock the clock of the call deadlines
-   * @param random the random numbers by which servers are sampled, safe for all threads
-   * @param scheduler schedules checks of the queues and delayed releases of slots
-   * @param statistics the measured service times, shared with the retry policy
-   * @param observer notified of each decision
-   * @param probe probes servers for their load
+   * @param notices what servers have stated, shared with the client that receives it
    * @param customerAdmission decides which calls exceed the shares of their customers
    */
   public QueueingPlacement(
@@ -140,6 +102,7 @@
       RouteStatistics statistics,
       PlacementObserver observer,
       LoadProbe probe,
+      ServerNotices notices,
       CustomerAdmission customerAdmission) {
     this.clock = clock;
     this.scheduler = scheduler;
@@ -147,28 +110,52 @@
     this.observer = observer;
     RegionLinks links = new RegionLinks(locality.region(), shares, clock, config.current());
     this.table = new RoutingTable(config, locality, clock, links);
-    ServerCosts costs = new ServerCosts(statistics);
-    RequestLimits limits = new RequestLimits(shares, clock, random, observer);
-    ServerPicker picker = new ServerPicker(clock, random, leavingHosts, costs, limits);
-    this.dispatcher = new Dispatcher(picker, links, shares, statistics, costs, clock, limits);
+    ServerProbes serverProbes = new ServerProbes(probe, new ProbeBudget(clock, shares));
+    HeldServers full =
+        new HeldServers(
+            clock, scheduler, observer, ServerChange.UNANSWERING, ServerChange.ANSWERING);
+    this.unanswered = new UnansweredRequests(clock, statistics, serverProbes, full);
+    this.calls = new QueuedCalls(table, statistics, clock);
+    ServerCosts costs = new ServerCosts(statistics, unanswered);
+    ColdServers coldServers = new ColdServers(shares, clock, random, observer);
+    RequestLimits limits = new RequestLimits(shares, clock, random, observer, coldServers);
+    ServerGates gates =
+        new ServerGates(
+            List.of(
+                new LeavingGate(leavingHosts),
+                new EvacuationGate(),
+                new StatedLeavingGate(notices),
+                new EjectionGate(),
+                new RefusalPauseGate(),
+                new FullServerGate(full),
+                limits,
+                new PauseGate(notices),
+                new RampGate(random, coldServers, notices)));
+    ServerPicker picker = new ServerPicker(clock, random, gates, costs);
+    this.dispatcher =
+        new Dispatcher(
+            picker, links, shares, statistics, unanswered, clock, limits, gates, notices);
     this.requests = new PlacementRequests(clock, statistics);
     this.customers = new CustomerSharing(customerAdmission);
     this.admission = new Admission(clock, statistics, dispatcher, requests, customers);
-    this.probes =
-        new ProbeRounds(
-            clock, picker, costs, probe, limits, new ProbeBudget(clock, shares), scheduler);
+    this.probes = new ProbeRounds(clock, picker, serverProbes, limits, gates, scheduler);
     this.queueProbes = new QueueProbes(clock, probes);
-    this.recorder = new AttemptRecorder(clock, statistics, observer, limits);
+    this.recorder = new AttemptRecorder(clock, statistics, observer, limits, unanswered);
     ReturnTime returnTime = new BacklogReturnTime(clock, random);
     this.refuser =
         new CallRefuser(clock, table, dispatcher, requests, observer, returnTime, customers);
   }
 
+  /** Takes over the configuration in force, which otherwise happens with the next call. */
+  public void refresh() {
+    table.refresh();
+  }
+
   @Override
   public PlacementHandle request(
       CallDescriptor call, AttemptHistory history, PlacementListener listener) {
-    QueuedCall queued = queuedCall(call, history, listener);
-    Optional<ServiceState> service = table.service(call.route().service());
+    QueuedCall queued = calls.queuedCall(call, history, listener);
+    Optional<ServiceState> service = table.service(call);
     if (service.isEmpty() || !dispatcher.hasServer(service.get())) {
       refuser.refuse(queued, Step.PICK_SERVER, PlacementRule.NO_SERVER);
       return queued;
@@ -180,7 +167,8 @@
     }
     customers.judge(queued);
     if (service.get().queue().isEmpty()) {
-      probes.run(service.get(), requests.of(queued), () -> grantOrEnqueue(service.get(), queued));
+      probes.run(
+          service.get(), requests.of(queued), () -> grantOrEnqueue(service.get(), queued));
     } else {
       enqueueInTime(service.get(), queued);
     }
@@ -206,36 +194,6 @@
     }
   }
 
-  private QueuedCall queuedCall(
-      CallDescriptor call, AttemptHistory history, PlacementListener listener) {
-    String service = call.route().service();
-    String route = call.route().name();
-    Optional<RoutingSettings> settings =
-        table.service(service).map(state -> state.view().settings());
-    double longWorkFactor = settings.map(s -> s.value(Tunable.LONG_WORK_FACTOR)).orElse(1.0);
-    double deadlineMargin = settings.map(s -> s.value(Tunable.DEADLINE_MARGIN)).orElse(1.0);
-    double expectedMillis = statistics.expectedMillis(service, route);
-    return new QueuedCall(
-        call,
-        history,
-        listener,
-        table.groupWeight(call.sharingGroup()),
-        statistics.isLongWork(service, route, longWorkFactor),
-        clock.millis(),
-        expectedMillis,
-        computeLatestStart(call, settings, deadlineMargin * expectedMillis));
-  }
-
-  private long computeLatestStart(
-      CallDescriptor call, Optional<RoutingSettings> settings, double neededMillis) {
-    long latestStart = call.deadlineMillis() - (long) neededMillis;
-    if (call.route().mayWait() || settings.isEmpty()) {
-      return latestStart;
-    }
-    long maxQueueMillis = (long) settings.get().value(Tunable.MAX_QUEUE_MILLIS);
-    return Math.min(latestStart, clock.millis() + maxQueueMillis);
-  }
-
   private boolean tryGrant(ServiceState service, QueuedCall queued) {
     return dispatcher
         .dispatch(service, requests.of(queued))
@@ -249,7 +207,8 @@
       return false;
     }
     customers.granted(queued);
-    ServerGrant grant = new ServerGrant(service, dispatch.server(), queued, this::attemptEnded);
+    ServerGrant grant =
+        new ServerGrant(service, dispatch.server(), queued, unanswered, this::attemptEnded);
     observer.granted(queued.call(), grant.server(), dispatch.reason());
     queued.listener().granted(grant);
     return true;
@@ -359,22 +318,15 @@
   private void attemptEnded(
       ServiceState service, ServerState server, QueuedCall queued, AttemptReport report) {
     CallDescriptor call = queued.call();
-    if (mayStillRun(report.outcome())) {
+    if (report.outcome().mayStillRun()) {
       double remainingMillis = statistics.expectedMillis(service.name(), call.route().name());
       scheduler.schedule(
           (long) Math.ceil(remainingMillis), () -> freeSlot(service, server, queued.longWork()));
     } else {
       freeSlot(service, server, queued.longWork());
     }
-    recorder.recordAttempt(service, server, call, report);
-    if (!service.queue().isEmpty()) {
-      service.queue().addFreed(server);
-      service.queue().run(() -> serveQueue(service));
-    }
-  }
-
-  private static boolean mayStillRun(AttemptOutcome outcome) {
-    return outcome instanceof AttemptOutcome.Unknown || outcome instanceof AttemptOutcome.Cancelled;
+    recorder.recordAttempt(service.whole(), server, call, report);
+    service.serveFreed(server, this::serveQueue);
   }
 
   private static void freeSlot(ServiceState service, ServerState server, boolean longWork) {
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/RequestLimits.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/RequestLimits.java
@@ -14,7 +14,7 @@
  * <p>A limit holds from the first answer that names it until an answer names none. Every request to
  * the server counts, also second attempts; such a server is not probed. Safe for all threads.
  */
-final class RequestLimits {
+final class RequestLimits implements ServerGate {
 
   /** Rate at which all entries together try a server that takes none, to see the limit end. */
   private static final double MIN_PER_SECOND = 0.05;
@@ -25,9 +25,15 @@
   private final Clock clock;
   private final UniformRandomProvider random;
   private final PlacementObserver observer;
+  private final ColdServers coldServers;
 
   RequestLimits(
-      LimitShares shares, Clock clock, UniformRandomProvider random, PlacementObserver observer) {
+      LimitShares shares,
+      Clock clock,
+      UniformRandomProvider random,
+      PlacementObserver observer,
+      ColdServers coldServers) {
+    this.coldServers = coldServers;
     this.shares = shares;
     this.clock = clock;
     this.random = random;
@@ -68,20 +74,35 @@
     return sharePerSecond * UncoordinatedRate.perSecond(wholePerSecond, entries) / wholePerSecond;
   }
 
-  /** Returns whether a request may be sent to a server now. */
-  boolean allow(ServerState server) {
-    return server
-        .requestLimit()
-        .map(limit -> limit.pace().isOpen(clock.exactMillis(), sharePerSecond(limit)))
-        .orElse(true);
+  @Override
+  public Kind kind() {
+    return Kind.PACE;
   }
 
-  /** Counts a request to a server, if it may be sent now. */
-  boolean tryTake(ServerState server) {
-    return server
-        .requestLimit()
-        .map(limit -> limit.pace().tryUse(clock.exactMillis(), sharePerSecond(limit)))
-        .orElse(true);
+  @Override
+  public double millisUntilOpen(ServiceState service, ServerState server, double nowMillis) {
+    double namedMillis =
+        server
+            .requestLimit()
+            .map(limit -> limit.pace().millisToNext(nowMillis, sharePerSecond(limit)))
+            .orElse(0.0);
+    return Math.max(namedMillis, coldServers.millisToNext(server));
+  }
+
+  @Override
+  public boolean tryPass(ServiceState service, ServerState server, double nowMillis) {
+    return coldServers.allow(server)
+        && server
+            .requestLimit()
+            .map(limit -> limit.pace().tryUse(nowMillis, sharePerSecond(limit)))
+            .orElse(true)
+        && coldServers.tryTake(server);
+  }
+
+  /** A probe counts against the limit that a server names. */
+  @Override
+  public boolean allowsProbe(ServiceState service, ServerState server, double nowMillis) {
+    return server.requestLimit().isEmpty();
   }
 
   /**
@@ -99,17 +120,24 @@
     }
     double nextMillis = Double.POSITIVE_INFINITY;
     for (ServerState server : servers) {
-      Optional<ServerLimit> limit = server.requestLimit();
-      if (limit.isPresent() && accepts.test(server)) {
-        RequestPace pace = limit.get().pace();
-        nextMillis =
-            Math.min(
-                nextMillis, pace.millisToNext(clock.exactMillis(), sharePerSecond(limit.get())));
+      if (accepts.test(server)) {
+        double namedMillis =
+            server
+                .requestLimit()
+                .map(limit -> limit.pace().millisToNext(clock.exactMillis(), sharePerSecond(limit)))
+                .orElse(0.0);
+        nextMillis = Math.min(nextMillis, Math.max(namedMillis, coldServers.millisToNext(server)));
       }
     }
     return nextMillis + ahead * millisPerRequest;
   }
 
+  /** Returns this entry's share of the limits of a server, infinite if it has none. */
+  private double sharePerSecond(ServerState server) {
+    double named = server.requestLimit().map(this::sharePerSecond).orElse(Double.POSITIVE_INFINITY);
+    return Math.min(named, coldServers.sharePerSecond(server).orElse(Double.POSITIVE_INFINITY));
+  }
+
   /**
    * Returns the expected time, in milliseconds, between two requests of this entry that the limits
    * let through; 0 if one of the servers has no limit, infinite if there is no server.
@@ -121,11 +149,11 @@
     double perSecond = 0;
     for (ServerState server : servers) {
       if (accepts.test(server)) {
-        Optional<ServerLimit> limit = server.requestLimit();
-        if (limit.isEmpty()) {
+        double share = sharePerSecond(server);
+        if (Double.isInfinite(share)) {
           return 0;
         }
-        perSecond += sharePerSecond(limit.get());
+        perSecond += share;
       }
     }
     return MILLIS_PER_SECOND / perSecond;
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerHealth.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerHealth.java
@@ -130,8 +130,14 @@
     return nowMillis < ejectedUntilMillis.get();
   }
 
-  boolean isPaused(long nowMillis) {
-    return nowMillis < pausedUntilMillis;
+  /** Returns the end of the last ejection, {@link Long#MIN_VALUE} if there was none. */
+  long ejectedUntilMillis() {
+    return ejectedUntilMillis.get();
+  }
+
+  /** Returns the end of the pause after the last refusal, {@link Long#MIN_VALUE} if none. */
+  long pausedUntilMillis() {
+    return pausedUntilMillis;
   }
 
   /** Ejects the server until a time, from which its work ramps up, and halves its failure share. */
@@ -141,12 +147,21 @@
     failures.reset(failures.orElse(0) / 2);
   }
 
+  /** Has the server's work ramp up from a time on. */
+  void rampFrom(long startMillis) {
+    rampStartedAtMillis = startMillis;
+  }
+
   /** Returns the share of its usual work that the server gets while it ramps up, at most 1. */
   double rampShare(long nowMillis, double rampMillis) {
-    double elapsed = nowMillis - rampStartedAtMillis;
-    if (elapsed >= rampMillis) {
+    return rampShare((double) (nowMillis - rampStartedAtMillis), rampMillis);
+  }
+
+  /** Returns the share of its usual work that a server gets at a time after its return. */
+  static double rampShare(double elapsedMillis, double rampMillis) {
+    if (elapsedMillis >= rampMillis) {
       return 1;
     }
-    return Math.max(MIN_RAMP_SHARE, elapsed / rampMillis);
+    return Math.max(MIN_RAMP_SHARE, elapsedMillis / rampMillis);
   }
 }
--- a/wagtailpin/src/main/java/org/wagtailpin/transport/HttpDialect.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/transport/HttpDialect.java
@@ -32,6 +32,13 @@
  * @param allowsFractionalRetryAfter whether Retry-After may have fractions of a second
  * @param buffersAnswers whether answers up to a maximum length are buffered before they are
  *     relayed, so that one that fails midway can be replaced
+ * @param slowStart header in which a backend server's answer to a probe states for how many
+ *     milliseconds the server is cold, empty if there is none
+ * @param customerHeaders headers by which customers are identified; empty if they are not
+ * @param serverLeaving header whose value 1 in an answer says that the server is leaving, empty if
+ *     there is none
+ * @param serverPause header of an answer with status 503 that states for how many seconds the
+ *     server wants no requests, empty if it has no such meaning
  */
 public record HttpDialect(
     AsciiString requestId,
@@ -48,7 +55,11 @@
     Set<Integer> notRunStatuses,
     boolean allowsUnframedAnswers,
     boolean allowsFractionalRetryAfter,
-    boolean buffersAnswers) {
+    boolean buffersAnswers,
+    Optional<AsciiString> slowStart,
+    Optional<CustomerHeaders> customerHeaders,
+    Optional<AsciiString> serverLeaving,
+    Optional<AsciiString> serverPause) {
 
   /** Format of the load header. */
   public enum LoadFormat {
@@ -63,6 +74,48 @@
     notRunStatuses = Set.copyOf(notRunStatuses);
   }
 
+  /**
+   * Creates a dialect without customers, in which servers state neither that they are cold nor that
+   * they leave or pause.
+   */
+  public HttpDialect(
+      AsciiString requestId,
+      AsciiString callerTimeout,
+      AsciiString deadline,
+      AsciiString load,
+      LoadFormat loadFormat,
+      AsciiString requestLimit,
+      Optional<AsciiString> attempt,
+      Optional<AsciiString> target,
+      Optional<AsciiString> signature,
+      Optional<AsciiString> instance,
+      boolean callerSetsRequestId,
+      Set<Integer> notRunStatuses,
+      boolean allowsUnframedAnswers,
+      boolean allowsFractionalRetryAfter,
+      boolean buffersAnswers) {
+    this(
+        requestId,
+        callerTimeout,
+        deadline,
+        load,
+        loadFormat,
+        requestLimit,
+        attempt,
+        target,
+        signature,
+        instance,
+        callerSetsRequestId,
+        notRunStatuses,
+        allowsUnframedAnswers,
+        allowsFractionalRetryAfter,
+        buffersAnswers,
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty());
+  }
+
   /** Returns the default dialect, with the header names of {@link WagtailpinHeaders}. */
   public static HttpDialect standard() {
     return new HttpDialect(
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/PlacementFixture.java
@@ -35,6 +35,8 @@
   final List<ConfigServer> servers = new ArrayList<>();
   final List<ConfigObject> extraObjects = new ArrayList<>();
   private Optional<String> probePath = Optional.empty();
+  private Optional<Long> slowStartMillis = Optional.empty();
+  private Optional<Double> warmupPerSecond = Optional.empty();
   int connectionShare = Integer.MAX_VALUE;
   double rateShare = 1;
   private volatile ConfigSnapshot snapshot = ConfigSnapshot.empty();
@@ -51,6 +53,12 @@
     return this;
   }
 
+  PlacementFixture withSlowStart(long millis, double perSecond) {
+    slowStartMillis = Optional.of(millis);
+    warmupPerSecond = Optional.of(perSecond);
+    return this;
+  }
+
   PlacementFixture servers(int count, int slots) {
     for (int i = 0; i < count; i++) {
       server("s" + i, "north", "n1", slots);
@@ -92,7 +100,15 @@
 
   PlacementFixture publish() {
     List<ConfigObject> objects = new ArrayList<>(extraObjects);
-    objects.add(new ConfigService(SERVICE, false, List.of(), probePath));
+    objects.add(
+        new ConfigService(
+            SERVICE,
+            false,
+            List.of(),
+            probePath,
+            Optional.empty(),
+            slowStartMillis,
+            warmupPerSecond));
     objects.add(new ConfigServerSet("set", SERVICE, List.copyOf(servers)));
     snapshot = new ConfigSnapshot(++version, objects);
     return this;
@@ -124,9 +140,23 @@
         probe);
   }
 
+  /** Returns a placement that heeds what servers state about themselves. */
+  QueueingPlacement placement(ServerNotices notices) {
+    return placement(SEED, statistics, notices, new CustomerAdmission(clock));
+  }
+
   /** Returns the placement of one of several entries, with its own statistics. */
   QueueingPlacement placement(
       long seed, RouteStatistics ownStatistics, CustomerAdmission customerAdmission) {
+    ServerNotices notices = new ServerNotices(clock, loop::schedule, PlacementObserver.none());
+    return placement(seed, ownStatistics, notices, customerAdmission);
+  }
+
+  private QueueingPlacement placement(
+      long seed,
+      RouteStatistics ownStatistics,
+      ServerNotices notices,
+      CustomerAdmission customerAdmission) {
     return new QueueingPlacement(
         () -> snapshot,
         new Locality("north", "n1"),
@@ -137,7 +167,8 @@
         loop::schedule,
         ownStatistics,
         PlacementObserver.none(),
-        (server, path, done) -> done.accept(ProbeAnswer.none()),
+        LoadProbe.none(),
+        notices,
         customerAdmission);
   }
 
