Exchange the sums of customers within a failure domain

Cause: the beats between a watcher and its followers had no fields for the sums of customers, so that each entry shared capacity by its own sums.

Change: a beat to the followed watcher carries the follower's sums, and the answer those of the domain, both only for services that refuse work of customers. Levels that no entry sends are left out when read, as are sums of entries of other domains and of watchers that are not followed, and answers to messages sent earlier than the last one answered. Work that rounds to nothing is not sent, since shares divide by it. Without customers the messages stay as they are.

--- a/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/ControlParts.java
@@ -196,7 +196,8 @@
             random,
             timing,
             seedNames(settings),
-            events);
+            events,
+            customerAdmission.sums());
     return new Fleet(
         fleet,
         new EqualShares(new HighestCount(fleet::fleetSize, clock, FLEET_SIZE_MEMORY_MILLIS)),
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/BeatExchange.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/BeatExchange.java
@@ -34,6 +34,7 @@
   private final ConfigMerger merger;
   private final ConfigSync configSync;
   private final FollowerCount followers;
+  private final CustomerSumsExchange customerSums;
   private final ConfigObjectCodec codec = new ConfigObjectCodec();
   private final Clock clock;
   private final FleetTiming timing;
@@ -51,6 +52,7 @@
       ConfigMerger merger,
       ConfigSync configSync,
       FollowerCount followers,
+      CustomerSumsExchange customerSums,
       Clock clock,
       FleetTiming timing) {
     this.self = self;
@@ -62,6 +64,7 @@
     this.merger = merger;
     this.configSync = configSync;
     this.followers = followers;
+    this.customerSums = customerSums;
     this.clock = clock;
     this.timing = timing;
   }
@@ -97,6 +100,7 @@
     if (watch.running()) {
       body.addAllWatchers(knowledge.directory().toRecords(now));
     }
+    customerSums.addReport(entry, body);
     unanswered++;
     var unused =
         messenger
@@ -161,6 +165,7 @@
           .filter(id -> !id.equals(self.id()) && !watch.running())
           .ifPresent(id -> followNamed(id, now));
     }
+    customerSums.receive(sender, ack, sentMillis);
     compareConfig(member, ack.getState());
   }
 
@@ -231,6 +236,7 @@
       // other.
       ack.addAllWatchers(knowledge.otherOwnWatchers(sender, now));
     }
+    customerSums.answer(sender, member, beat, ack);
     return CompletableFuture.completedFuture(PeerFrame.newBuilder().setDomainBeatAck(ack));
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/fleet/DomainFleet.java
@@ -19,6 +19,7 @@
 import org.wagtailpin.eventlog.Event;
 import org.wagtailpin.eventlog.EventKind;
 import org.wagtailpin.eventlog.EventLog;
+import org.wagtailpin.limits.DomainCustomerSums;
 import org.wagtailpin.membership.ConfigSync;
 import org.wagtailpin.membership.FleetMembership;
 import org.wagtailpin.membership.HighestCount;
@@ -112,6 +113,7 @@
    * @param seeds names of addresses at which other entries may be found, made by {@link
    *     MutableAddressBook#addressName}
    * @param events receives an event when the watcher changes
+   * @param customerSums the sums of customers that are exchanged within the failure domain
    */
   public DomainFleet(
       Member self,
@@ -127,7 +129,8 @@
       UniformRandomProvider random,
       FleetTiming timing,
       List<String> seeds,
-      EventLog events) {
+      EventLog events,
+      DomainCustomerSums customerSums) {
     this.self = self;
     this.watch = watch;
     this.merger = merger;
@@ -161,6 +164,7 @@
             merger,
             configSync,
             followers,
+            new CustomerSumsExchange(self, followed, watch::running, customerSums),
             clock,
             timing);
     this.status = new FleetStatus(self, domains.size(), knowledge, watch, followed);
--- a/wagtailpin/src/main/java/org/wagtailpin/limits/DomainCustomerSums.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/limits/DomainCustomerSums.java
@@ -117,7 +117,9 @@
   /** Returns the sums of the domain with their age, unless there are none or they are too old. */
   Optional<CustomerSums> latest() {
     double now = clock.exactMillis();
-    return domain.map(report -> report.at(now)).filter(sums -> sums.ageMillis() <= MAX_AGE_MILLIS);
+    return domain
+        .map(report -> report.at(now))
+        .filter(sums -> !sums.levels().isEmpty() && sums.ageMillis() <= MAX_AGE_MILLIS);
   }
 
   /** Returns the sums of this entry alone. */
--- a/wagtailpin/src/test/java/org/wagtailpin/fleet/SimulatedMember.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/fleet/SimulatedMember.java
@@ -12,6 +12,7 @@
 import org.wagtailpin.entrypeer.PeerIdentity;
 import org.wagtailpin.entrypeer.PeerMessenger;
 import org.wagtailpin.eventlog.NoOpEventLog;
+import org.wagtailpin.limits.CustomerAdmission;
 import org.wagtailpin.membership.Member;
 import org.wagtailpin.membership.PausableControlLoop;
 import org.wagtailpin.membership.PullConfigSync;
@@ -32,6 +33,7 @@
   private PublishedConfig published;
   private RegistryWatcher watcher;
   private DomainFleet membership;
+  private CustomerAdmission customerAdmission;
   private int highestVersion;
   private long disturbedMillis;
   private boolean cut;
@@ -77,6 +79,7 @@
             new TestRegistryFormat(),
             timing.batchMillis(),
             new NoOpEventLog());
+    customerAdmission = new CustomerAdmission(fleet.clock());
     membership =
         new DomainFleet(
             self,
@@ -92,7 +95,8 @@
             RandomSource.XO_RO_SHI_RO_128_PP.create(fleet.random().nextLong()),
             timing,
             fleet.seeds(),
-            new NoOpEventLog());
+            new NoOpEventLog(),
+            customerAdmission.sums());
     started.execute(membership::start);
   }
 
@@ -198,6 +202,10 @@
     return membership;
   }
 
+  CustomerAdmission customerAdmission() {
+    return customerAdmission;
+  }
+
   String id() {
     return id;
   }
