--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -30,6 +30,7 @@
 import org.wagtailpin.routing.PrometheusPlacementObserver;
 import org.wagtailpin.routing.QueueingPlacement;
 import org.wagtailpin.routing.ServerNotices;
+import org.wagtailpin.routing.ServerSubsets;
 import org.wagtailpin.routing.SharedRandom;
 import org.wagtailpin.routing.TaskScheduler;
 
@@ -93,7 +94,8 @@
             observer,
             new BackendLoadProbe(backend, trafficLoops, platform.dialect(), PROBE_TIMEOUT_MILLIS),
             notices,
-            control.customerAdmission());
+            control.customerAdmission(),
+            new ServerSubsets(settings.id(), shares));
     // An entry without calls during an evacuation has to know, too, that the servers return cold.
     control
         .merger()
--- a/wagtailpin/src/main/java/org/wagtailpin/call/QuotaPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/QuotaPlacement.java
@@ -176,6 +176,16 @@
       return clock.exactMillis() <= usableUntilMillis;
     }
 
+    @Override
+    public double silenceMillis() {
+      return grant.silenceMillis();
+    }
+
+    @Override
+    public void unanswered() {
+      grant.unanswered();
+    }
+
     @Override
     public void finished(AttemptReport report) {
       grant.finished(report);
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -81,15 +81,17 @@
         observer,
         probe,
         new ServerNotices(clock, scheduler, observer),
-        new CustomerAdmission(clock));
+        new CustomerAdmission(clock),
+        ServerSubsets.whole());
   }
 
   /**
-   * Creates a placement that also heeds what servers state about themselves, and shares capacity
-   * between customers by what others know of them.
+   * Creates a placement that also heeds what servers state about themselves, shares capacity
+   * between customers by what others know of them, and may use some of the servers first.
    *
    * @param notices what servers have stated, shared with the client that receives it
    * @param customerAdmission decides which calls exceed the shares of their customers
+   * @param subsets the servers that this entry uses first
    */
   public QueueingPlacement(
       ConfigSource config,
@@ -103,7 +105,8 @@
       PlacementObserver observer,
       LoadProbe probe,
       ServerNotices notices,
-      CustomerAdmission customerAdmission) {
+      CustomerAdmission customerAdmission,
+      ServerSubsets subsets) {
     this.clock = clock;
     this.scheduler = scheduler;
     this.statistics = statistics;
@@ -131,16 +134,24 @@
                 limits,
                 new PauseGate(notices),
                 new RampGate(random, coldServers, notices)));
-    ServerPicker picker = new ServerPicker(clock, random, gates, costs);
+    ServerPicker picker = new ServerPicker(clock, random, gates, costs, subsets);
     this.dispatcher =
         new Dispatcher(
-            picker, links, shares, statistics, unanswered, clock, limits, gates, notices);
+            picker, links, shares, statistics, unanswered, clock, limits, gates, notices, subsets);
     this.requests = new PlacementRequests(clock, statistics);
     this.customers = new CustomerSharing(customerAdmission);
     this.admission = new Admission(clock, statistics, dispatcher, requests, customers);
     this.probes = new ProbeRounds(clock, picker, serverProbes, limits, gates, scheduler);
     this.queueProbes = new QueueProbes(clock, probes);
-    this.recorder = new AttemptRecorder(clock, statistics, observer, limits, unanswered);
+    this.recorder =
+        new AttemptRecorder(
+            clock,
+            statistics,
+            observer,
+            limits,
+            unanswered,
+            new HeldServers(
+                clock, scheduler, observer, ServerChange.EJECTED, ServerChange.RETURNED));
     ReturnTime returnTime = new BacklogReturnTime(clock, random);
     this.refuser =
         new CallRefuser(clock, table, dispatcher, requests, observer, returnTime, customers);
@@ -263,8 +274,11 @@
   }
 
   private void refuseExpired(ServiceState service) {
-    for (QueuedCall expired : service.queue().removeExpired(clock.millis())) {
-      refuser.refuse(expired, Step.ADMIT, PlacementRule.QUEUE_TIME_OVER);
+    double pauseMillis = dispatcher.pauseMillis(service);
+    PlacementRule rule =
+        pauseMillis > 0 ? PlacementRule.SERVERS_PAUSED : PlacementRule.QUEUE_TIME_OVER;
+    for (QueuedCall late : service.queue().removeExpired(clock.millis() + (long) pauseMillis)) {
+      refuser.refuse(late, Step.ADMIT, rule);
     }
   }
 
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServiceState.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServiceState.java
@@ -167,8 +167,9 @@
     server.load().recordReport(load, nowMillis);
     int slots = server.server().slots();
     double queuePerSlot = (double) (load.inFlight() + load.queued() - slots) / slots;
-    whole().highestQueuePerSlot.accumulateAndGet(
-        Double.doubleToRawLongBits(Math.max(0, queuePerSlot)), Math::max);
+    whole()
+        .highestQueuePerSlot
+        .accumulateAndGet(Double.doubleToRawLongBits(Math.max(0, queuePerSlot)), Math::max);
   }
 
   /** Records an answer of one of the servers that did not carry a load report. */
--- a/wagtailpin/src/test/java/org/wagtailpin/call/QuotaPlacementTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/call/QuotaPlacementTest.java
@@ -133,6 +133,17 @@
     assertThat(granted.get(0).usable()).isFalse();
   }
 
+  /** Guards against calls with a quota for which silent servers are not noticed. */
+  @Test
+  void theSilenceOfAServerIsReportedThroughTheGrant() {
+    servers.silenceMillis(70);
+    place(8, AttemptHistory.none());
+    asked.remove().accept(new BudgetAnswer.Granted(clock.exactMillis() + 250));
+    granted.get(0).unanswered();
+    assertThat(granted.get(0).silenceMillis()).isEqualTo(70);
+    assertThat(servers.unansweredServers()).containsExactly("s1");
+  }
+
   @Test
   void aDenialEndsTheCallAndThoseThatFollowShortlyAfter() {
     place(8, AttemptHistory.none());
