Format the merged routing code

Cause: merges left two files that the format check refuses. Change: spotless:apply, which also removes two unused imports. Result: verify of the library and the daemon, without tests, passes.

--- a/wagtailpin/src/main/java/org/wagtailpin/routing/CallRefuser.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/CallRefuser.java
@@ -64,7 +64,9 @@
             .service(queued.call().route().service())
             .map(service -> (long) Math.ceil(dispatcher.pauseMillis(service)))
             .orElse(0L);
-    queued.listener().refused(new Refusal(fault, Math.max(returnTime.millis(backlog), pauseMillis)));
+    queued
+        .listener()
+        .refused(new Refusal(fault, Math.max(returnTime.millis(backlog), pauseMillis)));
   }
 
   private PlacementReason refusalReason(PlacementRule rule, QueuedCall queued) {
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/QueueingPlacement.java
@@ -6,8 +6,6 @@
 import org.wagtailpin.clock.Clock;
 import org.wagtailpin.config.ConfigSource;
 import org.wagtailpin.config.Tunable;
-import org.wagtailpin.error.Fault;
-import org.wagtailpin.error.Peer;
 import org.wagtailpin.error.Step;
 import org.wagtailpin.limits.BacklogReturnTime;
 import org.wagtailpin.limits.CustomerAdmission;
@@ -178,8 +176,7 @@
     }
     customers.judge(queued);
     if (service.get().queue().isEmpty()) {
-      probes.run(
-          service.get(), requests.of(queued), () -> grantOrEnqueue(service.get(), queued));
+      probes.run(service.get(), requests.of(queued), () -> grantOrEnqueue(service.get(), queued));
     } else {
       enqueueInTime(service.get(), queued);
     }
