--- a/wagtailpin/src/test/java/org/wagtailpin/budget/BudgetScheduleTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/budget/BudgetScheduleTest.java
@@ -4,6 +4,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.junit.jupiter.api.Test;
@@ -167,4 +168,23 @@
     int refused = fleet.denied + fleet.unavailable;
     assertThat((double) refused / (refused + fleet.granted)).isLessThan(MAX_REFUSED_SHARE);
   }
+
+  /** Guards against a customer above its quota getting less than the quota. */
+  @Test
+  void demandAboveTheQuotaIsServedUpToIt() {
+    BudgetLimit limit = new BudgetLimit(36, 36);
+    SimulatedBudgets fleet =
+        new SimulatedBudgets(
+            DOMAINS, 4, 1, EntryUnits.VALID_MILLIS, Map.of(SimulatedBudgets.SMALL, limit));
+    fleet.time.advance(5_000);
+    int seconds = 10;
+    for (int step = 0; step < seconds * 500; step++) {
+      if (fleet.random.nextDouble() < 10 * limit.perSecond() * CALL_MILLIS / 1_000) {
+        int index = fleet.random.nextInt(fleet.nodes.size());
+        fleet.call(fleet.nodes.get(index), SimulatedBudgets.SMALL, 0);
+      }
+      fleet.time.advance(CALL_MILLIS);
+    }
+    assertThat(fleet.granted).isAtLeast((int) (0.95 * limit.perSecond() * seconds));
+  }
 }
