Test that admitted work is not sent and old sums are not used

Cause: tests passed although reports of services that refuse nothing were sent, and although the sums of a watcher out of reach were used for ever. Change: all entries admit work of customers in the first test; a follower that is cut off has a test of its own.

--- a/wagtailpin/src/test/java/org/wagtailpin/fleet/CustomerSumsExchangeTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/fleet/CustomerSumsExchangeTest.java
@@ -124,8 +124,12 @@
   @Test
   void noSumsAreSentWithoutRefusedWorkOfCustomers() {
     start();
-    watcher().customerAdmission().granted(call("small"), false);
-    fleet.advance(SETTLE_MILLIS);
+    for (SimulatedMember member : fleet.members()) {
+      for (int i = 0; i < CALLS; i++) {
+        member.customerAdmission().granted(call("flood"), false);
+      }
+    }
+    fleet.advance(TWO_BEATS_MILLIS);
 
     assertThat(recorder.beats).isGreaterThan(0);
     assertThat(recorder.answers).isGreaterThan(0);
@@ -169,6 +173,20 @@
     assertThat(limits(idle, "surge")).isFalse();
   }
 
+  /** Guards against old sums in an entry that finds no other watcher. */
+  @Test
+  void sumsOfAWatcherThatIsOutOfReachAreNotUsedWhenTheyAreOld() {
+    start();
+    SimulatedMember cutOff = followers().get(0);
+    overload(watcher(), "surge");
+    fleet.advance(TWO_BEATS_MILLIS);
+    assertThat(limits(cutOff, "surge")).isTrue();
+
+    cutOff.cutFromPeers();
+    fleet.advance(SUMS_TOO_OLD_MILLIS);
+    assertThat(limits(cutOff, "surge")).isFalse();
+  }
+
   /** Guards against sums of a former watcher, of a delayed answer or of another domain. */
   @Test
   void onlyTheLatestAnswerOfTheFollowedWatcherAndReportsOfTheOwnDomainAreUsed() {
