--- a/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/wagtailpin/daemon/TrafficParts.java
@@ -14,6 +14,7 @@
 import org.wagtailpin.call.PrometheusCallMetrics;
 import org.wagtailpin.call.QuotaPlacement;
 import org.wagtailpin.clock.Clock;
+import org.wagtailpin.config.Tunable;
 import org.wagtailpin.control.ControlLoop;
 import org.wagtailpin.control.ScheduledTask;
 import org.wagtailpin.eventlog.EventLog;
@@ -95,7 +96,7 @@
             new BackendLoadProbe(backend, trafficLoops, platform.dialect(), PROBE_TIMEOUT_MILLIS),
             notices,
             control.customerAdmission(),
-            new ServerSubsets(settings.id(), shares));
+            new ServerSubsets(settings.id(), subsetEntries(settings), shares));
     // An entry without calls during an evacuation has to know, too, that the servers return cold.
     control
         .merger()
@@ -120,6 +121,11 @@
             platform.dialect());
   }
 
+  private static int subsetEntries(EntrySettings settings) {
+    Tunable tunable = Tunable.SUBSET_ENTRIES;
+    return settings.constants().getOrDefault(tunable, tunable.defaultValue()).intValue();
+  }
+
   private Placement quotaPlacement(Placement placement, EventLoopGroup trafficLoops, Clock clock) {
     return control
         .budgets()
--- a/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/config/Tunable.java
@@ -83,6 +83,8 @@
   LONG_WORK_SHARE("longWorkShare", "share", 0, 1, 0.5),
   /** Slots per server kept free of long work in excess of {@link #LONG_WORK_SHARE}. */
   SHORT_SLOTS("shortSlots", "slots", 0, 1000, 1),
+  /** Number of entries above which each uses a subset of the servers first; 0 for never. */
+  SUBSET_ENTRIES("subsetEntries", "entries", 0, 100_000, 0),
   /** Length of the sliding window in which customers' quotas are checked. */
   QUOTA_WINDOW_SECONDS("quotaWindowSeconds", "s", 0.1, 3600, 5),
   /** Fraction by which a customer's requests in a window may exceed its quota. */
--- a/wagtailpin/src/main/java/org/wagtailpin/routing/ServerSubsets.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/routing/ServerSubsets.java
@@ -19,14 +19,13 @@
  * entry, so that all servers belong to about as many subsets. It widens for a request that finds no
  * free slot in it.
  *
- * <p>Takes effect where more than {@value #MAX_ENTRIES_WITHOUT} entries are known and an entry
- * sends each server less than one request in {@value #MIN_PERIOD_MILLIS} ms. With E entries, n
- * servers, F requests in flight and a work time T, that is E x n > F x {@value #MIN_PERIOD_MILLIS}
- * / T. Safe for all threads.
+ * <p>Takes effect where more than a set number of entries are known and an entry sends each server
+ * less than one request in {@value #MIN_PERIOD_MILLIS} ms. With E entries, n servers, F requests in
+ * flight and a work time T, that is E x n > F x {@value #MIN_PERIOD_MILLIS} / T. Safe for all
+ * threads.
  */
 public final class ServerSubsets {
 
-  private static final int MAX_ENTRIES_WITHOUT = 64;
   private static final int MIN_PERIOD_MILLIS = 16_000;
 
   /** Time between two requests to a server of the subset, half of that for which it is kept. */
@@ -42,6 +41,7 @@
   private record Ranking(List<ServerState> servers, List<ServerState> ranked) {}
 
   private final String entry;
+  private final int entriesWithout;
   private final LimitShares shares;
   private final ConcurrentHashMap<String, RecentAverage> requests = new ConcurrentHashMap<>();
   private final ConcurrentHashMap<ServiceState, Ranking> nearRankings = new ConcurrentHashMap<>();
@@ -51,10 +51,13 @@
    * Creates subsets of one entry.
    *
    * @param entry the name of the entry
+   * @param entriesWithout the number of entries up to which the subset holds all servers; 0 if it
+   *     always does
    * @param shares this entry's shares, by which the number of entries is known
    */
-  public ServerSubsets(String entry, LimitShares shares) {
+  public ServerSubsets(String entry, int entriesWithout, LimitShares shares) {
     this.entry = entry;
+    this.entriesWithout = entriesWithout;
     this.shares = shares;
   }
 
@@ -62,6 +65,7 @@
   static ServerSubsets whole() {
     return new ServerSubsets(
         "",
+        0,
         new LimitShares() {
           @Override
           public int integerShare(String limitName, int limit) {
@@ -90,7 +94,7 @@
    * @param nowMillis the current time
    */
   int width(ServiceState service, int servers, double nowMillis) {
-    if (servers <= MIN_SERVERS || shares.share(MAX_ENTRIES_WITHOUT) >= 1) {
+    if (entriesWithout == 0 || servers <= MIN_SERVERS || shares.share(entriesWithout) >= 1) {
       return servers;
     }
     RecentAverage sent = requests.get(service.name());
--- a/wagtailpin/src/test/java/org/wagtailpin/routing/ServerSubsetsTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/routing/ServerSubsetsTest.java
@@ -17,6 +17,7 @@
 /** Counts the connections that the entries of a fleet would open, in simulated time. */
 class ServerSubsetsTest {
 
+  private static final int ENTRIES_WITHOUT = 64;
   private static final long SEED = 11;
   private static final int SERVERS = 100;
   private static final int SLOTS = 3;
@@ -62,7 +63,9 @@
         ServerNotices notices =
             new ServerNotices(fixture.clock, fixture.loop::schedule, PlacementObserver.none());
         ServerSubsets own =
-            subsets ? new ServerSubsets("e" + i, evenShares(entries)) : ServerSubsets.whole();
+            subsets
+                ? new ServerSubsets("e" + i, ENTRIES_WITHOUT, evenShares(entries))
+                : ServerSubsets.whole();
         int entry = i;
         LoadProbe probe =
             (server, path, done) -> {
@@ -162,7 +165,10 @@
         new ServerNotices(fixture.clock, fixture.loop::schedule, PlacementObserver.none());
     Placement placement =
         fixture.placement(
-            SEED, notices, new ServerSubsets("e1", evenShares(174)), LoadProbe.none());
+            SEED,
+            notices,
+            new ServerSubsets("e1", ENTRIES_WITHOUT, evenShares(174)),
+            LoadProbe.none());
     Set<String> used = new HashSet<>();
     for (int i = 0; i < 10; i++) {
       RecordingListener listener = new RecordingListener();
