--- a/review/standins/Entry.java
+++ b/review/standins/Entry.java
@@ -119,7 +119,6 @@
     return Files.readString(Path.of("deploy/entry.json"))
         .replace("{{#seeds.0}}", "")
         .replace("{{/seeds.0}}", "")
-        .replaceAll("\\{\\{#(bounds\\.\\w+)}}.*\\{\\{/\\1}}", "")
         .replace("{{node}}", name)
         .replace("{{region}}", site.regionsByZone().get(zone))
         .replace("{{zone}}", zone)
