--- a/wagtailpin/src/main/java/org/wagtailpin/call/QuotaPlacement.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/call/QuotaPlacement.java
@@ -36,7 +36,7 @@
   private static final double DENIAL_MILLIS = 100;
 
   /** For how long a call waits for a unit if no holder answers; it keeps a server's slot. */
-  private static final double MAX_WAIT_MILLIS = 300;
+  private static final double MAX_WAIT_MILLIS = 1_000;
 
   private static final long RETRY_MILLIS = 40;
   private static final long UNAVAILABLE_RETRY_AFTER_MILLIS = 250;
