Review: exit codes, records and stops of the scripts

Cause: a virtual machine that failed by itself ended a script with 1, SIGTERM to a script left its processes for a while, and records lacked what was sent.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -7,9 +7,12 @@
   exit 2
 fi
 timeout --signal=TERM --kill-after=5 110 \
-  java -Xmx256m -cp target/review-2 QuotaCase review/6/record.txt "${TROUBLE:-1}"
-code=$?
-case $code in
-  0 | 1) exit $code ;;
+  java -Xmx256m -cp target/review-2 QuotaCase review/6/record.txt "${TROUBLE:-1}" &
+child=$!
+trap 'kill -TERM "$child" 2>/dev/null; wait "$child"; exit 2' TERM INT HUP
+wait "$child"
+case $? in
+  0) exit 0 ;;
+  10) exit 1 ;;
   *) exit 2 ;;
 esac
--- a/review/rig/Case.java
+++ b/review/rig/Case.java
@@ -5,7 +5,10 @@
 final class Case {
 
   static final int HELD = 0;
-  static final int BROKEN = 1;
+
+  /** Not 1, the code of a virtual machine that fails by itself. */
+  static final int BROKEN = 10;
+
   static final int NOT_RUN = 2;
 
   /** The steps of a case; returns one of the codes above. */
@@ -28,10 +31,10 @@
     try (Record record = new Record(Path.of(args[0]));
         Fleet fleet = new Fleet(zones, perZone)) {
       Runtime.getRuntime()
-          .addShutdownHook(new Thread(() -> fleet.entries().forEach(EntryProcess::kill)));
+          .addShutdownHook(new Thread(() -> EntryProcess.stopAll(fleet.entries())));
       code = steps.run(record, fleet, args[1].equals("1"));
       record.say("result: " + code);
-    } catch (Exception e) {
+    } catch (Exception | Error e) {
       code = NOT_RUN;
       e.printStackTrace(new PrintStream(System.out, true));
     }
--- a/review/rig/EntryProcess.java
+++ b/review/rig/EntryProcess.java
@@ -21,6 +21,8 @@
       Pattern.compile("\\{\\{#([^}]+)\\}\\}(.*?)\\{\\{/\\1\\}\\}", Pattern.DOTALL);
   private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([^}|]+)(\\|json)?\\}\\}");
 
+  private static boolean stopped;
+
   private final Path root;
   private final Path folder;
   private final Map<String, String> values;
@@ -39,6 +41,14 @@
     this.values = values;
   }
 
+  /** Kills entries, and has no further one start. */
+  static void stopAll(List<EntryProcess> entries) {
+    synchronized (EntryProcess.class) {
+      stopped = true;
+    }
+    entries.forEach(EntryProcess::kill);
+  }
+
   static int freePort(String address) throws IOException {
     try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(address))) {
       return socket.getLocalPort();
@@ -79,7 +89,12 @@
     builder.environment().put("WAGTAILPIN_RENEWAL_MILLIS", values.get("heartbeatMs"));
     File output = folder.resolve(name() + ".log").toFile();
     builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(output));
-    process = builder.start();
+    synchronized (EntryProcess.class) {
+      if (stopped) {
+        throw new IOException("the case is being stopped");
+      }
+      process = builder.start();
+    }
   }
 
   /** Fills in the template of settings as DEPLOY.md says, as far as the template needs it. */
--- a/review/rig/LostWatchCase.java
+++ b/review/rig/LostWatchCase.java
@@ -131,6 +131,7 @@
       String id = "q" + i;
       EntryProcess entry = entries.get(i % entries.size());
       sent.add(new Sent(id, entry.name(), record.millis()));
+      record.line("a caller sends " + id + " to " + entry.name());
       callers.execute(
           () -> {
             int status = Caller.call(entry, head(id), new byte[0], 3_000);
--- a/review/rig/QuotaCase.java
+++ b/review/rig/QuotaCase.java
@@ -125,6 +125,7 @@
       String id = "q" + i;
       EntryProcess entry = entries.get(random.nextInt(entries.size()));
       sent.add(new Sent(id, record.millis()));
+      record.line("a caller sends " + id + " to " + entry.name());
       callers.execute(
           () -> {
             int status = Caller.call(entry, head(id), new byte[0], 4_000);
