Refuse an entry of the store that is nested too deeply, by one limit for all JSON

What callers saw: while the store held a registration of another writer that was nested thousands of levels deep, and after all entries were restarted, almost no request was served. No entry became ready.

Cause: JsonTree recurses once per level, and relied on the parser's default limit of 1,000 levels. The control thread of an entry has a stack of 512 KiB, which overflowed before that. The StackOverflowError ended the processing of each list of the store, the list was repeated, and ended the same way: 38 times in the 30 s of one start, with 2.3 MB of stack traces in the log. The existing test read such a text on the larger stack of a test thread, which bears 1,000 levels. The other reader, JsonTextParser, had a limit of 32 levels already.

Fix: both readers take their limit from JsonLimits, 32 levels, so the parser throws before the recursion is deep, and the entry counts as unreadable. A document or registration of the platform has fewer than ten levels. The limit holds for fields that are not known, too.

--- a/wagtailpin/src/main/java/org/wagtailpin/json/JsonTextParser.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/json/JsonTextParser.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import java.io.IOException;
@@ -24,7 +23,6 @@
  */
 public final class JsonTextParser {
 
-  private static final int MAX_DEPTH = 32;
   private static final int MAX_DOCUMENT_CHARS = 16_000_000;
 
   private static final JsonFactory FACTORY =
@@ -33,10 +31,7 @@
           .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
           .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
           .streamReadConstraints(
-              StreamReadConstraints.builder()
-                  .maxNestingDepth(MAX_DEPTH)
-                  .maxDocumentLength(MAX_DOCUMENT_CHARS)
-                  .build())
+              JsonLimits.constraints().maxDocumentLength(MAX_DOCUMENT_CHARS).build())
           .build();
 
   /**
--- a/wagtailpin/src/main/java/org/wagtailpin/json/JsonTree.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/json/JsonTree.java
@@ -17,7 +17,8 @@
  */
 public final class JsonTree {
 
-  private static final JsonFactory FACTORY = new JsonFactory();
+  private static final JsonFactory FACTORY =
+      JsonFactory.builder().streamReadConstraints(JsonLimits.constraints().build()).build();
   private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
   private JsonTree() {}
@@ -26,7 +27,7 @@
    * Reads one JSON value.
    *
    * @param bytes the text; a missing node is returned if it is empty
-   * @throws IOException if the text is not one JSON value
+   * @throws IOException if the text is not one JSON value, or is nested too deeply
    */
   public static JsonNode read(byte[] bytes) throws IOException {
     try (JsonParser parser = FACTORY.createParser(bytes)) {
@@ -41,7 +42,7 @@
     }
   }
 
-  // The parser limits the depth of nesting, and so the depth of the recursion.
+  // The parser throws above JsonLimits.MAX_DEPTH, which limits the depth of the recursion.
   private static JsonNode value(JsonParser parser) throws IOException {
     return switch (parser.currentToken()) {
       case START_OBJECT -> object(parser);
