Cut off long texts in the lines of the event log

What operators saw: nothing yet. A registration of another writer whose state or address is a text of a megabyte, which the store takes, was refused in a line of a megabyte, with each list of the store; explain skips lines of more than 65,536 characters.

Cause: the reason of a refusal quotes the value, and the event log bounded the number of lines, but not their length.

Fix: EventLine cuts each text after 2,000 characters, so that this holds for all events, whatever their source. The name of a server goes before the reason and remains.

--- a/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventLine.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/eventlog/EventLine.java
@@ -7,9 +7,14 @@
 import java.io.UncheckedIOException;
 import java.util.Map;
 
-/** Formats an event as one line of JSON: time, event, entry, request and the event's fields. */
+/**
+ * Formats an event as one line of JSON: time, event, entry, request and the event's fields. Long
+ * texts, which come from outside the process, are cut off.
+ */
 final class EventLine {
 
+  private static final int MAX_TEXT_CHARS = 2_000;
+
   private static final JsonFactory JSON = new JsonFactory();
 
   private EventLine() {}
@@ -22,7 +27,7 @@
       json.writeStringField("event", event.kind().label());
       json.writeStringField("entry", entry);
       if (event.request().isPresent()) {
-        json.writeStringField("request", event.request().get());
+        json.writeStringField("request", shortened(event.request().get()));
       }
       for (Map.Entry<String, Object> field : event.fields().entrySet()) {
         json.writeFieldName(field.getKey());
@@ -44,7 +49,11 @@
     } else if (value instanceof Boolean flag) {
       json.writeBoolean(flag);
     } else {
-      json.writeString(String.valueOf(value));
+      json.writeString(shortened(String.valueOf(value)));
     }
   }
+
+  private static String shortened(String text) {
+    return text.length() > MAX_TEXT_CHARS ? text.substring(0, MAX_TEXT_CHARS) + "..." : text;
+  }
 }
--- a/wagtailpin/src/test/java/org/wagtailpin/eventlog/BoundedEventLogTest.java
+++ b/wagtailpin/src/test/java/org/wagtailpin/eventlog/BoundedEventLogTest.java
@@ -45,6 +45,24 @@
                 + "\"detail\":\"reset \\\"by peer\\\"\"}");
   }
 
+  // Guards against a line of a megabyte for a registration with a field of that length.
+  @Test
+  void aLongTextIsCutOff() {
+    String longText = "x".repeat(1_000_000);
+    try (BoundedEventLog log = log(10, UNLIMITED, UNLIMITED)) {
+      log.recordEvent(
+          Event.of(EventKind.SERVER_REFUSED).with("server", "s1").with("detail", longText));
+      log.recordEvent(attempt(longText));
+    }
+
+    assertThat(lines).hasSize(2);
+    for (String line : lines) {
+      assertThat(line.length()).isLessThan(5_000);
+      assertThat(line).contains("\"server\":\"s1\"");
+      assertThat(line).endsWith("\"}");
+    }
+  }
+
   @Test
   void theEventsOfARequestAreWrittenWhenItEnds() {
     try (BoundedEventLog log = log(10, 0, UNLIMITED)) {
