--- a/wagtailpin/src/main/java/org/wagtailpin/json/JsonLimits.java
+++ b/wagtailpin/src/main/java/org/wagtailpin/json/JsonLimits.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.core.StreamReadConstraints;
 
-/** Limits of all JSON texts that come from outside the process. */
+/** Limits of the JSON texts that the readers of this package accept. */
 final class JsonLimits {
 
   /**
